--- /dev/null
+++ b/app/Main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+auto main() -> int
+{
+    std::puts("hemlockvane: usage: hemlockvane serve|ctl|submit|check-settings");
+    return 2;
+}
--- /dev/null
+++ b/include/hemlockvane/configuration.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// @file
+/// @brief The configuration slice: its state, records and decisions, without sockets.
+
+#include "hemlockvane/configuration/ApplyConfiguration.h"
+#include "hemlockvane/configuration/ConfigurationChange.h"
+#include "hemlockvane/configuration/ConfigurationItem.h"
+#include "hemlockvane/configuration/ConfigurationState.h"
+#include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/configuration/SettingSpec.h"
+#include "hemlockvane/configuration/ValidateChange.h"
--- /dev/null
+++ b/include/hemlockvane/configuration/ConfigurationState.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "hemlockvane/configuration/ConfigurationChange.h"
+#include "hemlockvane/configuration/ConfigurationItem.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace hemlockvane {
+
+/// @brief Changes kept in the history.
+inline constexpr std::size_t maximumHistory = 1000;
+
+/// @brief Defaults and exceptions as folded from the log.
+struct ConfigurationState {
+    Offset m_version = 0; ///< Offset of the last accepted change.
+    std::map<std::string, ConfigurationItem, std::less<>> m_defaults; ///< By setting.
+    std::map<std::pair<std::string, std::string>, ConfigurationItem> m_exceptions; ///< By setting and scope.
+    std::deque<ConfigurationChange> m_history; ///< Oldest first.
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/configuration/SettingSpec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace hemlockvane {
+
+/// @brief What kind of thing an exception to a setting is made for.
+enum class ScopeKind : std::uint8_t { Fleet, Team, Queue, Pool, Service };
+
+/// @brief One setting that operators may change: its limits and its built-in value.
+struct SettingSpec {
+    std::string_view m_name;
+    ScopeKind m_scope;
+    std::int64_t m_builtIn;
+    std::int64_t m_minimum;
+    std::int64_t m_maximum;
+    std::string_view m_unit;
+    std::string_view m_meaning;
+};
+
+/// @brief Every setting, sorted by name.
+auto settingSpecs() -> std::span<const SettingSpec>;
+
+/// @brief Finds a setting by name.
+/// @result null when there is no such setting
+/// @complexity logarithmic
+auto findSetting(std::string_view name) -> const SettingSpec*;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/configuration/ValidateChange.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+
+#include <string_view>
+
+namespace hemlockvane {
+
+/// @brief Checks a fleet-wide default: a known setting, and a value within its limits or empty.
+/// @param reason receives BadRequest and what was expected
+auto validateDefault(std::string_view setting, std::string_view value, LastReason& reason) -> bool;
+
+/// @brief Checks an exception: as a default, and that the setting has scopes and that scope and reason are given.
+/// @param reason receives BadRequest and what was expected
+auto validateException(std::string_view setting, std::string_view scope, std::string_view value, std::string_view why,
+    LastReason& reason) -> bool;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/detail/http/HttpLimits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace hemlockvane::detail {
+
+/// @brief Bounds of one HTTP server.
+struct HttpLimits {
+    std::size_t m_maximumConnections = 4096;
+    std::size_t m_maximumHeaderBytes = 16384;
+    std::size_t m_maximumBodyBytes = 1048576;
+    std::chrono::milliseconds m_readTimeout { 10000 }; ///< From a request's first byte to its last.
+    std::chrono::milliseconds m_idleTimeout { 60000 }; ///< Between requests.
+    std::chrono::milliseconds m_writeTimeout { 10000 };
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/http/HttpResponse.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "hemlockvane/detail/http/HttpHeader.h"
+
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief A whole HTTP response.
+struct HttpResponse {
+    unsigned m_status = 200;
+    std::vector<HttpHeader> m_headers;
+    std::string m_body;
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/http/HttpServer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "hemlockvane/detail/http/HttpLimits.h"
+#include "hemlockvane/detail/http/HttpRequest.h"
+#include "hemlockvane/detail/http/HttpResponse.h"
+#include "hemlockvane/errors/LastReason.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockvane::detail {
+
+/// @brief Answers one request; runs on the server's io_context.
+using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
+
+/// @brief A bounded HTTP/1.1 server on one listening socket.
+///
+/// Malformed, oversized and slow requests are answered with an error of the closed list and the connection is closed.
+class HttpServer {
+public:
+    HttpServer(boost::asio::io_context& context, HttpLimits limits, HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    auto operator=(const HttpServer&) -> HttpServer& = delete;
+
+    /// @brief Starts to listen.
+    /// @param address IP number and port, for example "127.0.0.1:8080"; port 0 takes a free one
+    /// @param reason receives BadRequest or Internal
+    /// @result the port in use, empty on error
+    auto listen(std::string_view address, LastReason& reason) -> std::optional<std::uint16_t>;
+
+    /// @brief Stops accepting and closes idle connections; requests in flight are answered first.
+    auto drain() -> void;
+
+    /// @brief Connections open now.
+    [[nodiscard]] auto connectionCount() const -> std::size_t;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/net/Address.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace hemlockvane::detail {
+
+/// @brief Reads "IP:port".
+/// @param reason receives BadRequest
+auto parseAddress(std::string_view text, LastReason& reason) -> std::optional<boost::asio::ip::tcp::endpoint>;
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/jobs/ApplyJobs.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FoldContext.h"
+
+#include <optional>
+
+namespace hemlockvane::wire {
+class SubmitJob;
+class CancelJobs;
+class PlaceJob;
+class EndAttempt;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane {
+
+struct FleetState;
+
+/// @brief Applies one jobs record to the state, or rejects it.
+/// @param reason receives the kind and text of a rejection
+/// @result the offset at which it was accepted, empty when rejected
+auto apply(FleetState& state, const wire::SubmitJob& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::CancelJobs& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::PlaceJob& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::EndAttempt& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/keys/KeyState.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "hemlockvane/keys/KeyRecord.h"
+
+#include <map>
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief Granted and withdrawn keys. A withdrawal is final: an id or a hash is never granted twice.
+struct KeyState {
+    std::map<std::string, KeyRecord, std::less<>> m_keys; ///< By public key id.
+    std::map<std::string, std::string, std::less<>> m_idByHash;
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/log.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// @file
+/// @brief The log slice: its state, records and decisions, without sockets.
+
+#include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/log/Fold.h"
+#include "hemlockvane/log/FoldContext.h"
+#include "hemlockvane/log/OperationResult.h"
+#include "hemlockvane/log/OperationWindow.h"
+#include "hemlockvane/log/Snapshot.h"
--- /dev/null
+++ b/include/hemlockvane/log/Snapshot.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FleetState.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockvane {
+
+/// @brief Serialises a state; equal states give equal bytes.
+/// @complexity linear in the state
+auto saveSnapshot(const FleetState& state) -> std::string;
+
+/// @brief Restores a state.
+/// @param reason receives BadRequest when the bytes are no snapshot
+/// @result empty on error
+auto loadSnapshot(std::string_view bytes, LastReason& reason) -> std::optional<FleetState>;
+
+/// @brief 64-bit FNV-1a hash, used for snapshots and chained results.
+auto hashBytes(std::string_view bytes, std::uint64_t seed = 14695981039346656037ULL) -> std::uint64_t;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/maintenance.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// @file
+/// @brief The maintenance slice: its state, records and decisions, without sockets.
+
+#include "hemlockvane/maintenance/ApplyMaintenance.h"
+#include "hemlockvane/maintenance/MaintenanceState.h"
+#include "hemlockvane/maintenance/WaveRecord.h"
--- /dev/null
+++ b/include/hemlockvane/maintenance/ApplyMaintenance.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FoldContext.h"
+
+#include <optional>
+
+namespace hemlockvane::wire {
+class StartWave;
+class PauseWave;
+class BeginDrain;
+class EndDrain;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane {
+
+struct FleetState;
+
+/// @brief Applies one maintenance record to the state, or rejects it.
+/// @param reason receives the kind and text of a rejection
+/// @result the offset at which it was accepted, empty when rejected
+auto apply(FleetState& state, const wire::StartWave& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::PauseWave& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::BeginDrain& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::EndDrain& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/membership/ApplyMembership.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FoldContext.h"
+
+#include <optional>
+
+namespace hemlockvane::wire {
+class JoinEntry;
+class RemoveEntry;
+class TakeDuty;
+class ReleaseDuty;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane {
+
+struct FleetState;
+
+/// @brief Applies one membership record to the state, or rejects it.
+/// @param reason receives the kind and text of a rejection
+/// @result the offset at which it was accepted, empty when rejected
+auto apply(FleetState& state, const wire::JoinEntry& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::RemoveEntry& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::TakeDuty& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::ReleaseDuty& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/pools.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// @file
+/// @brief The pools slice: its state, records and decisions, without sockets.
+
+#include "hemlockvane/pools/ApplyPools.h"
+#include "hemlockvane/pools/InstanceRecord.h"
+#include "hemlockvane/pools/PoolState.h"
--- /dev/null
+++ b/include/hemlockvane/pools/ApplyPools.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FoldContext.h"
+
+#include <optional>
+
+namespace hemlockvane::wire {
+class AddInstance;
+class RemoveInstance;
+class MoveInstance;
+class MarkInstance;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane {
+
+struct FleetState;
+
+/// @brief Applies one pools record to the state, or rejects it.
+/// @param reason receives the kind and text of a rejection
+/// @result the offset at which it was accepted, empty when rejected
+auto apply(FleetState& state, const wire::AddInstance& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::RemoveInstance& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::MoveInstance& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+auto apply(FleetState& state, const wire::MarkInstance& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/configuration/ApplyConfiguration.cpp
@@ -0,0 +1,87 @@
+#include "hemlockvane/configuration/ApplyConfiguration.h"
+
+#include "hemlockvane/configuration/SettingSpec.h"
+#include "hemlockvane/configuration/ValidateChange.h"
+#include "hemlockvane/log/FleetState.h"
+
+#include "hemlockvane/records.pb.h"
+
+namespace hemlockvane {
+
+namespace {
+
+auto checkVersion(const ConfigurationItem* current, Offset expected, LastReason& reason) -> bool
+{
+    if (current == nullptr || current->m_version <= expected)
+        return true;
+    fail(reason, ErrorKind::Conflict,
+        "changed by " + current->m_author + " in version " + std::to_string(current->m_version));
+    return false;
+}
+
+auto accept(ConfigurationState& state, const FoldContext& context, std::string summary, const std::string& author)
+    -> Applied
+{
+    state.m_version = context.m_offset;
+    state.m_history.push_back({ context.m_offset, std::move(summary), author, context.m_stampedAt });
+    if (state.m_history.size() > maximumHistory)
+        state.m_history.pop_front();
+    return context.m_offset;
+}
+
+} // namespace
+
+auto apply(FleetState& state, const wire::SetDefault& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>
+{
+    auto& configuration = state.m_configuration;
+    if (!validateDefault(change.setting(), change.value(), reason))
+        return std::nullopt;
+    const auto found = configuration.m_defaults.find(change.setting());
+    const auto* current = found == configuration.m_defaults.end() ? nullptr : &found->second;
+    if (!checkVersion(current, change.expected_version(), reason))
+        return std::nullopt;
+    auto& item = configuration.m_defaults[change.setting()];
+    item.m_value = change.value();
+    item.m_author = change.author();
+    item.m_version = context.m_offset;
+    item.m_removed = change.value().empty();
+    const auto shown = change.value().empty() ? std::string("built-in") : change.value();
+    return accept(configuration, context, "default " + change.setting() + " = " + shown, change.author());
+}
+
+auto apply(FleetState& state, const wire::SetException& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>
+{
+    auto& configuration = state.m_configuration;
+    if (!validateException(change.setting(), change.scope(), change.value(), change.reason(), reason))
+        return std::nullopt;
+    const auto name = std::pair(change.setting(), change.scope());
+    const auto found = configuration.m_exceptions.find(name);
+    const auto* current = found == configuration.m_exceptions.end() ? nullptr : &found->second;
+    if (!checkVersion(current, change.expected_version(), reason))
+        return std::nullopt;
+    configuration.m_exceptions[name] = ConfigurationItem { change.value(), change.reason(), change.author(),
+        change.expires_at_ms(), context.m_offset, false };
+    auto summary
+        = "exception " + change.setting() + " for " + change.scope() + " = " + change.value() + ": " + change.reason();
+    return accept(configuration, context, std::move(summary), change.author());
+}
+
+auto apply(FleetState& state, const wire::RemoveException& change, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>
+{
+    auto& configuration = state.m_configuration;
+    const auto found = configuration.m_exceptions.find({ change.setting(), change.scope() });
+    if (found == configuration.m_exceptions.end() || found->second.m_removed)
+        return fail(reason, ErrorKind::NotFound, "no exception " + change.setting() + " for " + change.scope());
+    if (!checkVersion(&found->second, change.expected_version(), reason))
+        return std::nullopt;
+    found->second.m_removed = true;
+    found->second.m_version = context.m_offset;
+    found->second.m_author = change.author();
+    return accept(
+        configuration, context, "no exception " + change.setting() + " for " + change.scope(), change.author());
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/detail/http/HttpServer.cpp
@@ -0,0 +1,239 @@
+#include "hemlockvane/detail/http/HttpServer.h"
+
+#include "hemlockvane/detail/http/ErrorResponse.h"
+#include "hemlockvane/detail/net/Address.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <set>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+using Stream = beast::tcp_stream;
+using Parser = http::request_parser<http::string_body>;
+
+// One accepted connection and whether a request is being handled on it.
+struct Session {
+    explicit Session(asio::ip::tcp::socket socket)
+        : m_stream(std::move(socket))
+    {
+    }
+
+    Stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_isBusy = false;
+};
+
+auto toRequest(http::request<http::string_body>&& message) -> HttpRequest
+{
+    HttpRequest request;
+    request.m_method = std::string(message.method_string());
+    request.m_target = std::string(message.target());
+    for (const auto& field : message)
+        request.m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    request.m_body = std::move(message.body());
+    return request;
+}
+
+auto toMessage(HttpResponse&& response, unsigned version, bool keepAlive, bool isHead)
+    -> http::response<http::string_body>
+{
+    http::response<http::string_body> message;
+    message.version(version);
+    message.result(response.m_status);
+    for (const auto& header : response.m_headers)
+        message.insert(header.m_name, header.m_value);
+    message.keep_alive(keepAlive);
+    const auto size = response.m_body.size();
+    if (!isHead)
+        message.body() = std::move(response.m_body);
+    if (message.find(http::field::content_length) == message.end())
+        message.content_length(size);
+    return message;
+}
+
+auto readFailure(const beast::error_code& error) -> LastReason
+{
+    if (error == http::error::body_limit)
+        return { ErrorKind::TooLarge, "the body is larger than this entry takes" };
+    if (error == http::error::header_limit)
+        return { ErrorKind::TooLarge, "the header is larger than this entry takes" };
+    if (error == beast::error::timeout)
+        return { ErrorKind::DeadlinePassed, "the request did not arrive in time" };
+    return { ErrorKind::BadRequest, "malformed HTTP request: " + error.message() };
+}
+
+// An error that leaves nobody to answer to.
+auto isDisconnect(const beast::error_code& error) -> bool
+{
+    return error == http::error::end_of_stream || error == asio::error::connection_reset
+        || error == asio::error::operation_aborted || error == asio::error::broken_pipe
+        || error == http::error::partial_message;
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(asio::io_context& context, HttpLimits limits, HttpHandler handler)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+    {
+    }
+
+    auto accept() -> asio::awaitable<void>;
+    auto serve(std::shared_ptr<Session> session) -> asio::awaitable<void>;
+    auto serveOne(Session& session) -> asio::awaitable<bool>;
+    auto write(Session& session, HttpResponse response, unsigned version, bool keepAlive, bool isHead)
+        -> asio::awaitable<bool>;
+    auto readRequest(Session& session, Parser& parser, beast::error_code& error) -> asio::awaitable<void>;
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    HttpLimits m_limits;
+    HttpHandler m_handler;
+    std::set<std::shared_ptr<Session>> m_sessions;
+    bool m_isDraining = false;
+};
+
+auto HttpServer::Impl::accept() -> asio::awaitable<void>
+{
+    while (m_acceptor.is_open()) {
+        beast::error_code error;
+        auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error || m_sessions.size() >= m_limits.m_maximumConnections)
+            continue;
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        auto session = std::make_shared<Session>(std::move(socket));
+        m_sessions.insert(session);
+        asio::co_spawn(m_context, serve(session), asio::detached);
+    }
+}
+
+auto HttpServer::Impl::serve(std::shared_ptr<Session> session) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    while (co_await serveOne(*session)) { }
+    beast::error_code error;
+    session->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    session->m_stream.close();
+    m_sessions.erase(session);
+}
+
+auto HttpServer::Impl::readRequest(Session& session, Parser& parser, beast::error_code& error) -> asio::awaitable<void>
+{
+    if (session.m_buffer.size() == 0) {
+        session.m_stream.expires_after(m_limits.m_idleTimeout);
+        const auto read = co_await session.m_stream.async_read_some(
+            session.m_buffer.prepare(1024), asio::redirect_error(asio::use_awaitable, error));
+        session.m_buffer.commit(read);
+        if (error) {
+            error = error == asio::error::eof ? http::error::end_of_stream : error;
+            error = error == beast::error::timeout ? http::error::end_of_stream : error;
+            co_return;
+        }
+    }
+    session.m_isBusy = true;
+    session.m_stream.expires_after(m_limits.m_readTimeout);
+    co_await http::async_read(
+        session.m_stream, session.m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+}
+
+auto HttpServer::Impl::serveOne(Session& session) -> asio::awaitable<bool>
+{
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_limits.m_maximumHeaderBytes));
+    parser.body_limit(m_limits.m_maximumBodyBytes);
+    beast::error_code error;
+    session.m_isBusy = false;
+    co_await readRequest(session, parser, error);
+    if (error && isDisconnect(error))
+        co_return false;
+    if (error) {
+        co_await write(session, errorResponse(readFailure(error)), 11, false, false);
+        co_return false;
+    }
+    session.m_stream.expires_never();
+    const auto version = parser.get().version();
+    const auto isHead = parser.get().method() == http::verb::head;
+    const auto wantsMore = parser.get().keep_alive();
+    auto response = co_await m_handler(toRequest(parser.release()));
+    const auto keepAlive = wantsMore && !m_isDraining;
+    co_return co_await write(session, std::move(response), version, keepAlive, isHead) && keepAlive;
+}
+
+auto HttpServer::Impl::write(Session& session, HttpResponse response, unsigned version, bool keepAlive, bool isHead)
+    -> asio::awaitable<bool>
+{
+    auto message = toMessage(std::move(response), version, keepAlive, isHead);
+    http::response_serializer<http::string_body> serializer(message);
+    serializer.split(isHead);
+    session.m_stream.expires_after(m_limits.m_writeTimeout);
+    beast::error_code error;
+    if (isHead)
+        co_await http::async_write_header(
+            session.m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    else
+        co_await http::async_write(session.m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(context, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    beast::error_code error;
+    m_impl->m_acceptor.close(error);
+}
+
+auto HttpServer::listen(std::string_view address, LastReason& reason) -> std::optional<std::uint16_t>
+{
+    const auto endpoint = parseAddress(address, reason);
+    if (!endpoint)
+        return std::nullopt;
+    beast::error_code error;
+    auto& acceptor = m_impl->m_acceptor;
+    acceptor.open(endpoint->protocol(), error);
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return fail(reason, ErrorKind::Internal, "cannot listen on " + std::string(address) + ": " + error.message());
+    asio::co_spawn(
+        m_impl->m_context, [impl = m_impl]() { return impl->accept(); }, asio::detached);
+    return acceptor.local_endpoint().port();
+}
+
+auto HttpServer::drain() -> void
+{
+    beast::error_code error;
+    m_impl->m_isDraining = true;
+    m_impl->m_acceptor.close(error);
+    for (const auto& session : m_impl->m_sessions) {
+        if (!session->m_isBusy)
+            session->m_stream.cancel();
+    }
+}
+
+auto HttpServer::connectionCount() const -> std::size_t { return m_impl->m_sessions.size(); }
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/tests/core/errors/ErrorAnswerTest.cpp
@@ -0,0 +1,50 @@
+#include "hemlockvane/errors.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string_view>
+
+namespace hemlockvane {
+
+class ErrorAnswerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ErrorAnswerTest);
+    CPPUNIT_TEST(errorAnswer_everyKind_isItsOwnRow);
+    CPPUNIT_TEST(errorAnswer_everyName_isUnique);
+    CPPUNIT_TEST(errorAnswer_numberOutsideList_isInternal);
+    CPPUNIT_TEST(errorAnswer_doubtfulOutcome_neverClaimsNotRun);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto errorAnswer_everyKind_isItsOwnRow() -> void
+    {
+        for (std::size_t i = 0; i < errorKindCount; ++i) {
+            const auto kind = static_cast<ErrorKind>(i);
+            CPPUNIT_ASSERT(errorAnswer(kind).m_kind == kind);
+        }
+    }
+
+    auto errorAnswer_everyName_isUnique() -> void
+    {
+        std::set<std::string_view> names;
+        for (std::size_t i = 0; i < errorKindCount; ++i)
+            names.insert(errorAnswer(static_cast<ErrorKind>(i)).m_name);
+        CPPUNIT_ASSERT_EQUAL(errorKindCount, names.size());
+    }
+
+    auto errorAnswer_numberOutsideList_isInternal() -> void
+    {
+        CPPUNIT_ASSERT(errorAnswer(static_cast<ErrorKind>(200)).m_kind == ErrorKind::Internal);
+    }
+
+    auto errorAnswer_doubtfulOutcome_neverClaimsNotRun() -> void
+    {
+        CPPUNIT_ASSERT(!errorAnswer(ErrorKind::OutcomeUnknown).m_claimsNotRun);
+        CPPUNIT_ASSERT(!errorAnswer(ErrorKind::AnswerLost).m_claimsNotRun);
+        CPPUNIT_ASSERT(!errorAnswer(ErrorKind::Internal).m_claimsNotRun);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ErrorAnswerTest);
+
+} // namespace hemlockvane
