--- /dev/null
+++ b/standins/Json.cpp
@@ -0,0 +1,78 @@
+#include "Json.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace hemlockvane::standins {
+
+namespace json = boost::json;
+
+auto parseObject(std::string_view text) -> std::optional<json::object>
+{
+    if (text.empty())
+        return json::object();
+    json::error_code error;
+    auto value = json::parse(json::string_view(text.data(), text.size()), error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.as_object());
+}
+
+auto numberOf(const json::object& object, std::string_view name, std::int64_t fallback) -> std::int64_t
+{
+    const auto* value = object.if_contains(name);
+    if (value == nullptr || !value->is_number())
+        return fallback;
+    json::error_code error;
+    const auto number = value->to_number<std::int64_t>(error);
+    return error ? fallback : number;
+}
+
+auto textOf(const json::object& object, std::string_view name) -> std::string
+{
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+auto flagOf(const json::object& object, std::string_view name, bool fallback) -> bool
+{
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
+}
+
+auto queryNumber(std::string_view target, std::string_view name, std::uint64_t fallback) -> std::uint64_t
+{
+    const auto mark = target.find('?');
+    auto query = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const auto pair = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        if (pair.size() <= name.size() || !pair.starts_with(name) || pair[name.size()] != '=')
+            continue;
+        const auto text = pair.substr(name.size() + 1);
+        std::uint64_t number = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        return parsed.ec == std::errc() ? number : fallback;
+    }
+    return fallback;
+}
+
+auto pathOf(std::string_view target) -> std::string_view { return target.substr(0, target.find('?')); }
+
+auto jsonAnswer(unsigned status, const json::object& body) -> StandinAnswer
+{
+    StandinAnswer answer;
+    answer.m_response.m_status = status;
+    answer.m_response.m_headers.push_back({ "Content-Type", "application/json" });
+    answer.m_response.m_body = json::serialize(body) + "\n";
+    return answer;
+}
+
+auto refusal(unsigned status, std::string_view text) -> StandinAnswer
+{
+    return jsonAnswer(status, { { "error", text } });
+}
+
+} // namespace hemlockvane::standins
--- /dev/null
+++ b/standins/StandinServer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "StandinAnswer.h"
+
+#include "hemlockvane/detail/http/HttpRequest.h"
+#include "hemlockvane/errors/LastReason.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hemlockvane::standins {
+
+/// @brief Answers one request of a stand-in.
+using StandinHandler = std::function<boost::asio::awaitable<StandinAnswer>(detail::HttpRequest)>;
+
+/// @brief An HTTP server that can also answer wrongly or not at all.
+class StandinServer {
+public:
+    StandinServer(boost::asio::io_context& context, StandinHandler handler);
+    ~StandinServer();
+    StandinServer(const StandinServer&) = delete;
+    auto operator=(const StandinServer&) -> StandinServer& = delete;
+
+    /// @brief Starts to listen.
+    /// @param address IP:port; port 0 takes a free one
+    /// @result the address in use, empty on error
+    auto listen(const std::string& address, LastReason& reason) -> std::optional<std::string>;
+
+    /// @brief Connections open now are never read or answered again, and stay open. New ones work.
+    auto silenceOpenConnections() -> void;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+/// @brief Listens, prints "listening on IP:port" and runs until SIGTERM or SIGINT.
+/// @result exit code
+auto runUntilStopped(boost::asio::io_context& context, StandinServer& server, const std::string& address) -> int;
+
+} // namespace hemlockvane::standins
