--- /dev/null
+++ b/include/hemlockvane/detail/platform/LogClient.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "hemlockvane/detail/http/HttpConnection.h"
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FoldContext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockvane::wire {
+class LogBatch;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane::detail {
+
+/// @brief Client of the platform's log service; used on one thread. Reads and appends have a connection each.
+class LogClient {
+public:
+    /// @param address IP number and port of the log service
+    LogClient(boost::asio::any_io_executor executor, std::string address);
+
+    /// @brief Appends one record.
+    /// @param reason receives NoCapacity when nothing was sent, AnswerLost when it may have taken effect,
+    ///     LogUnavailable when the service refused
+    /// @result the record's offset
+    auto append(std::string record, std::chrono::milliseconds timeout, LastReason& reason)
+        -> boost::asio::awaitable<std::optional<Offset>>;
+
+    /// @brief Reads records from an offset on; waits for the first one up to `wait`.
+    /// @param reason receives LogUnavailable
+    auto read(Offset from, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, LastReason& reason)
+        -> boost::asio::awaitable<std::optional<wire::LogBatch>>;
+
+private:
+    auto exchange(HttpConnection& connection, const HttpRequest& request, std::chrono::milliseconds timeout,
+        LastReason& reason) -> boost::asio::awaitable<std::optional<HttpResponse>>;
+
+    std::string m_address;
+    HttpConnection m_reader;
+    HttpConnection m_appender;
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/logging/Log.cpp
@@ -0,0 +1,48 @@
+#include "hemlockvane/detail/logging/Log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace hemlockvane::detail {
+
+namespace {
+
+auto sharedSink() -> std::shared_ptr<spdlog::sinks::stderr_sink_mt>
+{
+    static const auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    return sink;
+}
+
+auto makeLogger(const std::string& part) -> std::shared_ptr<spdlog::logger>
+{
+    static std::mutex mutex;
+    const std::lock_guard lock(mutex);
+    if (auto existing = spdlog::get(part))
+        return existing;
+    auto logger = std::make_shared<spdlog::logger>(part, sharedSink());
+    spdlog::initialize_logger(logger);
+    return logger;
+}
+
+} // namespace
+
+auto startLogging(std::string_view instance, std::string_view level) -> void
+{
+    spdlog::set_level(spdlog::level::from_str(std::string(level)));
+    spdlog::set_pattern(
+        "%Y-%m-%dT%H:%M:%S.%eZ %L " + std::string(instance) + " %n: %v", spdlog::pattern_time_type::utc);
+}
+
+auto logOf(std::string_view part) -> spdlog::logger&
+{
+    thread_local std::unordered_map<std::string, std::shared_ptr<spdlog::logger>> loggers;
+    auto& logger = loggers[std::string(part)];
+    if (!logger)
+        logger = makeLogger(std::string(part));
+    return *logger;
+}
+
+} // namespace hemlockvane::detail
