Add the appender: group commit with outcomes read back by operation id

An append's answer can be lost after the record took effect, so an answer never decides an outcome here: only folded results do. Operations of a lost append are appended again under the same ids once a read sent after the loss reached the end without them. What was never sent ends as log_unavailable (not run), what may be in the log as outcome_unknown, each at its deadline; while the log is down unsent operations are refused at once and one append at a time probes it.

--- /dev/null
+++ b/src/log/Appender.cpp
@@ -0,0 +1,260 @@
+#include "hemlockvane/log/Appender.h"
+
+#include "hemlockvane/log/Fold.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr double millisPerSecond = 1000;
+
+auto refill(AppenderState& state, Instant now) -> void
+{
+    const auto elapsed = static_cast<double>((now - state.m_refilledAt).count());
+    const auto gained = elapsed * state.m_limits.m_appendsPerSecond / millisPerSecond;
+    state.m_tokens = std::min(state.m_limits.m_burstAppends, state.m_tokens + std::max(0.0, gained));
+    state.m_refilledAt = std::max(state.m_refilledAt, now);
+}
+
+auto inRetryDelay(const AppenderState& state, Instant now) -> bool
+{
+    return state.m_failingSince && now < state.m_lastFailureAt + state.m_limits.m_retryDelay;
+}
+
+// In an outage one append at a time probes the log; everything else is refused at once.
+auto refusesUnsent(const AppenderState& state, Instant now) -> bool
+{
+    return inOutage(state, now) && (state.m_inFlight || inRetryDelay(state, now));
+}
+
+auto noteFailure(AppenderState& state, Instant sentAt, Instant now) -> void
+{
+    if (!state.m_failingSince)
+        state.m_failingSince = sentAt;
+    state.m_lastFailureAt = now;
+}
+
+// Queues operations again, before those that wait already.
+auto requeue(AppenderState& state, std::span<const std::string> ids) -> void
+{
+    for (auto id = ids.rbegin(); id != ids.rend(); ++id)
+        if (state.m_operations.contains(*id))
+            state.m_waiting.push_front(*id);
+}
+
+auto settle(AppenderState& state, const OperationResult& result, std::vector<OperationResult>& outcomes) -> void
+{
+    const auto found = state.m_operations.find(result.m_id);
+    if (found == state.m_operations.end())
+        return;
+    state.m_operations.erase(found);
+    outcomes.push_back(result);
+}
+
+// Moves ids into the group until it is full; skips those that were settled meanwhile.
+auto fillGroup(AppenderState& state, wire::Group& group, std::vector<std::string>& ids) -> void
+{
+    std::size_t bytes = 0;
+    while (!state.m_waiting.empty() && ids.size() < state.m_limits.m_groupOperations) {
+        const auto found = state.m_operations.find(state.m_waiting.front());
+        if (found == state.m_operations.end()) {
+            state.m_waiting.pop_front();
+            continue;
+        }
+        auto& pending = found->second;
+        if (bytes + pending.m_bytes > state.m_limits.m_groupBytes)
+            break;
+        bytes += pending.m_bytes;
+        *group.add_operations() = *pending.m_operation;
+        pending.m_inFlight = true;
+        ids.push_back(found->first);
+        state.m_waiting.pop_front();
+    }
+}
+
+// Takes the append out of flight; its operations were sent unless it was certainly not taken.
+auto land(AppenderState& state, bool wasSent) -> PendingAppend
+{
+    auto append = std::move(*state.m_inFlight);
+    state.m_inFlight.reset();
+    for (const auto& id : append.m_ids) {
+        const auto found = state.m_operations.find(id);
+        if (found == state.m_operations.end())
+            continue;
+        found->second.m_inFlight = false;
+        found->second.m_sent = found->second.m_sent || wasSent;
+    }
+    return append;
+}
+
+// Drops ids and appends of which no operation is pending any more, so that both stay bounded.
+auto prune(AppenderState& state) -> void
+{
+    const auto isSettled = [&](const std::string& id) { return !state.m_operations.contains(id); };
+    std::erase_if(state.m_waiting, isSettled);
+    std::erase_if(state.m_unseen,
+        [&](const PendingAppend& append) { return std::all_of(append.m_ids.begin(), append.m_ids.end(), isSettled); });
+}
+
+auto loseInFlight(AppenderState& state, Instant now) -> void
+{
+    auto append = land(state, true);
+    noteFailure(state, append.m_at, now);
+    append.m_at = now;
+    state.m_unseen.push_back(std::move(append));
+}
+
+auto giveUp(const std::string& id, const PendingOperation& pending) -> OperationResult
+{
+    if (pending.m_sent || pending.m_inFlight)
+        return { id, 0, ErrorKind::OutcomeUnknown, "the log did not confirm operation " + id + " in time" };
+    return { id, 0, ErrorKind::LogUnavailable, "the log is not available" };
+}
+
+} // namespace
+
+auto makeAppender(const AppenderLimits& limits, Instant now) -> AppenderState
+{
+    AppenderState state;
+    state.m_limits = limits;
+    state.m_tokens = limits.m_burstAppends;
+    state.m_refilledAt = now;
+    return state;
+}
+
+auto enqueue(AppenderState& state, wire::Operation operation, const AppendTerms& terms, Instant now, LastReason& reason)
+    -> bool
+{
+    const auto refuse = [&](ErrorKind kind, std::string text) {
+        fail(reason, kind, std::move(text));
+        return false;
+    };
+    const auto found = state.m_operations.find(operation.id());
+    if (found != state.m_operations.end()) {
+        auto& pending = found->second;
+        if (pending.m_operation->SerializeAsString() != operation.SerializeAsString())
+            return refuse(ErrorKind::Conflict, "operation id " + operation.id() + " belongs to another change");
+        pending.m_terms.m_deadline = std::max(pending.m_terms.m_deadline, terms.m_deadline);
+        return true;
+    }
+    const auto bytes = operation.ByteSizeLong();
+    if (bytes > state.m_limits.m_groupBytes)
+        return refuse(ErrorKind::TooLarge, "the change is larger than a record may be");
+    if (state.m_operations.size() >= state.m_limits.m_queuedOperations)
+        return refuse(ErrorKind::QueueFull, "too many changes wait for the log");
+    if (!terms.m_throughOutage && refusesUnsent(state, now))
+        return refuse(ErrorKind::LogUnavailable, "the log is not available");
+    auto id = operation.id();
+    state.m_waiting.push_back(id);
+    auto shared = std::make_shared<const wire::Operation>(std::move(operation));
+    state.m_operations.emplace(std::move(id), PendingOperation { std::move(shared), bytes, terms, false });
+    return true;
+}
+
+auto nextAppend(AppenderState& state, std::string_view author, WallMillis stampedAt, Instant now)
+    -> std::optional<PendingAppend>
+{
+    refill(state, now);
+    if (state.m_inFlight || inRetryDelay(state, now) || state.m_tokens < 1)
+        return std::nullopt;
+    wire::Group group;
+    PendingAppend append;
+    fillGroup(state, group, append.m_ids);
+    if (append.m_ids.empty())
+        return std::nullopt;
+    group.set_format(recordFormat);
+    group.set_author(std::string(author));
+    group.set_stamped_at_ms(stampedAt);
+    append.m_number = ++state.m_lastNumber;
+    append.m_at = now;
+    state.m_tokens -= 1;
+    state.m_inFlight = append;
+    append.m_record = group.SerializeAsString();
+    return append;
+}
+
+auto onAppendAnswer(AppenderState& state, std::uint64_t number, AppendAnswer answer, Instant now) -> void
+{
+    if (!state.m_inFlight || state.m_inFlight->m_number != number)
+        return;
+    if (answer == AppendAnswer::Lost) {
+        loseInFlight(state, now);
+        return;
+    }
+    auto append = land(state, answer == AppendAnswer::Taken);
+    if (answer == AppendAnswer::NotTaken) {
+        noteFailure(state, append.m_at, now);
+        requeue(state, append.m_ids);
+        return;
+    }
+    state.m_failingSince.reset();
+    append.m_at = now;
+    state.m_unseen.push_back(std::move(append));
+}
+
+auto onFolded(AppenderState& state, std::span<const OperationResult> results, const OperationWindow& window)
+    -> std::vector<OperationResult>
+{
+    std::vector<OperationResult> outcomes;
+    for (const auto& result : results) {
+        const auto* first = result.m_error == ErrorKind::Duplicate ? findResult(window, result.m_id) : nullptr;
+        settle(state, first != nullptr ? *first : result, outcomes);
+    }
+    if (!outcomes.empty())
+        prune(state);
+    return outcomes;
+}
+
+auto onWindow(AppenderState& state, const OperationWindow& window) -> std::vector<OperationResult>
+{
+    std::vector<OperationResult> found;
+    for (const auto& [id, pending] : state.m_operations)
+        if (const auto* result = findResult(window, id))
+            found.push_back(*result);
+    std::vector<OperationResult> outcomes;
+    for (const auto& result : found)
+        settle(state, result, outcomes);
+    prune(state);
+    return outcomes;
+}
+
+auto onLogEnd(AppenderState& state, Instant sentAt) -> void
+{
+    const auto isRead = [&](const PendingAppend& append) { return append.m_at < sentAt; };
+    const auto firstLater = std::find_if_not(state.m_unseen.begin(), state.m_unseen.end(), isRead);
+    for (auto append = firstLater; append != state.m_unseen.begin();) {
+        --append;
+        requeue(state, append->m_ids);
+    }
+    state.m_unseen.erase(state.m_unseen.begin(), firstLater);
+}
+
+auto expire(AppenderState& state, Instant now) -> std::vector<OperationResult>
+{
+    if (state.m_inFlight && now >= state.m_inFlight->m_at + state.m_limits.m_answerTimeout)
+        loseInFlight(state, now);
+    const auto refuses = refusesUnsent(state, now);
+    std::vector<OperationResult> outcomes;
+    std::erase_if(state.m_operations, [&](const auto& item) {
+        const auto& [id, pending] = item;
+        const auto refused = refuses && !pending.m_sent && !pending.m_inFlight && !pending.m_terms.m_throughOutage;
+        if (!refused && now < pending.m_terms.m_deadline)
+            return false;
+        outcomes.push_back(giveUp(id, pending));
+        return true;
+    });
+    if (!outcomes.empty())
+        prune(state);
+    return outcomes;
+}
+
+auto inOutage(const AppenderState& state, Instant now) -> bool
+{
+    return state.m_failingSince && now >= *state.m_failingSince + state.m_limits.m_outageAfter;
+}
+
+} // namespace hemlockvane
