--- /dev/null
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "hemlockvane/detail/control/CommitWaiter.h"
+#include "hemlockvane/detail/control/TrafficView.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/peers/PeerSockets.h"
+#include "hemlockvane/detail/platform/LogClient.h"
+#include "hemlockvane/detail/settings/ServeSettings.h"
+#include "hemlockvane/log/AppenderState.h"
+#include "hemlockvane/log/FleetState.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::wire {
+class Envelope;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane::detail {
+
+/// @brief State of the control thread, shared by its drivers. Only `m_view` may be read from other threads.
+struct ControlCore {
+    ControlCore(ServeSettings settings, std::string instance, Metrics& metrics);
+
+    ServeSettings m_settings;
+    std::string m_instance; ///< This process' id, never used again.
+    Metrics& m_metrics;
+    boost::asio::io_context m_context { 1 };
+    LogClient m_log;
+    PeerSockets m_peers;
+    FleetState m_state;
+    AppenderState m_appender;
+    boost::asio::steady_timer m_appendWake;
+    std::multimap<std::string, std::shared_ptr<CommitWaiter>> m_waiters; ///< By operation id.
+    bool m_isLogReachable = false;
+    bool m_isStopping = false;
+    std::string m_trafficAddress;
+    std::string m_peersEndpoint;
+    std::vector<ListedInstance> m_listed;
+    Instant m_listedAt; ///< When the newest list was asked for.
+    std::uint64_t m_operationCount = 0; ///< Names this process' operations.
+
+    /// Called after each folded batch of records.
+    std::vector<std::function<void()>> m_onFolded;
+    /// Called with each message of a peer.
+    std::vector<std::function<void(const wire::Envelope&)>> m_onMessage;
+
+    std::atomic<std::shared_ptr<const TrafficView>> m_view;
+};
+
+/// @brief Publishes a new view for the traffic thread from the current state.
+auto publishView(ControlCore& core) -> void;
+
+/// @brief Sends a message to a peer, marked with this process' id.
+auto sendToPeer(ControlCore& core, std::string_view instance, wire::Envelope& envelope) -> void;
+
+/// @brief A new operation id, unique over all processes.
+auto newOperationId(ControlCore& core) -> std::string;
+
+/// @brief Waits on the control thread.
+auto sleepFor(std::chrono::milliseconds duration) -> boost::asio::awaitable<void>;
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/control/TrafficView.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "hemlockvane/configuration/ConfigurationState.h"
+#include "hemlockvane/detail/platform/ListedInstance.h"
+#include "hemlockvane/keys/KeyState.h"
+#include "hemlockvane/membership/MembershipState.h"
+#include "hemlockvane/time/Time.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief What the traffic thread knows of the fleet: immutable, replaced as a whole by the control thread.
+struct TrafficView {
+    std::shared_ptr<const KeyState> m_keys;
+    std::shared_ptr<const ConfigurationState> m_configuration;
+    std::shared_ptr<const MembershipState> m_membership;
+    std::shared_ptr<const std::vector<ListedInstance>> m_listed; ///< The platform's instance list.
+    std::shared_ptr<const std::set<std::string>> m_floodedWithdrawals; ///< Key ids withdrawn but not yet recorded.
+    Instant m_vouchedUntil; ///< Beyond it nothing may be done that a newer record could forbid.
+    bool m_isDraining = false;
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/control/Commit.cpp
@@ -0,0 +1,83 @@
+#include "hemlockvane/detail/control/Commit.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/log/Appender.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+auto queue(ControlCore& core, wire::Operation& operation, Duration timeout, bool throughOutage, LastReason& reason)
+    -> bool
+{
+    if (operation.id().empty())
+        operation.set_id(newOperationId(core));
+    const auto now = monotonicNow();
+    const AppendTerms terms { throughOutage ? Instant::max() : now + timeout, throughOutage };
+    const auto queued = enqueue(core.m_appender, operation, terms, now, reason);
+    core.m_appendWake.cancel();
+    return queued;
+}
+
+auto forget(ControlCore& core, const std::string& id, const std::shared_ptr<CommitWaiter>& waiter) -> void
+{
+    const auto [begin, end] = core.m_waiters.equal_range(id);
+    for (auto it = begin; it != end; ++it) {
+        if (it->second == waiter) {
+            core.m_waiters.erase(it);
+            return;
+        }
+    }
+}
+
+} // namespace
+
+auto commit(ControlCore& core, wire::Operation operation, Duration timeout, bool throughOutage)
+    -> asio::awaitable<OperationResult>
+{
+    if (operation.id().empty())
+        operation.set_id(newOperationId(core));
+    if (const auto* known = findResult(core.m_state.m_operations, operation.id()))
+        co_return *known;
+    LastReason reason;
+    const auto id = operation.id();
+    if (!queue(core, operation, timeout, throughOutage, reason))
+        co_return OperationResult { id, 0, reason.m_kind, reason.m_text };
+    const auto waiter = std::make_shared<CommitWaiter>(core.m_context.get_executor());
+    core.m_waiters.emplace(id, waiter);
+    waiter->m_signal.expires_after(timeout);
+    boost::system::error_code error;
+    if (!waiter->m_result)
+        co_await waiter->m_signal.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    forget(core, id, waiter);
+    if (waiter->m_result)
+        co_return *waiter->m_result;
+    co_return OperationResult { id, 0, ErrorKind::OutcomeUnknown, "the record was not read back in time" };
+}
+
+auto post(ControlCore& core, wire::Operation operation, Duration timeout, bool throughOutage) -> bool
+{
+    LastReason reason;
+    return queue(core, operation, timeout, throughOutage, reason);
+}
+
+auto deliver(ControlCore& core, std::span<const OperationResult> results) -> void
+{
+    for (const auto& result : results) {
+        const auto [begin, end] = core.m_waiters.equal_range(result.m_id);
+        for (auto it = begin; it != end; ++it) {
+            it->second->m_result = result;
+            it->second->m_signal.cancel();
+        }
+    }
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/control/ControlCore.cpp
@@ -0,0 +1,76 @@
+#include "hemlockvane/detail/control/ControlCore.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/log/Appender.h"
+
+#include "hemlockvane/peers.pb.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A shared copy of a part of the state, or the one already published when the part did not change.
+template <typename Part>
+auto shareIfChanged(const std::shared_ptr<const Part>& published, const Part& current) -> std::shared_ptr<const Part>
+{
+    if (published && published->m_version == current.m_version)
+        return published;
+    return std::make_shared<const Part>(current);
+}
+
+} // namespace
+
+ControlCore::ControlCore(ServeSettings settings, std::string instance, Metrics& metrics)
+    : m_settings(std::move(settings))
+    , m_instance(std::move(instance))
+    , m_metrics(metrics)
+    , m_log(m_context.get_executor(), m_settings.m_logAddress)
+    , m_peers(m_context,
+          [this](const wire::Envelope& envelope) {
+              for (const auto& handler : m_onMessage)
+                  handler(envelope);
+          })
+    , m_appender(makeAppender({}, monotonicNow()))
+    , m_appendWake(m_context, asio::steady_timer::time_point::max())
+{
+    m_view.store(std::make_shared<const TrafficView>());
+    publishView(*this);
+}
+
+auto publishView(ControlCore& core) -> void
+{
+    const auto published = core.m_view.load();
+    auto view = std::make_shared<TrafficView>(*published);
+    view->m_keys = shareIfChanged(published->m_keys, core.m_state.m_keys);
+    view->m_configuration = shareIfChanged(published->m_configuration, core.m_state.m_configuration);
+    view->m_membership = shareIfChanged(published->m_membership, core.m_state.m_membership);
+    view->m_isDraining = core.m_isStopping;
+    core.m_view.store(std::move(view));
+}
+
+auto sendToPeer(ControlCore& core, std::string_view instance, wire::Envelope& envelope) -> void
+{
+    envelope.set_sender(core.m_instance);
+    if (!core.m_peers.send(instance, envelope))
+        core.m_metrics.count("peer_messages_dropped_total");
+}
+
+auto newOperationId(ControlCore& core) -> std::string
+{
+    return core.m_instance + "/" + std::to_string(++core.m_operationCount);
+}
+
+auto sleepFor(std::chrono::milliseconds duration) -> asio::awaitable<void>
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/control/LogTail.cpp
@@ -0,0 +1,107 @@
+#include "hemlockvane/detail/control/LogTail.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/Commit.h"
+#include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/log/Appender.h"
+#include "hemlockvane/log/Fold.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration readWait { 1000 };
+constexpr Duration readTimeout { 2500 };
+constexpr Duration readRetryDelay { 200 };
+constexpr Duration appendTimeout { 2000 };
+constexpr Duration pumpInterval { 20 };
+constexpr Duration idlePumpInterval { 200 };
+
+auto foldBatch(ControlCore& core, const wire::LogBatch& batch) -> void
+{
+    for (const auto& record : batch.records()) {
+        const auto results = foldRecord(core.m_state, record);
+        const auto outcomes = onFolded(core.m_appender, results, core.m_state.m_operations);
+        deliver(core, outcomes);
+        if (core.m_state.m_halted)
+            return;
+    }
+}
+
+auto noteReachable(ControlCore& core, bool isReachable, const LastReason& reason) -> void
+{
+    if (core.m_isLogReachable == isReachable)
+        return;
+    core.m_isLogReachable = isReachable;
+    if (isReachable)
+        logOf("log").info("log is reachable, folded to {}", core.m_state.m_nextOffset);
+    else
+        logOf("log").warn("log is not reachable: {}", reason.m_text);
+}
+
+// One read; false after a failure.
+auto readOnce(ControlCore& core) -> asio::awaitable<bool>
+{
+    LastReason reason;
+    const auto sentAt = monotonicNow();
+    const auto from = core.m_state.m_nextOffset;
+    const auto batch = co_await core.m_log.read(from, readWait, readTimeout, reason);
+    noteReachable(core, batch.has_value(), reason);
+    if (!batch)
+        co_return false;
+    if (batch->first_offset() == core.m_state.m_nextOffset)
+        foldBatch(core, *batch);
+    const auto isAtEnd = !core.m_state.m_halted && core.m_state.m_nextOffset >= batch->end_offset();
+    if (isAtEnd) {
+        onLogEnd(core.m_appender, sentAt);
+        core.m_view.store(core.m_view.load());
+    }
+    for (const auto& handler : core.m_onFolded)
+        handler();
+    publishView(core);
+    co_return true;
+}
+
+auto toAnswer(const LastReason& reason) -> AppendAnswer
+{
+    return reason.m_kind == ErrorKind::AnswerLost ? AppendAnswer::Lost : AppendAnswer::NotTaken;
+}
+
+} // namespace
+
+auto tailLog(ControlCore& core) -> asio::awaitable<void>
+{
+    while (!core.m_isStopping) {
+        const auto succeeded = co_await readOnce(core);
+        if (!succeeded)
+            co_await sleepFor(readRetryDelay);
+    }
+}
+
+auto pumpAppends(ControlCore& core) -> asio::awaitable<void>
+{
+    while (!core.m_isStopping) {
+        const auto pending = nextAppend(core.m_appender, core.m_instance, wallNow(), monotonicNow());
+        if (pending) {
+            LastReason reason;
+            const auto offset = co_await core.m_log.append(pending->m_record, appendTimeout, reason);
+            const auto answer = offset ? AppendAnswer::Taken : toAnswer(reason);
+            onAppendAnswer(core.m_appender, pending->m_number, answer, monotonicNow());
+            core.m_metrics.count(offset ? "log_appends_total" : "log_append_failures_total");
+        }
+        deliver(core, expire(core.m_appender, monotonicNow()));
+        core.m_appendWake.expires_after(core.m_appender.m_operations.empty() ? idlePumpInterval : pumpInterval);
+        boost::system::error_code error;
+        co_await core.m_appendWake.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/platform/InstanceListClient.cpp
+++ b/src/detail/platform/InstanceListClient.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/platform/InstanceListClient.h"
 
 #include "hemlockvane/detail/http/HttpConnection.h"
+#include "hemlockvane/detail/text/JsonFields.h"
 
 #include <boost/json.hpp>
 
@@ -13,12 +14,6 @@
 
 constexpr unsigned statusOk = 200;
 
-auto textOf(const json::object& object, std::string_view name) -> std::string
-{
-    const auto* value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
-}
-
 auto toInstance(const json::object& row) -> ListedInstance
 {
     ListedInstance instance;
@@ -34,9 +29,8 @@
 
 auto parseList(const std::string& body, LastReason& reason) -> std::optional<std::vector<ListedInstance>>
 {
-    json::error_code error;
-    const auto value = json::parse(body, error);
-    const auto* rows = error || !value.is_object() ? nullptr : value.as_object().if_contains("instances");
+    const auto object = parseObject(body);
+    const auto* rows = object ? object->if_contains("instances") : nullptr;
     if (rows == nullptr || !rows->is_array())
         return fail(reason, ErrorKind::Internal, "the instance list is not readable");
     std::vector<ListedInstance> instances;
--- a/src/detail/platform/LogClient.cpp
+++ b/src/detail/platform/LogClient.cpp
@@ -1,8 +1,8 @@
 #include "hemlockvane/detail/platform/LogClient.h"
 
-#include "hemlockvane/records.pb.h"
+#include "hemlockvane/detail/text/JsonFields.h"
 
-#include <boost/json.hpp>
+#include "hemlockvane/records.pb.h"
 
 namespace hemlockvane::detail {
 
@@ -13,16 +13,14 @@
 constexpr std::size_t maximumBatchBytes = 64UL * 1024 * 1024;
 constexpr unsigned maximumBatchRecords = 2000;
 constexpr unsigned statusOk = 200;
+constexpr std::int64_t missingOffset = -1;
 
 auto readOffset(const std::string& body, LastReason& reason) -> std::optional<Offset>
 {
-    boost::json::error_code error;
-    const auto value = boost::json::parse(body, error);
-    if (!error && value.is_object() && value.as_object().contains("offset")) {
-        const auto offset = value.at("offset").try_to_number<Offset>();
-        if (offset.has_value())
-            return offset.value();
-    }
+    const auto object = parseObject(body);
+    const auto offset = object ? numberOf(*object, "offset", missingOffset) : missingOffset;
+    if (offset != missingOffset)
+        return static_cast<Offset>(offset);
     return fail(reason, ErrorKind::AnswerLost, "the log's answer holds no offset");
 }
 
