--- a/include/hemlockvane/membership/MembershipState.h
+++ b/include/hemlockvane/membership/MembershipState.h
@@ -11,6 +11,7 @@
 
 /// @brief Entry instances and duties as folded from the log.
 struct MembershipState {
+    Offset m_version = 0; ///< Offset of the last accepted change.
     std::map<std::string, EntryRecord, std::less<>> m_entries; ///< Removed ones stay: ids are never used again.
     std::map<std::string, DutyRecord, std::less<>> m_duties;
 };
--- a/src/keys/ApplyKeys.cpp
+++ b/src/keys/ApplyKeys.cpp
@@ -24,6 +24,7 @@
         return fail(reason, ErrorKind::Conflict, "this key was granted before");
     keys.m_keys[change.key_id()] = KeyRecord { change.key_hash(), change.team(), change.author(), "", false };
     keys.m_idByHash[change.key_hash()] = change.key_id();
+    state.m_keys.m_version = context.m_offset;
     return context.m_offset;
 }
 
@@ -37,6 +38,7 @@
         found->second.m_withdrawn = true;
         found->second.m_reason = change.reason();
     }
+    state.m_keys.m_version = context.m_offset;
     return context.m_offset;
 }
 
--- a/src/log/Snapshot.cpp
+++ b/src/log/Snapshot.cpp
@@ -53,6 +53,7 @@
 
 auto saveKeys(const KeyState& state, wire::SnapshotKeys& out) -> void
 {
+    out.set_version(state.m_version);
     for (const auto& [id, key] : state.m_keys) {
         auto& saved = *out.add_keys();
         saved.set_key_id(id);
@@ -66,6 +67,7 @@
 
 auto loadKeys(const wire::SnapshotKeys& saved, KeyState& state) -> void
 {
+    state.m_version = saved.version();
     for (const auto& key : saved.keys()) {
         state.m_keys[key.key_id()]
             = KeyRecord { key.key_hash(), key.team(), key.author(), key.reason(), key.withdrawn() };
@@ -75,6 +77,7 @@
 
 auto saveMembership(const MembershipState& state, wire::SnapshotMembership& out) -> void
 {
+    out.set_version(state.m_version);
     for (const auto& [id, entry] : state.m_entries) {
         auto& saved = *out.add_entries();
         saved.set_instance(id);
@@ -95,6 +98,7 @@
 
 auto loadMembership(const wire::SnapshotMembership& saved, MembershipState& state) -> void
 {
+    state.m_version = saved.version();
     for (const auto& entry : saved.entries())
         state.m_entries[entry.instance()] = EntryRecord { entry.zone(), entry.address(), entry.traffic_address(),
             entry.joined_at(), entry.removed_at(), entry.planned() };
--- a/src/membership/ApplyMembership.cpp
+++ b/src/membership/ApplyMembership.cpp
@@ -16,6 +16,7 @@
         return fail(reason, ErrorKind::Conflict, "instance id " + change.instance() + " was used before");
     entries[change.instance()]
         = EntryRecord { change.zone(), change.address(), change.traffic_address(), context.m_offset, 0, false };
+    state.m_membership.m_version = context.m_offset;
     return context.m_offset;
 }
 
@@ -27,6 +28,7 @@
     auto& entry = state.m_membership.m_entries.find(change.instance())->second;
     entry.m_removedAt = context.m_offset;
     entry.m_planned = change.planned() && change.instance() == context.m_author;
+    state.m_membership.m_version = context.m_offset;
     return context.m_offset;
 }
 
@@ -44,6 +46,7 @@
     if (!duty.m_holder.empty() && isMember(membership, duty.m_holder))
         return fail(reason, ErrorKind::Conflict, "held by " + duty.m_holder);
     duty = DutyRecord { change.instance(), context.m_offset };
+    state.m_membership.m_version = context.m_offset;
     return context.m_offset;
 }
 
@@ -54,6 +57,7 @@
     if (!fenceHolds(membership, change.fence().duty(), change.fence().epoch()))
         return fail(reason, ErrorKind::StaleEpoch, "the duty " + change.fence().duty() + " has another epoch");
     membership.m_duties.find(change.fence().duty())->second.m_holder.clear();
+    state.m_membership.m_version = context.m_offset;
     return context.m_offset;
 }
 
