--- /dev/null
+++ b/src/detail/traffic/ExecutorConnections.cpp
@@ -0,0 +1,44 @@
+#include "hemlockvane/detail/traffic/ExecutorConnections.h"
+
+namespace hemlockvane::detail {
+
+namespace {
+
+constexpr std::size_t maximumIdlePerExecutor = 8;
+
+} // namespace
+
+ExecutorConnections::ExecutorConnections(boost::asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+{
+}
+
+auto ExecutorConnections::takeIdle(std::string_view address) -> std::optional<HttpConnection>
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end() || found->second.empty())
+        return std::nullopt;
+    auto connection = std::move(found->second.back());
+    found->second.pop_back();
+    return connection;
+}
+
+auto ExecutorConnections::makeNew() -> HttpConnection { return HttpConnection(m_executor); }
+
+auto ExecutorConnections::giveBack(std::string_view address, HttpConnection connection) -> void
+{
+    if (!connection.isOpen())
+        return;
+    auto& idle = m_idle[std::string(address)];
+    if (idle.size() < maximumIdlePerExecutor)
+        idle.push_back(std::move(connection));
+}
+
+auto ExecutorConnections::dropIdle(std::string_view address) -> void
+{
+    const auto found = m_idle.find(address);
+    if (found != m_idle.end())
+        m_idle.erase(found);
+}
+
+} // namespace hemlockvane::detail
--- a/src/log/Fold.cpp
+++ b/src/log/Fold.cpp
@@ -130,7 +130,7 @@
         state.m_halted = true;
         return results;
     }
-    const FoldContext context { state.m_nextOffset, group.stamped_at_ms(), group.author() };
+    const FoldContext context { state.m_nextOffset + 1, group.stamped_at_ms(), group.author() };
     state.m_clock = std::max(state.m_clock, context.m_stampedAt);
     results.reserve(static_cast<std::size_t>(group.operations_size()));
     for (const auto& operation : group.operations())
