--- /dev/null
+++ b/src/detail/settings/LoadServeSettings.cpp
@@ -0,0 +1,324 @@
+#include "hemlockvane/detail/settings/LoadServeSettings.h"
+
+#include "hemlockvane/detail/net/Address.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+namespace hemlockvane::detail {
+
+namespace {
+
+// One setting that the file may hold: what is expected there and how the text gets into the settings.
+struct Field {
+    std::string m_name;
+    bool m_isRequired = false;
+    std::string m_expected;
+    std::function<bool(const std::string& text, ServeSettings& settings)> m_store;
+};
+
+struct Value {
+    std::string m_text;
+    std::size_t m_line = 0;
+    bool m_isScalar = true;
+};
+
+using Values = std::map<std::string, Value>;
+
+auto parseWhole(const std::string& text) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+auto isName(const std::string& text) -> bool
+{
+    constexpr std::size_t maximumLength = 64;
+    const auto isAllowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    };
+    return !text.empty() && text.size() <= maximumLength && std::all_of(text.begin(), text.end(), isAllowed);
+}
+
+auto isHash(const std::string& text) -> bool
+{
+    constexpr std::size_t digits = 64;
+    const auto isDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    return text.size() == digits && std::all_of(text.begin(), text.end(), isDigit);
+}
+
+auto isAddress(const std::string& text, bool mayTakeFreePort) -> bool
+{
+    LastReason reason;
+    const auto endpoint = parseAddress(text, reason);
+    return endpoint && (mayTakeFreePort || endpoint->port() != 0);
+}
+
+auto nameField(std::string name, std::string ServeSettings::*member) -> Field
+{
+    return { std::move(name), true, "a name of 1 to 64 letters, digits, '-' or '_'",
+        [member](const std::string& text, ServeSettings& settings) {
+            settings.*member = text;
+            return isName(text);
+        } };
+}
+
+auto addressField(std::string name, std::string ServeSettings::*member, bool mayTakeFreePort) -> Field
+{
+    const auto* expected = mayTakeFreePort ? "IP:port, for example 127.0.0.1:8080 (port 0 takes a free one)"
+                                           : "IP:port, for example 127.0.0.1:8080";
+    return { std::move(name), true, expected, [=](const std::string& text, ServeSettings& settings) {
+                settings.*member = text;
+                return isAddress(text, mayTakeFreePort);
+            } };
+}
+
+auto peersField() -> Field
+{
+    return { "peers.listen", true, "tcp://IP:port, for example tcp://127.0.0.1:7001 (port 0 takes a free one)",
+        [](const std::string& text, ServeSettings& settings) {
+            constexpr std::string_view scheme = "tcp://";
+            settings.m_peersListen = text;
+            return text.starts_with(scheme) && isAddress(text.substr(scheme.size()), true);
+        } };
+}
+
+auto hashField() -> Field
+{
+    return { "operators.key_hash", true,
+        "the SHA-256 of the operators' key as 64 lower case hexadecimal digits, in quotes",
+        [](const std::string& text, ServeSettings& settings) {
+            settings.m_operatorKeyHash = text;
+            return isHash(text);
+        } };
+}
+
+auto numberField(std::string name, const char* unit, std::int64_t least, std::int64_t most,
+    std::function<void(std::int64_t, ServeSettings&)> store) -> Field
+{
+    auto expected = "a whole number from " + std::to_string(least) + " to " + std::to_string(most) + " (" + unit + ")";
+    return { std::move(name), false, std::move(expected),
+        [least, most, store = std::move(store)](const std::string& text, ServeSettings& settings) {
+            const auto number = parseWhole(text);
+            if (!number || *number < least || *number > most)
+                return false;
+            store(*number, settings);
+            return true;
+        } };
+}
+
+auto timingField(std::string name, std::int64_t least, std::int64_t most, Duration ServeSettings::*member) -> Field
+{
+    return numberField(std::move(name), "milliseconds", least, most,
+        [member](std::int64_t number, ServeSettings& settings) { settings.*member = Duration(number); });
+}
+
+auto sizeField(
+    std::string name, const char* unit, std::int64_t least, std::int64_t most, std::size_t HttpLimits::*member) -> Field
+{
+    return numberField(std::move(name), unit, least, most, [member](std::int64_t number, ServeSettings& settings) {
+        settings.m_limits.*member = static_cast<std::size_t>(number);
+    });
+}
+
+auto timeoutField(std::string name, std::chrono::milliseconds HttpLimits::*member) -> Field
+{
+    constexpr std::int64_t least = 10;
+    constexpr std::int64_t most = 600000;
+    return numberField(
+        std::move(name), "milliseconds", least, most, [member](std::int64_t number, ServeSettings& settings) {
+            settings.m_limits.*member = std::chrono::milliseconds(number);
+        });
+}
+
+auto threadsField() -> Field
+{
+    return numberField("threads.traffic", "threads", 1, 64, [](std::int64_t number, ServeSettings& settings) {
+        settings.m_trafficThreads = static_cast<unsigned>(number);
+    });
+}
+
+auto fields() -> const std::vector<Field>&
+{
+    static const std::vector<Field> all {
+        nameField("instance", &ServeSettings::m_instance),
+        nameField("zone", &ServeSettings::m_zone),
+        nameField("region", &ServeSettings::m_region),
+        addressField("traffic.listen", &ServeSettings::m_trafficListen, true),
+        addressField("operators.listen", &ServeSettings::m_operatorsListen, true),
+        hashField(),
+        peersField(),
+        addressField("log.address", &ServeSettings::m_logAddress, false),
+        addressField("instances.address", &ServeSettings::m_instancesAddress, false),
+        timingField("timing.vouch_ms", 100, 60000, &ServeSettings::m_vouch),
+        timingField("timing.drift_ms", 0, 10000, &ServeSettings::m_drift),
+        timingField("timing.list_lag_ms", 0, 600000, &ServeSettings::m_listLag),
+        timingField("timing.beat_ms", 10, 10000, &ServeSettings::m_beat),
+        sizeField("limits.connections", "connections", 1, 100000, &HttpLimits::m_maximumConnections),
+        sizeField("limits.header_bytes", "bytes", 1024, 1048576, &HttpLimits::m_maximumHeaderBytes),
+        sizeField("limits.body_bytes", "bytes", 1024, 67108864, &HttpLimits::m_maximumBodyBytes),
+        timeoutField("limits.read_timeout_ms", &HttpLimits::m_readTimeout),
+        timeoutField("limits.idle_timeout_ms", &HttpLimits::m_idleTimeout),
+        timeoutField("limits.write_timeout_ms", &HttpLimits::m_writeTimeout),
+        threadsField(),
+    };
+    return all;
+}
+
+auto lineOf(const YAML::Mark& mark) -> std::size_t { return static_cast<std::size_t>(mark.line) + 1; }
+
+auto isSection(const std::string& name) -> bool
+{
+    const auto prefix = name + ".";
+    return std::any_of(
+        fields().begin(), fields().end(), [&](const auto& field) { return field.m_name.starts_with(prefix); });
+}
+
+auto isField(const std::string& name) -> bool
+{
+    return std::any_of(fields().begin(), fields().end(), [&](const auto& field) { return field.m_name == name; });
+}
+
+auto namesIn(const std::string& section) -> std::string
+{
+    std::string names;
+    for (const auto& field : fields()) {
+        const auto dot = field.m_name.find('.');
+        const auto isDirect = section.empty() || field.m_name.starts_with(section + ".");
+        const auto name = section.empty() ? field.m_name.substr(0, dot) : field.m_name.substr(dot + 1);
+        if (isDirect && names.find(name) == std::string::npos)
+            names += (names.empty() ? "" : ", ") + name;
+    }
+    return names;
+}
+
+auto collect(const YAML::Node& map, const std::string& section, Values& values, std::vector<SettingsProblem>& problems)
+    -> void;
+
+auto collectEntry(const std::string& section, const YAML::Node& key, const YAML::Node& node, Values& values,
+    std::vector<SettingsProblem>& problems) -> void
+{
+    const auto name = (section.empty() ? "" : section + ".") + key.Scalar();
+    const auto line = lineOf(key.Mark());
+    if (section.empty() && isSection(name)) {
+        values[name] = { "", line, false };
+        if (node.IsMap())
+            collect(node, name, values, problems);
+        else
+            problems.push_back({ line, name, node.IsScalar() ? node.Scalar() : "", "settings: " + namesIn(name) });
+    } else if (!isField(name)) {
+        problems.push_back({ line, name, "unknown setting", "one of " + namesIn(section) });
+    } else if (values.contains(name)) {
+        problems.push_back({ line, name, "second value", "each setting once" });
+    } else {
+        values[name] = { node.IsScalar() ? node.Scalar() : "", line, node.IsScalar() };
+    }
+}
+
+auto collect(const YAML::Node& map, const std::string& section, Values& values, std::vector<SettingsProblem>& problems)
+    -> void
+{
+    for (const auto& entry : map)
+        collectEntry(section, entry.first, entry.second, values, problems);
+}
+
+// A missing setting is reported at its section, or at the start of the file.
+auto lineOfMissing(const Values& values, const std::string& name) -> std::size_t
+{
+    const auto section = values.find(name.substr(0, name.find('.')));
+    return section == values.end() ? 1 : section->second.m_line;
+}
+
+auto storeFields(const Values& values, ServeSettings& settings, std::vector<SettingsProblem>& problems) -> void
+{
+    for (const auto& field : fields()) {
+        const auto value = values.find(field.m_name);
+        if (value == values.end()) {
+            if (field.m_isRequired)
+                problems.push_back({ lineOfMissing(values, field.m_name), field.m_name, "", field.m_expected });
+            continue;
+        }
+        const auto& [text, line, isScalar] = value->second;
+        if (!isScalar || !field.m_store(text, settings))
+            problems.push_back({ line, field.m_name, isScalar ? text : "a list or a section", field.m_expected });
+    }
+}
+
+// Heartbeats must be able to renew a vouch before it runs out.
+auto checkTiming(const ServeSettings& settings, const Values& values, std::vector<SettingsProblem>& problems) -> void
+{
+    constexpr int beatsPerVouch = 3;
+    if (settings.m_beat * beatsPerVouch <= settings.m_vouch)
+        return;
+    const auto beat = values.find("timing.beat_ms");
+    const auto line = beat == values.end() ? lineOfMissing(values, "timing") : beat->second.m_line;
+    const auto most = std::to_string((settings.m_vouch / beatsPerVouch).count());
+    problems.push_back({ line, "timing.beat_ms", std::to_string(settings.m_beat.count()),
+        "at most a third of timing.vouch_ms, which is " + most });
+}
+
+auto parseYaml(const std::string& text, std::vector<SettingsProblem>& problems) -> std::optional<YAML::Node>
+{
+    try {
+        auto root = YAML::Load(text);
+        if (root.IsMap())
+            return root;
+        problems.push_back({ 1, "", "no settings", "settings: " + namesIn("") });
+    } catch (const YAML::Exception& exception) {
+        problems.push_back({ lineOf(exception.mark), "", exception.msg, "YAML" });
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto describe(const SettingsProblem& problem, const std::string& file) -> std::string
+{
+    auto text = file + (problem.m_line > 0 ? ":" + std::to_string(problem.m_line) : "") + ": ";
+    if (!problem.m_setting.empty())
+        text += problem.m_setting + ": ";
+    text += problem.m_found.empty() ? "missing" : "found '" + problem.m_found + "'";
+    return text + ", expected " + problem.m_expected;
+}
+
+auto parseServeSettings(const std::string& text, std::vector<SettingsProblem>& problems) -> std::optional<ServeSettings>
+{
+    problems.clear();
+    const auto root = parseYaml(text, problems);
+    if (!root)
+        return std::nullopt;
+    Values values;
+    ServeSettings settings;
+    collect(*root, "", values, problems);
+    storeFields(values, settings, problems);
+    checkTiming(settings, values, problems);
+    std::stable_sort(problems.begin(), problems.end(),
+        [](const auto& left, const auto& right) { return left.m_line < right.m_line; });
+    if (!problems.empty())
+        return std::nullopt;
+    return settings;
+}
+
+auto loadServeSettings(std::string_view path, std::vector<SettingsProblem>& problems) -> std::optional<ServeSettings>
+{
+    std::ifstream file { std::string(path) };
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        problems.assign(1, { 0, "", "a file that cannot be read", "a settings file" });
+        return std::nullopt;
+    }
+    return parseServeSettings(text.str(), problems);
+}
+
+} // namespace hemlockvane::detail
