Add vouching, membership planning and duties

An entry is vouched for by its own read of the log's end, by a peer's read less its age once the peer's end is folded, or, while unbroken, by every other live entry lacking the log and having folded no further. A beat carries the age of the sender's last read (new field), so an entry cut off from the log alone goes on.

A takeover therefore waits for the tenure, twice the list's lag and the clock drift, and for a list asked for after that which still shows the holder.

An empty instance list is no answer: it would stop and remove every entry at once.

--- /dev/null
+++ b/include/hemlockvane/membership/InstanceListView.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "hemlockvane/membership/ListedStatus.h"
+#include "hemlockvane/time/Time.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace hemlockvane {
+
+/// @brief One answer of the platform's instance list, as of at most the list's lag before it was asked for.
+struct InstanceListView {
+    Instant m_askedAt = Instant::min(); ///< Never asked for: the minimum.
+    std::map<std::string, ListedStatus, std::less<>> m_instances; ///< Entry instances by id.
+};
+
+/// @brief True when the list shows the instance as live or leaving.
+auto isListed(const InstanceListView& view, std::string_view instance) -> bool;
+
+/// @brief True when the list shows the instance as live.
+auto isListedLive(const InstanceListView& view, std::string_view instance) -> bool;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/membership/PlannerLimits.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "hemlockvane/time/Time.h"
+
+namespace hemlockvane {
+
+/// @brief Time bounds of membership planning.
+struct PlannerLimits {
+    Duration m_silence { 3000 }; ///< An entry gone from the list is removed after this long without a beat.
+    Duration m_listFresh { 5000 }; ///< An older list removes nobody.
+    Duration m_stepDelay { 300 }; ///< Between the attempts of the first, second and later choice.
+    Duration m_repeatAfter { 5000 }; ///< An attempt without effect is made again.
+    Duration m_balanceEvery { 60000 }; ///< At most one duty is given to its first choice in this time.
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/membership/MembershipPlan.cpp
@@ -0,0 +1,179 @@
+#include "hemlockvane/membership/MembershipPlan.h"
+
+#include "hemlockvane/membership/Duties.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+auto hasFreshList(const PlannerState& state, Instant now) -> bool
+{
+    return state.m_list.m_askedAt != Instant::min() && now < state.m_list.m_askedAt + state.m_limits.m_listFresh;
+}
+
+auto isHeard(const PlannerState& state, std::string_view member, Instant now) -> bool
+{
+    const auto found = state.m_heardAt.find(member);
+    return found != state.m_heardAt.end() && now < found->second + state.m_limits.m_silence;
+}
+
+// Starts the clock of silence for new members and forgets removed ones.
+auto trackMembers(PlannerState& state, const MembershipState& members, Instant now) -> void
+{
+    for (const auto& [member, record] : members.m_entries)
+        if (record.m_removedAt == 0)
+            state.m_heardAt.emplace(member, now);
+    std::erase_if(state.m_heardAt, [&](const auto& heard) { return !isMember(members, heard.first); });
+}
+
+// Members that may take over: not leaving, not failed and not silent.
+auto findCandidates(const PlannerState& state, Instant now) -> std::vector<std::string>
+{
+    const auto listIsFresh = hasFreshList(state, now);
+    std::vector<std::string> candidates;
+    for (const auto& [member, heardAt] : state.m_heardAt) {
+        const auto isLive = !listIsFresh || isListedLive(state.m_list, member);
+        if (member == state.m_self || (isLive && isHeard(state, member, now)))
+            candidates.push_back(member);
+    }
+    return candidates;
+}
+
+// True when this entry's turn for the subject has come; the next turn is due after the repeat time.
+auto isDue(PlannerState& state, const std::string& subject, std::span<const std::string> candidates, Instant now)
+    -> bool
+{
+    auto due = state.m_due.find(subject);
+    if (due == state.m_due.end()) {
+        const auto rank = static_cast<Duration::rep>(rendezvousRank(subject, candidates, state.m_self));
+        due = state.m_due.emplace(subject, now + rank * state.m_limits.m_stepDelay).first;
+    }
+    if (now < due->second)
+        return false;
+    due->second = now + state.m_limits.m_repeatAfter;
+    return true;
+}
+
+auto isGone(const PlannerState& state, const std::string& member, Instant now) -> bool
+{
+    return hasFreshList(state, now) && !isListed(state.m_list, member) && !isHeard(state, member, now);
+}
+
+auto planRemovals(PlannerState& state, std::span<const std::string> candidates, Instant now,
+    std::vector<MembershipAction>& actions) -> void
+{
+    for (const auto& [member, heardAt] : state.m_heardAt) {
+        if (member == state.m_self)
+            continue;
+        if (!isGone(state, member, now))
+            state.m_due.erase(member);
+        else if (isDue(state, member, candidates, now))
+            actions.push_back({ MembershipStep::RemoveEntry, member, 0, "it is silent and gone from the list" });
+    }
+}
+
+auto planTakeovers(PlannerState& state, const MembershipState& members, std::span<const std::string> candidates,
+    Instant now, std::vector<MembershipAction>& actions) -> void
+{
+    for (const auto& duty : state.m_duties) {
+        const auto found = members.m_duties.find(duty);
+        const auto record = found == members.m_duties.end() ? DutyRecord {} : found->second;
+        if (isMember(members, record.m_holder))
+            state.m_due.erase(duty);
+        else if (isDue(state, duty, candidates, now))
+            actions.push_back({ MembershipStep::TakeDuty, duty, record.m_epoch, "it has no living holder" });
+    }
+}
+
+// Gives one duty held here to its first choice, so that entries that joined later get their part.
+auto planBalance(PlannerState& state, const MembershipState& members, std::span<const std::string> candidates,
+    Instant now, std::vector<MembershipAction>& actions) -> void
+{
+    if (now < state.m_balancedAt + state.m_limits.m_balanceEvery)
+        return;
+    for (const auto& duty : state.m_duties) {
+        const auto found = members.m_duties.find(duty);
+        if (found == members.m_duties.end() || found->second.m_holder != state.m_self)
+            continue;
+        if (rendezvousRank(duty, candidates, state.m_self) == 0)
+            continue;
+        state.m_balancedAt = now;
+        actions.push_back({ MembershipStep::ReleaseDuty, duty, found->second.m_epoch, "another entry is preferred" });
+        return;
+    }
+}
+
+auto isLeaving(const PlannerState& state, Instant now) -> bool
+{
+    const auto listedLeaving = isListed(state.m_list, state.m_self) && !isListedLive(state.m_list, state.m_self);
+    return state.m_isLeaving || (listedLeaving && hasFreshList(state, now));
+}
+
+auto mustStop(PlannerState& state, const MembershipState& members, Instant now) -> bool
+{
+    const auto member = isMember(members, state.m_self);
+    const auto listed = isListed(state.m_list, state.m_self);
+    state.m_wasMember = state.m_wasMember || member;
+    state.m_wasListed = state.m_wasListed || listed;
+    return (state.m_wasMember && !member) || (state.m_wasListed && !listed && hasFreshList(state, now));
+}
+
+} // namespace
+
+auto makePlanner(std::string self, std::vector<std::string> duties, const PlannerLimits& limits, Instant now)
+    -> PlannerState
+{
+    PlannerState state;
+    state.m_limits = limits;
+    state.m_self = std::move(self);
+    state.m_duties = std::move(duties);
+    state.m_balancedAt = now;
+    return state;
+}
+
+auto onPeerHeard(PlannerState& state, std::string_view peer, Instant now) -> void
+{
+    const auto found = state.m_heardAt.find(peer);
+    if (found != state.m_heardAt.end())
+        found->second = std::max(found->second, now);
+}
+
+auto onListed(PlannerState& state, InstanceListView view) -> void
+{
+    if (view.m_askedAt >= state.m_list.m_askedAt && !view.m_instances.empty())
+        state.m_list = std::move(view);
+}
+
+auto planMembership(PlannerState& state, const MembershipState& members, Instant now) -> std::vector<MembershipAction>
+{
+    std::vector<MembershipAction> actions;
+    if (mustStop(state, members, now)) {
+        actions.push_back({ MembershipStep::StopSelf, state.m_self, 0, "it was removed or is off the list" });
+        return actions;
+    }
+    if (!isMember(members, state.m_self))
+        return actions;
+    trackMembers(state, members, now);
+    const auto candidates = findCandidates(state, now);
+    planRemovals(state, candidates, now, actions);
+    if (isLeaving(state, now))
+        return actions;
+    planTakeovers(state, members, candidates, now, actions);
+    planBalance(state, members, candidates, now, actions);
+    return actions;
+}
+
+auto planHandover(const PlannerState& state, const MembershipState& members) -> std::vector<MembershipAction>
+{
+    std::vector<MembershipAction> actions;
+    for (const auto& [duty, record] : members.m_duties)
+        if (record.m_holder == state.m_self)
+            actions.push_back({ MembershipStep::ReleaseDuty, duty, record.m_epoch, "planned stop" });
+    if (actions.empty() && isMember(members, state.m_self))
+        actions.push_back({ MembershipStep::LeaveFleet, state.m_self, 0, "planned stop" });
+    return actions;
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/membership/Vouch.cpp
@@ -0,0 +1,122 @@
+#include "hemlockvane/membership/Vouch.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+auto vouchFrom(VouchState& state, Instant from) -> void
+{
+    state.m_vouchedFrom = std::max(state.m_vouchedFrom.value_or(from), from);
+}
+
+// A member that the list showed once and shows no more is gone; one that was never listed may still be to come.
+auto isGone(const VouchState& state, std::string_view member) -> bool
+{
+    return state.m_everListed.contains(member) && !isListed(state.m_list, member);
+}
+
+// The peer lacks the log and knows nothing that this entry has not folded.
+auto isLevel(const VouchState& state, const PeerReport& report) -> bool
+{
+    return !report.m_logReachable && report.m_foldedEnd <= state.m_foldedEnd;
+}
+
+// Lowers `from` to the instant at which the peer was asked, or fails when it does not support the vouch.
+auto supports(const VouchState& state, std::string_view peer, Instant& from) -> bool
+{
+    const auto found = state.m_reports.find(peer);
+    if (found == state.m_reports.end() || !isLevel(state, found->second))
+        return false;
+    from = std::min(from, found->second.m_askedAt);
+    return true;
+}
+
+auto everyPeerSupports(const VouchState& state, const MembershipState& members, Instant& from) -> bool
+{
+    for (const auto& [peer, status] : state.m_list.m_instances)
+        if (peer != state.m_self && status != ListedStatus::Failed && !supports(state, peer, from))
+            return false;
+    for (const auto& [member, record] : members.m_entries) {
+        if (member == state.m_self || record.m_removedAt != 0 || isGone(state, member))
+            continue;
+        if (!supports(state, member, from))
+            return false;
+    }
+    return true;
+}
+
+auto extend(VouchState& state, const MembershipState& members, Instant now) -> void
+{
+    if (!mayAct(state, now) || state.m_foldedEnd < state.m_knownEnd || !isListed(state.m_list, state.m_self))
+        return;
+    auto from = state.m_list.m_askedAt;
+    if (everyPeerSupports(state, members, from))
+        vouchFrom(state, from);
+}
+
+} // namespace
+
+auto onFoldedEnd(VouchState& state, Offset foldedEnd) -> void
+{
+    state.m_foldedEnd = foldedEnd;
+    onKnownEnd(state, foldedEnd);
+}
+
+auto onKnownEnd(VouchState& state, Offset end) -> void { state.m_knownEnd = std::max(state.m_knownEnd, end); }
+
+auto onLogRead(VouchState& state, Instant sentAt, Offset logEnd) -> void
+{
+    onKnownEnd(state, logEnd);
+    if (state.m_foldedEnd >= logEnd)
+        vouchFrom(state, sentAt);
+}
+
+auto onInstanceList(VouchState& state, const MembershipState& members, InstanceListView view, Instant now) -> void
+{
+    if (view.m_askedAt < state.m_list.m_askedAt || view.m_instances.empty())
+        return;
+    for (const auto& [instance, status] : view.m_instances)
+        state.m_everListed.insert(instance);
+    std::erase_if(state.m_everListed,
+        [&](const auto& instance) { return !view.m_instances.contains(instance) && !isMember(members, instance); });
+    state.m_list = std::move(view);
+    std::erase_if(state.m_reports, [&](const auto& report) {
+        return !state.m_list.m_instances.contains(report.first) && !isMember(members, report.first);
+    });
+    extend(state, members, now);
+}
+
+auto onPeerReport(VouchState& state, const MembershipState& members, std::string_view peer, const PeerReport& report,
+    Instant now) -> void
+{
+    onKnownEnd(state, report.m_foldedEnd);
+    auto& latest = state.m_reports[std::string(peer)];
+    if (report.m_askedAt < latest.m_askedAt)
+        return;
+    latest = report;
+    if (report.m_logReadAge && report.m_foldedEnd <= state.m_foldedEnd)
+        vouchFrom(state, report.m_askedAt - *report.m_logReadAge);
+    extend(state, members, now);
+}
+
+auto mayAct(const VouchState& state, Instant now) -> bool { return now < vouchedUntil(state); }
+
+auto vouchedUntil(const VouchState& state) -> Instant
+{
+    return state.m_vouchedFrom ? *state.m_vouchedFrom + state.m_limits.m_tenure : Instant::min();
+}
+
+auto removalSettled(const VouchLimits& limits, Instant readBackAt, Instant now) -> bool
+{
+    return now >= readBackAt + limits.m_tenure + 2 * limits.m_listLag + limits.m_clockDrift;
+}
+
+auto takeoverSettled(const VouchState& state, Instant readBackAt, Instant now) -> bool
+{
+    return removalSettled(state.m_limits, readBackAt, now)
+        && removalSettled(state.m_limits, readBackAt, state.m_list.m_askedAt) && isListed(state.m_list, state.m_self);
+}
+
+} // namespace hemlockvane
