Tell checkpointed from stopped attempts in the fold of jobs

Cause: a stopped attempt of a job that may not be repeated was queued again and so ran twice from its start; attempts that were stopped for others counted against the job's limit; any duty's epoch passed as placement's fence; a failed worker was given jobs; one id could name two jobs. Only a checkpointed or refused attempt is queued again for a job that may not be repeated, only failures use attempts up, the fence names its duty.

--- a/include/hemlockvane/pools/InstanceRecord.h
+++ b/include/hemlockvane/pools/InstanceRecord.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "hemlockvane/time/Time.h"
+
 #include <cstdint>
 #include <string>
 
@@ -15,6 +17,7 @@
     std::uint32_t m_accelerators = 0;
     bool m_available = true; ///< False: seen failed.
     std::string m_drainingFor; ///< Wave that drains it; empty: none.
+    WallMillis m_drainingSince = 0; ///< Stamp of the drain's begin; 0: none.
     std::uint32_t m_moves = 0; ///< Times that it changed pool.
 };
 
--- a/src/jobs/ApplyJobs.cpp
+++ b/src/jobs/ApplyJobs.cpp
@@ -49,19 +49,55 @@
     return job;
 }
 
+auto checkFence(const FleetState& state, const wire::Fence& fence, LastReason& reason) -> bool
+{
+    if (fence.duty() == placementDuty && fenceHolds(state.m_membership, fence.duty(), fence.epoch()))
+        return true;
+    fail(reason, ErrorKind::StaleEpoch, "the placement duty has another epoch");
+    return false;
+}
+
 auto countsAsFailure(wire::JobOutcome outcome) -> bool
 {
     return outcome == wire::JOB_FAILED || outcome == wire::JOB_LOST;
 }
 
-// A non-repeatable job that may have begun to run gets no second attempt.
+// A non-repeatable job that may have begun to run gets no second attempt, unless it goes on from a checkpoint.
+// Only failures use up attempts: being stopped or checkpointed for others is not the job's doing.
 auto mayRunAgain(const JobRecord& job, wire::JobOutcome outcome) -> bool
 {
-    if (outcome == wire::JOB_REFUSED)
-        return true;
-    if (outcome == wire::JOB_STOPPED)
+    if (outcome == wire::JOB_REFUSED || outcome == wire::JOB_CHECKPOINTED)
         return true;
-    return job.m_repeatable && job.m_attempt < job.m_maximumAttempts;
+    return job.m_repeatable && job.m_failedOn.size() < job.m_maximumAttempts;
+}
+
+auto isSameJob(const JobRecord& job, const wire::SubmitJob& change) -> bool
+{
+    const auto& size = change.size();
+    const auto sameSize = job.m_cores == size.cores() && job.m_memoryMb == size.memory_mb()
+        && job.m_accelerators == size.accelerators();
+    return sameSize && job.m_team == change.team() && job.m_queue == change.queue()
+        && job.m_command == change.command();
+}
+
+// A waiting job ends only by parking; a running one by the end of its current attempt.
+auto mayEnd(const JobRecord& job, const wire::EndAttempt& change) -> bool
+{
+    if (job.m_attempt != change.attempt())
+        return false;
+    if (job.m_status == JobStatus::Queued)
+        return change.parked() || change.outcome() == wire::JOB_NEVER_RUNNABLE;
+    return job.m_status == JobStatus::Running;
+}
+
+auto statusAfter(const JobRecord& job, const wire::EndAttempt& change) -> JobStatus
+{
+    if (change.outcome() == wire::JOB_FINISHED)
+        return JobStatus::Finished;
+    if (job.m_cancelRequested)
+        return JobStatus::Cancelled;
+    const auto parked = change.parked() || change.outcome() == wire::JOB_NEVER_RUNNABLE;
+    return parked || !mayRunAgain(job, change.outcome()) ? JobStatus::Parked : JobStatus::Queued;
 }
 
 } // namespace
@@ -72,8 +108,11 @@
     auto& jobs = state.m_jobs;
     if (change.job().empty() || change.queue().empty() || change.size().cores() == 0)
         return fail(reason, ErrorKind::BadRequest, "a job needs an id, a queue and at least one core");
-    if (jobs.m_jobs.contains(change.job()))
+    const auto found = jobs.m_jobs.find(change.job());
+    if (found != jobs.m_jobs.end() && isSameJob(found->second, change))
         return fail(reason, ErrorKind::Duplicate, "job " + change.job() + " was submitted before");
+    if (found != jobs.m_jobs.end())
+        return fail(reason, ErrorKind::Conflict, "another job has the id " + change.job());
     jobs.m_jobs[change.job()] = makeJob(change, context);
     jobs.m_queued.insert(change.job());
     return context.m_offset;
@@ -100,8 +139,8 @@
     -> std::optional<Applied>
 {
     auto& jobs = state.m_jobs;
-    if (!fenceHolds(state.m_membership, change.fence().duty(), change.fence().epoch()))
-        return fail(reason, ErrorKind::StaleEpoch, "the placement duty has another epoch");
+    if (!checkFence(state, change.fence(), reason))
+        return std::nullopt;
     const auto found = jobs.m_jobs.find(change.job());
     if (found == jobs.m_jobs.end())
         return fail(reason, ErrorKind::NotFound, "there is no job " + change.job());
@@ -109,8 +148,8 @@
     if (job.m_status != JobStatus::Queued || change.attempt() != job.m_attempt + 1)
         return fail(reason, ErrorKind::Conflict, "job " + change.job() + " is not waiting for this attempt");
     const auto worker = state.m_pools.m_instances.find(change.worker());
-    if (worker == state.m_pools.m_instances.end() || !worker->second.m_drainingFor.empty())
-        return fail(reason, ErrorKind::Draining, "worker " + change.worker() + " is draining or gone");
+    if (worker == state.m_pools.m_instances.end() || isUnavailable(worker->second))
+        return fail(reason, ErrorKind::Draining, "worker " + change.worker() + " is draining, failed or gone");
     job.m_status = JobStatus::Running;
     job.m_attempt = change.attempt();
     job.m_worker = change.worker();
@@ -125,27 +164,22 @@
     -> std::optional<Applied>
 {
     auto& jobs = state.m_jobs;
-    if (!fenceHolds(state.m_membership, change.fence().duty(), change.fence().epoch()))
-        return fail(reason, ErrorKind::StaleEpoch, "the placement duty has another epoch");
+    if (!checkFence(state, change.fence(), reason))
+        return std::nullopt;
     const auto found = jobs.m_jobs.find(change.job());
     if (found == jobs.m_jobs.end())
         return fail(reason, ErrorKind::NotFound, "there is no job " + change.job());
     auto& job = found->second;
-    const auto waiting = job.m_status == JobStatus::Queued && change.outcome() == wire::JOB_NEVER_RUNNABLE;
-    const auto running = job.m_status == JobStatus::Running && job.m_attempt == change.attempt();
-    if (!waiting && !running)
+    if (!mayEnd(job, change))
         return fail(reason, ErrorKind::Conflict, "attempt " + std::to_string(change.attempt()) + " is not running");
     job.m_reason = change.reason();
     if (countsAsFailure(change.outcome()))
         job.m_failedOn.push_back(job.m_worker);
-    if (change.outcome() == wire::JOB_FINISHED)
-        endJob(jobs, change.job(), job, JobStatus::Finished, context.m_stampedAt);
-    else if (job.m_cancelRequested)
-        endJob(jobs, change.job(), job, JobStatus::Cancelled, context.m_stampedAt);
-    else if (change.parked() || waiting || !mayRunAgain(job, change.outcome()))
-        endJob(jobs, change.job(), job, JobStatus::Parked, context.m_stampedAt);
-    else
+    const auto status = statusAfter(job, change);
+    if (status == JobStatus::Queued)
         requeue(jobs, change.job(), job, context.m_stampedAt);
+    else
+        endJob(jobs, change.job(), job, status, context.m_stampedAt);
     return context.m_offset;
 }
 
--- a/src/log/Snapshot.cpp
+++ b/src/log/Snapshot.cpp
@@ -184,6 +184,7 @@
         saved.mutable_capacity()->set_cores(instance.m_cores);
         saved.mutable_capacity()->set_memory_mb(instance.m_memoryMb);
         saved.mutable_capacity()->set_accelerators(instance.m_accelerators);
+        saved.set_draining_since_ms(instance.m_drainingSince);
         saved.set_moves(instance.m_moves);
     }
 }
@@ -193,7 +194,7 @@
     for (const auto& item : saved.instances()) {
         InstanceRecord instance { item.pool(), item.zone(), item.rack(), item.capacity().cores(),
             item.capacity().memory_mb(), item.capacity().accelerators(), item.available(), item.draining_for(),
-            item.moves() };
+            item.draining_since_ms(), item.moves() };
         countInstance(state, instance);
         state.m_instances[item.instance()] = std::move(instance);
     }
@@ -204,6 +205,7 @@
     for (const auto& [id, wave] : state.m_waves) {
         auto& saved = *out.add_waves();
         saved.set_wave(id);
+        saved.set_started_at(wave.m_startedAt);
         saved.set_finish_by_ms(wave.m_finishBy);
         saved.set_paused(wave.m_paused);
         saved.set_reason(wave.m_reason);
@@ -222,6 +224,7 @@
     for (const auto& item : saved.waves()) {
         auto& wave = state.m_waves[item.wave()];
         wave.m_pools.assign(item.pools().begin(), item.pools().end());
+        wave.m_startedAt = item.started_at();
         wave.m_finishBy = item.finish_by_ms();
         wave.m_paused = item.paused();
         wave.m_reason = item.reason();
