Hold every pool's budget in the fold against moves, removals and changed settings

Cause: the fold checked the budget at the begin of a drain only. Moving an instance out of a pool, removing a draining one, an exception that expires while its drains run, and lowering the budget each left a pool out of its budget silently. Each is now refused with its reason; a failed instance does not move, since that would hide it from the count. Failures alone do not block lowering a budget. Waves kept are bounded.

--- a/include/hemlockvane/maintenance.h
+++ b/include/hemlockvane/maintenance.h
@@ -5,4 +5,6 @@
 
 #include "hemlockvane/maintenance/ApplyMaintenance.h"
 #include "hemlockvane/maintenance/MaintenanceState.h"
+#include "hemlockvane/maintenance/PoolBudget.h"
+#include "hemlockvane/maintenance/PoolCounts.h"
 #include "hemlockvane/maintenance/WaveRecord.h"
--- a/include/hemlockvane/maintenance/ApplyMaintenance.h
+++ b/include/hemlockvane/maintenance/ApplyMaintenance.h
@@ -4,6 +4,7 @@
 #include "hemlockvane/log/FoldContext.h"
 
 #include <optional>
+#include <string_view>
 
 namespace hemlockvane::wire {
 class StartWave;
@@ -16,6 +17,9 @@
 
 struct FleetState;
 
+/// @brief Duty whose holder drains instances.
+inline constexpr std::string_view maintenanceDuty = "maintenance";
+
 /// @brief Applies one maintenance record to the state, or rejects it.
 /// @param reason receives the kind and text of a rejection
 /// @result the offset at which it was accepted, empty when rejected
--- a/include/hemlockvane/maintenance/WaveRecord.h
+++ b/include/hemlockvane/maintenance/WaveRecord.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "hemlockvane/time/Time.h"
+#include "hemlockvane/log/FoldContext.h"
 
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hemlockvane {
@@ -11,6 +12,7 @@
 /// @brief A maintenance wave: which pools, until when, and how far it got.
 struct WaveRecord {
     std::vector<std::string> m_pools; ///< Empty: all.
+    Offset m_startedAt = 0;
     WallMillis m_finishBy = 0; ///< 0: no limit.
     bool m_paused = false;
     std::string m_reason; ///< Of the start or of the last pause.
@@ -19,4 +21,7 @@
     std::set<std::string, std::less<>> m_failed; ///< Did not come back.
 };
 
+/// @brief True when the wave maintains the pool's instances.
+auto covers(const WaveRecord& wave, std::string_view pool) -> bool;
+
 } // namespace hemlockvane
--- a/src/configuration/ApplyConfiguration.cpp
+++ b/src/configuration/ApplyConfiguration.cpp
@@ -3,9 +3,12 @@
 #include "hemlockvane/configuration/SettingSpec.h"
 #include "hemlockvane/configuration/ValidateChange.h"
 #include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/maintenance/PoolBudget.h"
 
 #include "hemlockvane/records.pb.h"
 
+#include <algorithm>
+
 namespace hemlockvane {
 
 namespace {
@@ -19,6 +22,27 @@
     return false;
 }
 
+// Replaces an item unless that would put a pool out of its budget while instances of it drain.
+template <typename Items, typename Name>
+auto replaceItem(FleetState& state, Items& items, const Name& name, ConfigurationItem item, const FoldContext& context,
+    LastReason& reason) -> bool
+{
+    const auto guarded = drainingPoolsWithinBudget(state, context.m_stampedAt);
+    const auto found = items.find(name);
+    const auto previous = found == items.end() ? std::nullopt : std::optional(found->second);
+    items[name] = std::move(item);
+    const auto broken = std::find_if(guarded.begin(), guarded.end(),
+        [&](const auto& pool) { return budgetLeft(state, pool, countsOf(state, pool), context.m_stampedAt) < 0; });
+    if (broken == guarded.end())
+        return true;
+    if (previous)
+        items[name] = *previous;
+    else
+        items.erase(name);
+    fail(reason, ErrorKind::OverBudget, "pool " + *broken + " drains more than that allows; pause its wave first");
+    return false;
+}
+
 auto accept(ConfigurationState& state, const FoldContext& context, std::string summary, const std::string& author)
     -> Applied
 {
@@ -41,11 +65,9 @@
     const auto* current = found == configuration.m_defaults.end() ? nullptr : &found->second;
     if (!checkVersion(current, change.expected_version(), reason))
         return std::nullopt;
-    auto& item = configuration.m_defaults[change.setting()];
-    item.m_value = change.value();
-    item.m_author = change.author();
-    item.m_version = context.m_offset;
-    item.m_removed = change.value().empty();
+    const ConfigurationItem item { change.value(), "", change.author(), 0, context.m_offset, change.value().empty() };
+    if (!replaceItem(state, configuration.m_defaults, change.setting(), item, context, reason))
+        return std::nullopt;
     const auto shown = change.value().empty() ? std::string("built-in") : change.value();
     return accept(configuration, context, "default " + change.setting() + " = " + shown, change.author());
 }
@@ -61,8 +83,14 @@
     const auto* current = found == configuration.m_exceptions.end() ? nullptr : &found->second;
     if (!checkVersion(current, change.expected_version(), reason))
         return std::nullopt;
-    configuration.m_exceptions[name] = ConfigurationItem { change.value(), change.reason(), change.author(),
-        change.expires_at_ms(), context.m_offset, false };
+    if (change.author().empty())
+        return fail(reason, ErrorKind::BadRequest, "an exception needs an author");
+    if (change.expires_at_ms() != 0 && change.expires_at_ms() <= context.m_stampedAt)
+        return fail(reason, ErrorKind::BadRequest, "the exception would have expired already");
+    const ConfigurationItem item { change.value(), change.reason(), change.author(), change.expires_at_ms(),
+        context.m_offset, false };
+    if (!replaceItem(state, configuration.m_exceptions, name, item, context, reason))
+        return std::nullopt;
     auto summary
         = "exception " + change.setting() + " for " + change.scope() + " = " + change.value() + ": " + change.reason();
     return accept(configuration, context, std::move(summary), change.author());
@@ -77,9 +105,12 @@
         return fail(reason, ErrorKind::NotFound, "no exception " + change.setting() + " for " + change.scope());
     if (!checkVersion(&found->second, change.expected_version(), reason))
         return std::nullopt;
-    found->second.m_removed = true;
-    found->second.m_version = context.m_offset;
-    found->second.m_author = change.author();
+    auto item = found->second;
+    item.m_removed = true;
+    item.m_version = context.m_offset;
+    item.m_author = change.author();
+    if (!replaceItem(state, configuration.m_exceptions, found->first, item, context, reason))
+        return std::nullopt;
     return accept(
         configuration, context, "no exception " + change.setting() + " for " + change.scope(), change.author());
 }
--- a/src/maintenance/ApplyMaintenance.cpp
+++ b/src/maintenance/ApplyMaintenance.cpp
@@ -1,7 +1,7 @@
 #include "hemlockvane/maintenance/ApplyMaintenance.h"
 
-#include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/maintenance/PoolBudget.h"
 
 #include "hemlockvane/records.pb.h"
 
@@ -11,15 +11,33 @@
 
 namespace {
 
-auto covers(const WaveRecord& wave, const std::string& pool) -> bool
+auto checkFence(const FleetState& state, const wire::Fence& fence, LastReason& reason) -> bool
 {
-    return wave.m_pools.empty() || std::find(wave.m_pools.begin(), wave.m_pools.end(), pool) != wave.m_pools.end();
+    if (fence.duty() == maintenanceDuty && fenceHolds(state.m_membership, fence.duty(), fence.epoch()))
+        return true;
+    fail(reason, ErrorKind::StaleEpoch, "the maintenance duty has another epoch");
+    return false;
 }
 
-auto withinBudget(const FleetState& state, const std::string& pool, const FoldContext& context) -> bool
+auto isIdle(const FleetState& state, const std::string& wave) -> bool
 {
-    const auto budget = effectiveValue(state.m_configuration, "pool.budget", pool, context.m_stampedAt);
-    return static_cast<std::int64_t>(unavailableIn(state.m_pools, pool)) + 1 <= budget.m_value;
+    const auto& instances = state.m_pools.m_instances;
+    return std::none_of(
+        instances.begin(), instances.end(), [&](const auto& item) { return item.second.m_drainingFor == wave; });
+}
+
+// Forgets the wave that started first among those that drain nothing.
+auto forgetOldestWave(FleetState& state) -> void
+{
+    auto& waves = state.m_maintenance.m_waves;
+    auto oldest = waves.end();
+    for (auto it = waves.begin(); it != waves.end(); ++it) {
+        const auto older = oldest == waves.end() || it->second.m_startedAt < oldest->second.m_startedAt;
+        if (older && isIdle(state, it->first))
+            oldest = it;
+    }
+    if (oldest != waves.end())
+        waves.erase(oldest);
 }
 
 } // namespace
@@ -32,7 +50,10 @@
         return fail(reason, ErrorKind::BadRequest, "a wave needs an id and a reason");
     if (waves.contains(change.wave()))
         return fail(reason, ErrorKind::Conflict, "wave " + change.wave() + " was started before");
+    if (waves.size() >= maximumWaves)
+        forgetOldestWave(state);
     auto& wave = waves[change.wave()];
+    wave.m_startedAt = context.m_offset;
     wave.m_pools.assign(change.pools().begin(), change.pools().end());
     wave.m_finishBy = change.finish_by_ms();
     wave.m_reason = change.reason();
@@ -54,8 +75,8 @@
 auto apply(FleetState& state, const wire::BeginDrain& change, const FoldContext& context, LastReason& reason)
     -> std::optional<Applied>
 {
-    if (!fenceHolds(state.m_membership, change.fence().duty(), change.fence().epoch()))
-        return fail(reason, ErrorKind::StaleEpoch, "the maintenance duty has another epoch");
+    if (!checkFence(state, change.fence(), reason))
+        return std::nullopt;
     const auto wave = state.m_maintenance.m_waves.find(change.wave());
     if (wave == state.m_maintenance.m_waves.end() || wave->second.m_paused)
         return fail(reason, ErrorKind::Conflict, "wave " + change.wave() + " is paused or unknown");
@@ -67,10 +88,11 @@
         return fail(reason, ErrorKind::Conflict, "instance " + change.instance() + " is not due in this wave");
     if (isUnavailable(instance))
         return fail(reason, ErrorKind::Conflict, "instance " + change.instance() + " is failed or draining");
-    if (!withinBudget(state, instance.m_pool, context))
+    if (!mayDrainOneMore(state, instance.m_pool, context.m_stampedAt))
         return fail(reason, ErrorKind::OverBudget, "pool " + instance.m_pool + " has no budget left");
     uncountInstance(state.m_pools, instance);
     instance.m_drainingFor = change.wave();
+    instance.m_drainingSince = context.m_stampedAt;
     countInstance(state.m_pools, instance);
     return context.m_offset;
 }
@@ -78,20 +100,23 @@
 auto apply(FleetState& state, const wire::EndDrain& change, const FoldContext& context, LastReason& reason)
     -> std::optional<Applied>
 {
-    if (!fenceHolds(state.m_membership, change.fence().duty(), change.fence().epoch()))
-        return fail(reason, ErrorKind::StaleEpoch, "the maintenance duty has another epoch");
+    if (!checkFence(state, change.fence(), reason))
+        return std::nullopt;
     const auto found = state.m_pools.m_instances.find(change.instance());
     if (found == state.m_pools.m_instances.end() || found->second.m_drainingFor != change.wave())
         return fail(reason, ErrorKind::Conflict, "instance " + change.instance() + " does not drain in this wave");
     uncountInstance(state.m_pools, found->second);
     found->second.m_drainingFor.clear();
+    found->second.m_drainingSince = 0;
     found->second.m_available = change.healthy();
     countInstance(state.m_pools, found->second);
     auto& wave = state.m_maintenance.m_waves[change.wave()];
-    if (change.healthy())
+    if (change.healthy()) {
         wave.m_done.insert(change.instance());
-    else
+        wave.m_failed.erase(change.instance());
+    } else {
         wave.m_failed.insert(change.instance());
+    }
     return context.m_offset;
 }
 
--- a/src/pools/ApplyPools.cpp
+++ b/src/pools/ApplyPools.cpp
@@ -1,11 +1,32 @@
 #include "hemlockvane/pools/ApplyPools.h"
 
 #include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/maintenance/PoolBudget.h"
 
 #include "hemlockvane/records.pb.h"
 
 namespace hemlockvane {
 
+namespace {
+
+// A draining instance stays counted where it is, and an available one leaves only when the rest keeps the budget.
+auto checkLeave(const FleetState& state, const std::string& id, const InstanceRecord& instance,
+    const FoldContext& context, LastReason& reason) -> bool
+{
+    if (!instance.m_drainingFor.empty()) {
+        fail(reason, ErrorKind::Draining, "instance " + id + " is draining");
+        return false;
+    }
+    auto counts = countsOf(state, instance.m_pool);
+    --counts.m_size;
+    if (isUnavailable(instance) || budgetLeft(state, instance.m_pool, counts, context.m_stampedAt) >= 0)
+        return true;
+    fail(reason, ErrorKind::OverBudget, "pool " + instance.m_pool + " would leave its budget without " + id);
+    return false;
+}
+
+} // namespace
+
 auto apply(FleetState& state, const wire::AddInstance& change, const FoldContext& context, LastReason& reason)
     -> std::optional<Applied>
 {
@@ -33,6 +54,8 @@
     const auto found = pools.m_instances.find(change.instance());
     if (found == pools.m_instances.end())
         return fail(reason, ErrorKind::NotFound, "there is no instance " + change.instance());
+    if (!checkLeave(state, change.instance(), found->second, context, reason))
+        return std::nullopt;
     uncountInstance(pools, found->second);
     pools.m_instances.erase(found);
     return context.m_offset;
@@ -50,8 +73,10 @@
         return fail(reason, ErrorKind::Conflict, "instance " + change.instance() + " is in pool " + instance.m_pool);
     if (change.to_pool().empty() || change.to_pool() == change.from_pool())
         return fail(reason, ErrorKind::BadRequest, "a move needs another pool to go to");
-    if (!instance.m_drainingFor.empty())
-        return fail(reason, ErrorKind::Draining, "instance " + change.instance() + " is draining");
+    if (!instance.m_available)
+        return fail(reason, ErrorKind::Conflict, "instance " + change.instance() + " is failed and cannot move");
+    if (!checkLeave(state, change.instance(), instance, context, reason))
+        return std::nullopt;
     uncountInstance(pools, instance);
     instance.m_pool = change.to_pool();
     ++instance.m_moves;
