Add the operators' and the callers' command lines

ctl shows answers as tables or as JSON and makes every change of the configuration against the version that it read. submit tries the next entry only where that cannot run a request twice, and says so when an earlier attempt lost its answer. 8 tests over loopback; not yet run against a serving entry.

--- a/app/Main.cpp
+++ b/app/Main.cpp
@@ -16,6 +16,8 @@
 
 constexpr Command commands[] = {
     { "check-settings", runCheckSettings },
+    { "ctl", runCtl },
+    { "submit", runSubmit },
 };
 
 auto runCommand(int argc, char** argv) -> int
--- /dev/null
+++ b/app/Show.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+
+#include <boost/json/object.hpp>
+
+#include <string>
+
+namespace hemlockvane::app {
+
+/// @brief An answer for people: single values as lines, lists as tables.
+auto showForPeople(const boost::json::object& answer) -> std::string;
+
+/// @brief A refusal for people: kind, whether the request was not run, whether a retry is sensible, reason.
+auto showRefusal(const LastReason& reason) -> std::string;
+
+} // namespace hemlockvane::app
--- a/standins/Json.cpp
+++ b/standins/Json.cpp
@@ -2,45 +2,13 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace hemlockvane::standins {
 
 namespace json = boost::json;
 
-auto parseObject(std::string_view text) -> std::optional<json::object>
-{
-    if (text.empty())
-        return json::object();
-    json::error_code error;
-    auto value = json::parse(json::string_view(text.data(), text.size()), error);
-    if (error || !value.is_object())
-        return std::nullopt;
-    return std::move(value.as_object());
-}
-
-auto numberOf(const json::object& object, std::string_view name, std::int64_t fallback) -> std::int64_t
-{
-    const auto* value = object.if_contains(name);
-    if (value == nullptr || !value->is_number())
-        return fallback;
-    json::error_code error;
-    const auto number = value->to_number<std::int64_t>(error);
-    return error ? fallback : number;
-}
-
-auto textOf(const json::object& object, std::string_view name) -> std::string
-{
-    const auto* value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
-}
-
-auto flagOf(const json::object& object, std::string_view name, bool fallback) -> bool
-{
-    const auto* value = object.if_contains(name);
-    return value != nullptr && value->is_bool() ? value->as_bool() : fallback;
-}
-
 auto queryNumber(std::string_view target, std::string_view name, std::uint64_t fallback) -> std::uint64_t
 {
     const auto mark = target.find('?');
--- /dev/null
+++ b/tests/shell/client/EntryClientTest.cpp
@@ -0,0 +1,133 @@
+#include "hemlockvane/detail/client/EntryClient.h"
+#include "hemlockvane/detail/client/UuidV7.h"
+#include "hemlockvane/detail/http/ErrorResponse.h"
+#include "hemlockvane/detail/http/HttpServer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <thread>
+
+namespace hemlockvane::detail {
+
+namespace {
+
+constexpr std::chrono::milliseconds timeout { 5000 };
+
+// A server on a thread of its own that gives one answer to everything.
+class FixedServer {
+public:
+    explicit FixedServer(HttpResponse answer)
+        : m_server(m_context, HttpLimits(),
+            [this, answer = std::move(answer)](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
+                ++m_requests;
+                co_return answer;
+            })
+    {
+        LastReason reason;
+        const auto port = m_server.listen("127.0.0.1:0", reason);
+        CPPUNIT_ASSERT(port.has_value());
+        m_address = "127.0.0.1:" + std::to_string(*port);
+        m_thread = std::thread([this]() { m_context.run(); });
+    }
+
+    ~FixedServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    boost::asio::io_context m_context;
+    std::atomic<int> m_requests = 0;
+    std::string m_address;
+
+private:
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+// Nothing listens on port 1 of the loopback interface.
+const std::string closedAddress = "127.0.0.1:1";
+
+} // namespace
+
+class EntryClientTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EntryClientTest);
+    CPPUNIT_TEST(uuid_fromStampAndRandom_hasVersionSevenForm);
+    CPPUNIT_TEST(unreachableEntry_isFollowedByTheNext);
+    CPPUNIT_TEST(notRunRefusal_isFollowedByTheNext);
+    CPPUNIT_TEST(outcomeUnknown_isFinal);
+    CPPUNIT_TEST(overLimit_isFinal);
+    CPPUNIT_TEST(lostAnswer_withoutKey_mayNotTryNext);
+    CPPUNIT_TEST(lostAnswerThenRefusal_isOutcomeUnknown);
+    CPPUNIT_TEST(noEntryReachable_isNoAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto uuid_fromStampAndRandom_hasVersionSevenForm() -> void
+    {
+        const UuidRandom random { 0xff, 1, 0xff, 2, 3, 4, 5, 6, 7, 8 };
+        CPPUNIT_ASSERT_EQUAL(std::string("01234567-89ab-7f01-bf02-030405060708"), formatUuidV7(0x0123456789ab, random));
+    }
+
+    auto unreachableEntry_isFollowedByTheNext() -> void
+    {
+        FixedServer good({ 200, {}, "done" });
+        const auto response = call({ closedAddress, good.m_address }, false);
+        CPPUNIT_ASSERT(response && response->m_body == "done");
+    }
+
+    auto notRunRefusal_isFollowedByTheNext() -> void
+    {
+        FixedServer draining(errorResponse({ ErrorKind::Draining, "stopping" }));
+        FixedServer good({ 200, {}, "done" });
+        const auto response = call({ draining.m_address, good.m_address }, false);
+        CPPUNIT_ASSERT(response && response->m_body == "done");
+    }
+
+    auto outcomeUnknown_isFinal() -> void { assertFinal(ErrorKind::OutcomeUnknown); }
+
+    auto overLimit_isFinal() -> void { assertFinal(ErrorKind::OverLimit); }
+
+    auto lostAnswer_withoutKey_mayNotTryNext() -> void
+    {
+        CPPUNIT_ASSERT(!mayTryNextEntry({ ErrorKind::AnswerLost, "" }, false));
+        CPPUNIT_ASSERT(mayTryNextEntry({ ErrorKind::AnswerLost, "" }, true));
+    }
+
+    auto lostAnswerThenRefusal_isOutcomeUnknown() -> void
+    {
+        FixedServer lost(errorResponse({ ErrorKind::AnswerLost, "cut short" }));
+        FixedServer draining(errorResponse({ ErrorKind::Draining, "stopping" }));
+        const auto response = call({ lost.m_address, draining.m_address }, true);
+        CPPUNIT_ASSERT(response.has_value());
+        CPPUNIT_ASSERT(m_reason.m_kind == ErrorKind::OutcomeUnknown);
+    }
+
+    auto noEntryReachable_isNoAnswer() -> void
+    {
+        CPPUNIT_ASSERT(!call({ closedAddress }, true));
+        CPPUNIT_ASSERT(m_reason.m_kind == ErrorKind::NoCapacity);
+    }
+
+private:
+    auto call(const std::vector<std::string>& addresses, bool isIdempotent) -> std::optional<HttpResponse>
+    {
+        return callEntries(addresses, HttpRequest(), isIdempotent, timeout, m_reason);
+    }
+
+    auto assertFinal(ErrorKind kind) -> void
+    {
+        FixedServer first(errorResponse({ kind, "" }));
+        FixedServer second({ 200, {}, "done" });
+        call({ first.m_address, second.m_address }, true);
+        CPPUNIT_ASSERT(m_reason.m_kind == kind);
+        CPPUNIT_ASSERT_EQUAL(0, second.m_requests.load());
+    }
+
+    LastReason m_reason;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryClientTest);
+
+} // namespace hemlockvane::detail
