--- a/include/hemlockvane/log/FleetState.h
+++ b/include/hemlockvane/log/FleetState.h
@@ -4,6 +4,7 @@
 #include "hemlockvane/jobs/JobState.h"
 #include "hemlockvane/keys/KeyState.h"
 #include "hemlockvane/log/OperationWindow.h"
+#include "hemlockvane/log/SnapshotProgress.h"
 #include "hemlockvane/maintenance/MaintenanceState.h"
 #include "hemlockvane/membership/MembershipState.h"
 #include "hemlockvane/pools/PoolState.h"
@@ -23,6 +24,7 @@
     PoolState m_pools;
     MaintenanceState m_maintenance;
     OperationWindow m_operations;
+    SnapshotProgress m_snapshots;
 };
 
 } // namespace hemlockvane
--- a/include/hemlockvane/log/Snapshot.h
+++ b/include/hemlockvane/log/Snapshot.h
@@ -14,7 +14,7 @@
 auto saveSnapshot(const FleetState& state) -> std::string;
 
 /// @brief Restores a state.
-/// @param reason receives BadRequest when the bytes are no snapshot
+/// @param reason receives BadRequest when the bytes are no snapshot, Internal when they are of a newer format
 /// @result empty on error
 auto loadSnapshot(std::string_view bytes, LastReason& reason) -> std::optional<FleetState>;
 
--- a/include/hemlockvane/membership/EntryRecord.h
+++ b/include/hemlockvane/membership/EntryRecord.h
@@ -13,6 +13,7 @@
     std::string m_trafficAddress; ///< Callers' endpoint, host:port.
     Offset m_joinedAt = 0;
     Offset m_removedAt = 0; ///< 0: it is a member.
+    WallMillis m_removedAtMs = 0; ///< Folded clock at its removal.
     bool m_planned = false; ///< It left by itself with nothing in flight.
 };
 
--- /dev/null
+++ b/src/log/Bootstrap.cpp
@@ -0,0 +1,17 @@
+#include "hemlockvane/log/Bootstrap.h"
+
+namespace hemlockvane {
+
+auto chooseBootstrap(const BootstrapView& view) -> BootstrapSource
+{
+    const auto tailIsKept = !hasFallenBehind(view.m_snapshotThrough, view.m_oldestOffset);
+    if (view.m_logReachable && view.m_snapshotUsable && tailIsKept)
+        return BootstrapSource::LogSnapshot;
+    if (view.m_logReachable && view.m_oldestOffset == 0)
+        return BootstrapSource::WholeLog;
+    return view.m_peerHeard ? BootstrapSource::Peer : BootstrapSource::Wait;
+}
+
+auto hasFallenBehind(Offset nextOffset, Offset oldestOffset) -> bool { return nextOffset < oldestOffset; }
+
+} // namespace hemlockvane
--- a/src/log/Fold.cpp
+++ b/src/log/Fold.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/jobs/ApplyJobs.h"
 #include "hemlockvane/keys/ApplyKeys.h"
+#include "hemlockvane/log/ApplySnapshotChunk.h"
 #include "hemlockvane/log/Snapshot.h"
 #include "hemlockvane/maintenance/ApplyMaintenance.h"
 #include "hemlockvane/membership/ApplyMembership.h"
@@ -66,7 +67,7 @@
     case wire::Operation::kMarkInstance:
         return apply(state, operation.mark_instance(), context, reason);
     case wire::Operation::kSnapshotChunk:
-        return context.m_offset;
+        return apply(state, operation.snapshot_chunk(), context, reason);
     case wire::Operation::CHANGE_NOT_SET:
         break;
     }
@@ -136,6 +137,7 @@
     for (const auto& operation : group.operations())
         results.push_back(foldOperation(state, operation, context));
     forgetEndedJobs(state);
+    forgetRemovedEntries(state.m_membership, state.m_clock);
     ++state.m_nextOffset;
     return results;
 }
--- /dev/null
+++ b/src/log/ReadSnapshot.cpp
@@ -0,0 +1,64 @@
+#include "hemlockvane/log/ReadSnapshot.h"
+
+#include "hemlockvane/log/Snapshot.h"
+
+#include "hemlockvane/records.pb.h"
+
+namespace hemlockvane {
+
+namespace {
+
+auto drop(SnapshotReader& reader) -> void
+{
+    reader.m_snapshot.clear();
+    reader.m_bytes.clear();
+    reader.m_nextIndex = 0;
+}
+
+auto scanChunk(SnapshotReader& reader, const wire::SnapshotChunk& chunk) -> void
+{
+    if (chunk.index() == 0 && reader.m_begun.insert(chunk.snapshot()).second) {
+        drop(reader);
+        reader.m_snapshot = chunk.snapshot();
+    }
+    // A repeated chunk of this snapshot is a duplicate append; one that skips ahead cannot be used.
+    if (reader.m_snapshot != chunk.snapshot() || chunk.index() < reader.m_nextIndex)
+        return;
+    if (chunk.index() > reader.m_nextIndex) {
+        drop(reader);
+        return;
+    }
+    reader.m_bytes += chunk.payload();
+    ++reader.m_nextIndex;
+    if (reader.m_nextIndex < chunk.count())
+        return;
+    if (hashBytes(reader.m_bytes) == chunk.hash() && chunk.through() >= reader.m_completeThrough) {
+        reader.m_completeBytes = std::move(reader.m_bytes);
+        reader.m_completeThrough = chunk.through();
+    }
+    drop(reader);
+}
+
+} // namespace
+
+auto scanRecord(SnapshotReader& reader, std::string_view record) -> void
+{
+    wire::Group group;
+    if (!group.ParseFromArray(record.data(), static_cast<int>(record.size())))
+        return;
+    for (const auto& operation : group.operations())
+        if (operation.has_snapshot_chunk())
+            scanChunk(reader, operation.snapshot_chunk());
+}
+
+auto finishScan(const SnapshotReader& reader, LastReason& reason) -> std::optional<FleetState>
+{
+    if (reader.m_completeBytes.empty())
+        return fail(reason, ErrorKind::NotFound, "the log holds no complete snapshot");
+    auto state = loadSnapshot(reader.m_completeBytes, reason);
+    if (state && state->m_nextOffset != reader.m_completeThrough)
+        return fail(reason, ErrorKind::BadRequest, "the snapshot is of another offset than it says");
+    return state;
+}
+
+} // namespace hemlockvane
--- a/src/log/Snapshot.cpp
+++ b/src/log/Snapshot.cpp
@@ -1,5 +1,7 @@
 #include "hemlockvane/log/Snapshot.h"
 
+#include "hemlockvane/log/Fold.h"
+
 #include "hemlockvane/snapshot.pb.h"
 
 namespace hemlockvane {
@@ -87,6 +89,7 @@
         saved.set_joined_at(entry.m_joinedAt);
         saved.set_removed_at(entry.m_removedAt);
         saved.set_planned(entry.m_planned);
+        saved.set_removed_at_ms(entry.m_removedAtMs);
     }
     for (const auto& [name, duty] : state.m_duties) {
         auto& saved = *out.add_duties();
@@ -99,9 +102,12 @@
 auto loadMembership(const wire::SnapshotMembership& saved, MembershipState& state) -> void
 {
     state.m_version = saved.version();
-    for (const auto& entry : saved.entries())
+    for (const auto& entry : saved.entries()) {
         state.m_entries[entry.instance()] = EntryRecord { entry.zone(), entry.address(), entry.traffic_address(),
-            entry.joined_at(), entry.removed_at(), entry.planned() };
+            entry.joined_at(), entry.removed_at(), entry.removed_at_ms(), entry.planned() };
+        if (entry.removed_at() != 0)
+            state.m_removed.emplace(entry.removed_at_ms(), entry.instance());
+    }
     for (const auto& duty : saved.duties())
         state.m_duties[duty.duty()] = DutyRecord { duty.holder(), duty.epoch() };
 }
@@ -256,11 +262,30 @@
         remember(window, { item.id(), item.offset(), static_cast<ErrorKind>(item.error()), item.reason() });
 }
 
+auto saveProgress(const SnapshotProgress& progress, wire::SnapshotProgress& saved) -> void
+{
+    saved.set_snapshot(progress.m_snapshot);
+    saved.set_next_index(progress.m_nextIndex);
+    saved.set_count(progress.m_count);
+    saved.set_through(progress.m_through);
+    saved.set_started_at(progress.m_startedAt);
+    saved.set_complete_from(progress.m_completeFrom);
+    saved.set_complete_through(progress.m_completeThrough);
+    saved.set_complete_at_ms(progress.m_completeAtMs);
+}
+
+auto loadProgress(const wire::SnapshotProgress& saved) -> SnapshotProgress
+{
+    return { saved.snapshot(), saved.next_index(), saved.count(), saved.through(), saved.started_at(),
+        saved.complete_from(), saved.complete_through(), saved.complete_at_ms() };
+}
+
 } // namespace
 
 auto saveSnapshot(const FleetState& state) -> std::string
 {
     wire::Snapshot out;
+    out.set_format(recordFormat);
     out.set_next_offset(state.m_nextOffset);
     out.set_chain_hash(state.m_chainHash);
     out.set_clock_ms(state.m_clock);
@@ -272,6 +297,7 @@
     savePools(state.m_pools, *out.mutable_pools());
     saveMaintenance(state.m_maintenance, *out.mutable_maintenance());
     saveOperations(state.m_operations, out);
+    saveProgress(state.m_snapshots, *out.mutable_progress());
     return out.SerializeAsString();
 }
 
@@ -280,6 +306,8 @@
     wire::Snapshot saved;
     if (!saved.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(reason, ErrorKind::BadRequest, "the bytes are no snapshot");
+    if (saved.format() > recordFormat)
+        return fail(reason, ErrorKind::Internal, "the snapshot is of a newer format");
     FleetState state;
     state.m_nextOffset = saved.next_offset();
     state.m_chainHash = saved.chain_hash();
@@ -291,6 +319,7 @@
     loadPools(saved.pools(), state.m_pools);
     loadMaintenance(saved.maintenance(), state.m_maintenance);
     loadOperations(saved, state.m_operations);
+    state.m_snapshots = loadProgress(saved.progress());
     return state;
 }
 
--- a/src/membership/ApplyMembership.cpp
+++ b/src/membership/ApplyMembership.cpp
@@ -15,7 +15,7 @@
     if (entries.contains(change.instance()))
         return fail(reason, ErrorKind::Conflict, "instance id " + change.instance() + " was used before");
     entries[change.instance()]
-        = EntryRecord { change.zone(), change.address(), change.traffic_address(), context.m_offset, 0, false };
+        = EntryRecord { change.zone(), change.address(), change.traffic_address(), context.m_offset, 0, 0, false };
     state.m_membership.m_version = context.m_offset;
     return context.m_offset;
 }
@@ -27,6 +27,8 @@
         return fail(reason, ErrorKind::NotFound, "there is no entry " + change.instance());
     auto& entry = state.m_membership.m_entries.find(change.instance())->second;
     entry.m_removedAt = context.m_offset;
+    entry.m_removedAtMs = state.m_clock;
+    state.m_membership.m_removed.emplace(entry.m_removedAtMs, change.instance());
     entry.m_planned = change.planned() && change.instance() == context.m_author;
     state.m_membership.m_version = context.m_offset;
     return context.m_offset;
--- a/tests/core/membership/MembershipPlanTest.cpp
+++ b/tests/core/membership/MembershipPlanTest.cpp
@@ -46,7 +46,7 @@
     {
         MembershipState members;
         for (int i = 0; i < count; ++i)
-            members.m_entries["e" + std::to_string(i)] = EntryRecord { "z", "x", "x", 1, 0, false };
+            members.m_entries["e" + std::to_string(i)] = EntryRecord { "z", "x", "x", 1, 0, 0, false };
         return members;
     }
 
--- a/tests/core/membership/VouchTest.cpp
+++ b/tests/core/membership/VouchTest.cpp
@@ -64,7 +64,7 @@
     {
         m_members = {};
         for (const auto* id : { "a", "b", "c" })
-            m_members.m_entries[id] = EntryRecord { "z", "x", "x", 1, 0, false };
+            m_members.m_entries[id] = EntryRecord { "z", "x", "x", 1, 0, 0, false };
         m_state = {};
         m_state.m_limits = limits();
         m_state.m_self = "a";
@@ -160,7 +160,7 @@
 
     auto onPeerReport_memberNotYetListed_mustBeHeard() -> void
     {
-        m_members.m_entries["new"] = EntryRecord { "z", "x", "x", 9, 0, false };
+        m_members.m_entries["new"] = EntryRecord { "z", "x", "x", 9, 0, 0, false };
         listed(800, { "a", "b", "c" });
         report("b", 800, 900);
         report("c", 800, 900);
