Add the escrow core for team limits and executor slots

Grants and returns are totals since the epoch began, so lost, repeated, late and crossed messages cannot add up to more than the capacity; a member that a new holder has not heard blocks its grants, and a removed one stays charged until nothing of it can run.

--- /dev/null
+++ b/include/hemlockvane/limits/HolderDuty.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "hemlockvane/limits/HolderResource.h"
+#include "hemlockvane/log/FoldContext.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief An escrow duty that this instance holds.
+struct HolderDuty {
+    Offset m_epoch = 0;
+    bool m_open = false; ///< Every member that was there when the epoch began has reported or was removed.
+    std::set<std::string, std::less<>> m_reported;
+    Instant m_unheardUntil; ///< Until then removed members that never reported may use permits.
+    Instant m_askedAt;
+    std::map<std::string, HolderResource, std::less<>> m_resources;
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/limits/MemberPermits.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hemlockvane/limits/TeamDemand.h"
+#include "hemlockvane/log/FoldContext.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hemlockvane {
+
+/// @brief One resource at one member. Totals count from the start of the epoch.
+struct MemberPermits {
+    std::string m_duty;
+    std::uint32_t m_base = 0; ///< In hand when the epoch began.
+    std::uint32_t m_grantedSeen = 0;
+    std::uint32_t m_returned = 0;
+    std::uint32_t m_used = 0;
+    std::uint32_t m_wanted = 0; ///< Used and waiting.
+    std::vector<TeamDemand> m_teams;
+    std::uint32_t m_target = 0; ///< What the holder lets this member keep.
+    std::uint32_t m_recall = 0; ///< Above 0: others want what exceeds the target.
+    Offset m_foldedEnd = 0; ///< A holder may count the returns once it has folded up to here.
+    std::uint64_t m_grantSequence = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_acknowledged = 0;
+    bool m_changed = false;
+    Instant m_sentAt;
+    std::optional<Instant> m_surplusSince;
+};
+
+/// @brief Permits in hand, used or not.
+inline auto permitsHeld(const MemberPermits& permits) -> std::uint32_t
+{
+    return permits.m_base + permits.m_grantedSeen - permits.m_returned;
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/limits/RemovedCharge.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+
+namespace hemlockvane {
+
+/// @brief Permits that a removed member may still use until it is settled.
+struct RemovedCharge {
+    std::uint32_t m_permits = 0;
+    Instant m_settledAt;
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/limits/EscrowHolder.cpp
@@ -0,0 +1,425 @@
+#include "hemlockvane/limits/EscrowHolder.h"
+
+#include "hemlockvane/limits/EscrowResource.h"
+#include "hemlockvane/shares/FairShares.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockvane {
+
+namespace {
+
+// Bounds how long an odd permit can stay with one member to make up for the past, in permit seconds.
+constexpr double maximumCredit = 2;
+
+auto recordedOf(const EscrowHolder& holder, std::string_view resource) -> std::uint32_t
+{
+    const auto found = holder.m_recorded.find(resource);
+    return found == holder.m_recorded.end() ? 0 : found->second;
+}
+
+auto chargedToMembers(const HolderResource& state) -> std::uint32_t
+{
+    std::uint32_t charged = 0;
+    for (const auto& [instance, ledger] : state.m_members)
+        charged += permitsCharged(ledger);
+    return charged;
+}
+
+auto chargedToRemoved(const HolderResource& state) -> std::uint32_t
+{
+    std::uint32_t charged = 0;
+    for (const auto& removed : state.m_removed)
+        charged += removed.m_permits;
+    return charged;
+}
+
+// What may not be granted to members because others use it or may use it.
+auto withheld(const EscrowHolder& holder, const HolderDuty& duty, std::string_view resource,
+    const HolderResource& state, Instant now) -> std::uint32_t
+{
+    std::uint32_t permits = recordedOf(holder, resource);
+    for (const auto& removed : state.m_removed) {
+        if (removed.m_settledAt > now)
+            permits += removed.m_permits;
+    }
+    return duty.m_unheardUntil > now ? permits + state.m_unheard : permits;
+}
+
+auto subtractDown(std::uint32_t from, std::uint32_t amount) -> std::uint32_t { return from - std::min(from, amount); }
+
+// Charges to removed members that never reported all that nobody reported.
+auto chargeUnheard(const EscrowHolder& holder, std::string_view resource, HolderResource& state) -> void
+{
+    const auto since = holder.m_removedSettledAt - capacityWindow(holder.m_timing);
+    const auto peak = std::max(state.m_peak, peakCapacity(holder.m_capacities, resource, since));
+    const auto known = chargedToMembers(state) + chargedToRemoved(state) + recordedOf(holder, resource);
+    state.m_unheard = subtractDown(peak, known);
+}
+
+auto stateOf(const EscrowHolder& holder, HolderDuty& duty, std::string_view resource) -> HolderResource&
+{
+    const auto found = duty.m_resources.find(resource);
+    if (found != duty.m_resources.end())
+        return found->second;
+    auto& state = duty.m_resources[std::string(resource)];
+    if (duty.m_open)
+        chargeUnheard(holder, resource, state);
+    return state;
+}
+
+auto heldDuty(EscrowHolder& holder, const wire::Fence& fence) -> HolderDuty*
+{
+    const auto found = holder.m_duties.find(fence.duty());
+    return found != holder.m_duties.end() && found->second.m_epoch == fence.epoch() ? &found->second : nullptr;
+}
+
+auto hasReported(const EscrowHolder& holder, const HolderDuty& duty) -> bool
+{
+    return std::all_of(holder.m_members.begin(), holder.m_members.end(),
+        [&](const auto& member) { return member.second > duty.m_epoch || duty.m_reported.contains(member.first); });
+}
+
+auto openDuty(const EscrowHolder& holder, std::string_view name, HolderDuty& duty) -> void
+{
+    if (duty.m_open || !hasReported(holder, duty))
+        return;
+    for (const auto& [resource, changes] : holder.m_capacities.m_resources) {
+        if (escrowDuty(resource) == name)
+            stateOf(holder, duty, resource);
+    }
+    for (auto& [resource, state] : duty.m_resources)
+        chargeUnheard(holder, resource, state);
+    duty.m_open = true;
+}
+
+auto askForReports(const EscrowHolder& holder, std::string_view name, HolderDuty& duty, Instant now,
+    std::vector<EscrowSend>& sends) -> void
+{
+    if (duty.m_askedAt != Instant {} && now - duty.m_askedAt < holder.m_timing.m_resend)
+        return;
+    for (const auto& [instance, joinedAt] : holder.m_members) {
+        if (duty.m_reported.contains(instance))
+            continue;
+        duty.m_askedAt = now;
+        EscrowSend send { instance, {} };
+        auto* fence = send.m_envelope.mutable_escrow_report_request()->mutable_fence();
+        fence->set_duty(std::string(name));
+        fence->set_epoch(duty.m_epoch);
+        sends.push_back(std::move(send));
+    }
+}
+
+auto updateCredits(HolderResource& state, std::span<const double> shares, Instant now) -> void
+{
+    const auto seconds
+        = std::chrono::duration<double>(std::min<Duration>(now - state.m_balancedAt, std::chrono::seconds(1))).count();
+    std::size_t i = 0;
+    for (auto& [instance, ledger] : state.m_members) {
+        const auto missing = shares[i++] - permitsCharged(ledger);
+        ledger.m_credit = std::clamp(ledger.m_credit + missing * seconds, -maximumCredit, maximumCredit);
+    }
+}
+
+// Targets by equal max-min of the wanted permits; half of what nobody wants is spread as idle permits.
+auto balance(HolderResource& state, std::uint32_t capacity, Instant now) -> void
+{
+    if (state.m_members.empty())
+        return;
+    std::vector<Demand> demands;
+    std::vector<double> credits;
+    auto wanted = 0.0;
+    for (const auto& [instance, ledger] : state.m_members) {
+        demands.push_back({ 1, static_cast<double>(ledger.m_wanted) });
+        wanted += ledger.m_wanted;
+    }
+    const auto shares = fairShares(demands, capacity);
+    updateCredits(state, shares, now);
+    for (const auto& [instance, ledger] : state.m_members)
+        credits.push_back(ledger.m_credit);
+    const auto units = apportion(shares, credits);
+    const auto spare = wanted < capacity ? static_cast<std::uint32_t>(capacity - wanted) : 0;
+    state.m_contended = wanted > capacity;
+    const auto idle = spare / 2 / static_cast<std::uint32_t>(state.m_members.size());
+    std::size_t i = 0;
+    for (auto& [instance, ledger] : state.m_members)
+        ledger.m_target = units[i++] + idle;
+}
+
+// Grants what is free up to the targets, one permit at a time to who has the least of its target.
+auto grantFree(HolderResource& state, std::uint32_t free) -> void
+{
+    const auto neediest = [](const auto& left, const auto& right) {
+        const auto missing = [](const HolderLedger& ledger) {
+            return static_cast<std::int64_t>(ledger.m_target) - permitsCharged(ledger);
+        };
+        return missing(left.second) < missing(right.second);
+    };
+    while (free > 0 && !state.m_members.empty()) {
+        auto& ledger = std::max_element(state.m_members.begin(), state.m_members.end(), neediest)->second;
+        const auto charged = permitsCharged(ledger);
+        if (charged >= ledger.m_target)
+            return;
+        ++ledger.m_granted;
+        ledger.m_answerDue = true;
+        --free;
+    }
+}
+
+// Recalls what exceeds the targets while a member waits for it, or while the capacity is exceeded.
+auto recallExcess(HolderResource& state, bool exceeded) -> void
+{
+    const auto waits = std::any_of(state.m_members.begin(), state.m_members.end(),
+        [](const auto& member) { return permitsCharged(member.second) < member.second.m_target; });
+    for (auto& [instance, ledger] : state.m_members) {
+        const auto excess = subtractDown(permitsCharged(ledger), ledger.m_target);
+        const auto recall = waits || exceeded ? excess : 0;
+        ledger.m_answerDue = ledger.m_answerDue || recall != ledger.m_recall;
+        ledger.m_recall = recall;
+    }
+}
+
+auto distribute(const EscrowHolder& holder, const HolderDuty& duty, std::string_view resource, HolderResource& state,
+    Instant now) -> void
+{
+    const auto rotates = state.m_contended && now - state.m_balancedAt >= holder.m_timing.m_rebalance;
+    if (!state.m_dirty && !rotates)
+        return;
+    const auto capacity
+        = subtractDown(capacityOf(holder.m_capacities, resource), withheld(holder, duty, resource, state, now));
+    if (!state.m_targetsGiven)
+        balance(state, capacity, now);
+    state.m_balancedAt = now;
+    state.m_dirty = false;
+    const auto charged = chargedToMembers(state);
+    grantFree(state, subtractDown(capacity, charged));
+    recallExcess(state, charged > capacity);
+}
+
+auto isGrantDue(const HolderLedger& ledger, const EscrowTiming& timing, Instant now) -> bool
+{
+    if (ledger.m_answerDue)
+        return true;
+    const auto unanswered = ledger.m_granted > ledger.m_grantedSeen || ledger.m_recall > 0;
+    return unanswered && now - ledger.m_sentAt >= timing.m_resend;
+}
+
+auto addGrant(const wire::Fence& fence, std::string_view resource, HolderLedger& ledger, Instant now,
+    wire::EscrowGrants& grants) -> void
+{
+    ledger.m_answerDue = false;
+    ledger.m_sentAt = now;
+    auto* grant = grants.add_grants();
+    *grant->mutable_fence() = fence;
+    grant->set_resource(std::string(resource));
+    grant->set_granted(ledger.m_granted);
+    grant->set_target(ledger.m_target);
+    grant->set_recall(ledger.m_recall);
+    grant->set_sequence(++ledger.m_grantSequence);
+    grant->set_acknowledged(ledger.m_demandSequence);
+}
+
+auto sendGrants(const EscrowHolder& holder, std::string_view name, HolderDuty& duty, Instant now,
+    std::vector<EscrowSend>& sends) -> void
+{
+    wire::Fence fence;
+    fence.set_duty(std::string(name));
+    fence.set_epoch(duty.m_epoch);
+    std::map<std::string_view, wire::Envelope> envelopes;
+    for (auto& [resource, state] : duty.m_resources) {
+        for (auto& [instance, ledger] : state.m_members) {
+            if (isGrantDue(ledger, holder.m_timing, now))
+                addGrant(fence, resource, ledger, now, *envelopes[instance].mutable_escrow_grants());
+        }
+    }
+    for (auto& [instance, envelope] : envelopes)
+        sends.push_back({ std::string(instance), std::move(envelope) });
+}
+
+auto settleRemoved(HolderResource& state, Instant now) -> void
+{
+    const auto settled
+        = std::erase_if(state.m_removed, [&](const auto& removed) { return removed.m_settledAt <= now; });
+    state.m_dirty = state.m_dirty || settled > 0;
+}
+
+// Moves what a removed member had from its ledgers to the charges that end when it is settled.
+auto chargeRemoved(HolderDuty& duty, std::string_view instance, bool planned, Instant settledAt) -> void
+{
+    for (auto& [resource, state] : duty.m_resources) {
+        const auto found = state.m_members.find(instance);
+        if (found == state.m_members.end())
+            continue;
+        const auto permits = permitsCharged(found->second);
+        if (!planned && permits > 0)
+            state.m_removed.push_back({ permits, settledAt });
+        state.m_members.erase(found);
+        state.m_dirty = true;
+    }
+}
+
+auto copyTeams(const wire::EscrowDemand& demand) -> std::vector<TeamDemand>
+{
+    std::vector<TeamDemand> teams;
+    for (const auto& line : demand.teams())
+        teams.push_back({ line.team(), line.wanted() });
+    return teams;
+}
+
+} // namespace
+
+auto setCapacity(EscrowHolder& holder, std::string_view resource, std::uint32_t capacity, Instant now) -> void
+{
+    setCapacity(holder.m_capacities, resource, capacity, now, capacityWindow(holder.m_timing));
+    const auto found = holder.m_duties.find(escrowDuty(resource));
+    if (found != holder.m_duties.end())
+        stateOf(holder, found->second, resource).m_dirty = true;
+}
+
+auto setRecorded(EscrowHolder& holder, std::string_view resource, std::uint32_t permits) -> void
+{
+    holder.m_recorded[std::string(resource)] = permits;
+    const auto found = holder.m_duties.find(escrowDuty(resource));
+    if (found != holder.m_duties.end())
+        stateOf(holder, found->second, resource).m_dirty = true;
+}
+
+auto memberJoined(EscrowHolder& holder, std::string_view instance, Offset joinedAt) -> void
+{
+    holder.m_members[std::string(instance)] = joinedAt;
+}
+
+auto memberRemoved(EscrowHolder& holder, std::string_view instance, bool planned, Instant now) -> void
+{
+    const auto found = holder.m_members.find(instance);
+    if (found == holder.m_members.end())
+        return;
+    const auto joinedAt = found->second;
+    holder.m_members.erase(found);
+    const auto settledAt = now + holder.m_timing.m_settle;
+    if (!planned)
+        holder.m_removedSettledAt = settledAt;
+    for (auto& [name, duty] : holder.m_duties) {
+        const auto reported = duty.m_reported.find(instance);
+        if (reported != duty.m_reported.end()) {
+            duty.m_reported.erase(reported);
+            chargeRemoved(duty, instance, planned, settledAt);
+        } else if (!planned && joinedAt < duty.m_epoch) {
+            duty.m_unheardUntil = settledAt;
+        }
+    }
+}
+
+auto takeDuty(EscrowHolder& holder, std::string_view duty, Offset epoch) -> void
+{
+    auto& held = holder.m_duties[std::string(duty)];
+    if (held.m_epoch >= epoch)
+        return;
+    held = HolderDuty {};
+    held.m_epoch = epoch;
+    held.m_unheardUntil = holder.m_removedSettledAt;
+}
+
+auto loseDuty(EscrowHolder& holder, std::string_view duty) -> void
+{
+    const auto found = holder.m_duties.find(duty);
+    if (found != holder.m_duties.end())
+        holder.m_duties.erase(found);
+}
+
+auto receiveReport(EscrowHolder& holder, std::string_view sender, const wire::EscrowReport& report) -> void
+{
+    auto* duty = heldDuty(holder, report.fence());
+    if (duty == nullptr || !holder.m_members.contains(sender))
+        return;
+    if (!duty->m_reported.insert(std::string(sender)).second)
+        return;
+    for (const auto& holding : report.holdings()) {
+        auto& state = stateOf(holder, *duty, holding.resource());
+        state.m_peak = std::max(state.m_peak, holding.peak_capacity());
+        if (holding.held() > 0)
+            state.m_members[std::string(sender)].m_base = holding.held();
+        state.m_dirty = true;
+    }
+}
+
+auto receiveDemand(EscrowHolder& holder, std::string_view sender, const wire::EscrowDemand& demand) -> void
+{
+    auto* duty = heldDuty(holder, demand.fence());
+    if (duty == nullptr || !duty->m_reported.contains(sender))
+        return;
+    auto& state = stateOf(holder, *duty, demand.resource());
+    auto& ledger = state.m_members[std::string(sender)];
+    state.m_dirty = true;
+    ledger.m_grantedSeen = std::max(ledger.m_grantedSeen, std::min(demand.granted_seen(), ledger.m_granted));
+    const auto countsReturns = demand.folded_end() <= holder.m_foldedEnd;
+    if (countsReturns)
+        ledger.m_returned = std::max(ledger.m_returned, std::min(demand.returned(), ledger.m_base + ledger.m_granted));
+    if (demand.sequence() <= ledger.m_demandSequence)
+        return;
+    ledger.m_wanted = demand.wanted();
+    ledger.m_teams = copyTeams(demand);
+    ledger.m_answerDue = true;
+    if (countsReturns)
+        ledger.m_demandSequence = demand.sequence();
+}
+
+auto setTargets(EscrowHolder& holder, std::string_view resource,
+    const std::map<std::string, std::uint32_t, std::less<>>& targets) -> void
+{
+    const auto found = holder.m_duties.find(escrowDuty(resource));
+    if (found == holder.m_duties.end())
+        return;
+    auto& duty = found->second;
+    auto& state = stateOf(holder, duty, resource);
+    for (const auto& [instance, target] : targets) {
+        if (target > 0 && duty.m_reported.contains(instance))
+            state.m_members[instance];
+    }
+    for (auto& [instance, ledger] : state.m_members) {
+        const auto target = targets.find(instance);
+        const auto permits = target == targets.end() ? 0 : target->second;
+        state.m_dirty = state.m_dirty || permits != ledger.m_target;
+        ledger.m_target = permits;
+    }
+    state.m_targetsGiven = true;
+}
+
+auto isOpen(const EscrowHolder& holder, std::string_view duty) -> bool
+{
+    const auto found = holder.m_duties.find(duty);
+    return found != holder.m_duties.end() && found->second.m_open;
+}
+
+auto grantable(const EscrowHolder& holder, std::string_view resource, Instant now) -> std::uint32_t
+{
+    const auto duty = holder.m_duties.find(escrowDuty(resource));
+    if (duty == holder.m_duties.end() || !duty->second.m_open)
+        return 0;
+    const auto state = duty->second.m_resources.find(resource);
+    if (state == duty->second.m_resources.end())
+        return 0;
+    const auto capacity = capacityOf(holder.m_capacities, resource);
+    const auto unavailable = withheld(holder, duty->second, resource, state->second, now);
+    return subtractDown(subtractDown(capacity, unavailable), chargedToMembers(state->second));
+}
+
+auto step(EscrowHolder& holder, Instant now) -> std::vector<EscrowSend>
+{
+    std::vector<EscrowSend> sends;
+    for (auto& [name, duty] : holder.m_duties) {
+        askForReports(holder, name, duty, now, sends);
+        openDuty(holder, name, duty);
+        if (!duty.m_open)
+            continue;
+        for (auto& [resource, state] : duty.m_resources) {
+            settleRemoved(state, now);
+            distribute(holder, duty, resource, state, now);
+        }
+        sendGrants(holder, name, duty, now, sends);
+    }
+    return sends;
+}
+
+} // namespace hemlockvane
