--- /dev/null
+++ b/include/hemlockvane/claims/ClaimContext.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "hemlockvane/claims/ClaimAction.h"
+#include "hemlockvane/claims/ClaimTime.h"
+
+#include <string_view>
+#include <vector>
+
+namespace hemlockvane {
+
+struct ClaimState;
+struct ClaimView;
+
+/// @brief One event being handled: what it may change and the actions collected so far.
+struct ClaimContext {
+    ClaimState& m_state;
+    const ClaimView& m_view;
+    const ClaimTime& m_time;
+    std::vector<ClaimAction>& m_actions;
+};
+
+/// @brief Adds an action that sends a message.
+/// @param peer instance id of the receiver
+/// @result the message to fill in
+auto sendClaim(ClaimContext& context, std::string_view peer) -> wire::Envelope&;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/claims/ClaimOutcomeDue.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "hemlockvane/claims/ClaimKey.h"
+#include "hemlockvane/claims/ClaimResult.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstddef>
+
+namespace hemlockvane {
+
+/// @brief An outcome that the holder has not confirmed yet. The answer is in the record.
+struct ClaimOutcomeDue {
+    ClaimKey m_key;
+    ClaimResult m_result = ClaimResult::NotRun;
+    std::size_t m_slot = 0;
+    Instant m_retryAt;
+    Instant m_forgetAt; ///< The key's window has passed.
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/claims/ClaimTicket.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "hemlockvane/claims/ClaimKey.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace hemlockvane {
+
+/// @brief A request of this entry that waits for its claim.
+struct ClaimTicket {
+    std::uint64_t m_ticket = 0; ///< Unique within the entry.
+    ClaimKey m_key;
+    std::uint64_t m_bodyHash = 0;
+    Instant m_deadline; ///< Of the caller.
+    std::size_t m_slot = 0;
+    Instant m_retryAt;
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/claims/ClaimDispatcher.cpp
@@ -0,0 +1,265 @@
+#include "hemlockvane/claims/ClaimDispatcher.h"
+
+#include "hemlockvane/claims/ClaimContext.h"
+#include "hemlockvane/claims/ClaimRecords.h"
+#include "hemlockvane/claims/ClaimState.h"
+#include "hemlockvane/claims/ClaimView.h"
+#include "hemlockvane/claims/RequestKey.h"
+#include "hemlockvane/membership/MembershipState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockvane {
+
+namespace {
+
+// Duty record of a slot whose holder is a member, null otherwise.
+auto currentDuty(const ClaimContext& context, std::size_t slot) -> const DutyRecord*
+{
+    const auto& membership = context.m_view.m_membership;
+    const auto found = membership.m_duties.find(claimDuty(slot));
+    if (found == membership.m_duties.end() || !isMember(membership, found->second.m_holder))
+        return nullptr;
+    return &found->second;
+}
+
+auto fillFence(wire::Fence& fence, std::size_t slot, Offset epoch) -> void
+{
+    fence.set_duty(claimDuty(slot));
+    fence.set_epoch(epoch);
+}
+
+auto reply(ClaimContext& context, ClaimReply answer) -> void { context.m_actions.emplace_back(std::move(answer)); }
+
+auto askHolder(ClaimContext& context, ClaimTicket& ticket) -> void
+{
+    ticket.m_retryAt = context.m_time.m_now + context.m_state.m_settings.m_retryInterval;
+    const auto* duty = currentDuty(context, ticket.m_slot);
+    if (duty == nullptr)
+        return;
+    auto& request = *sendClaim(context, duty->m_holder).mutable_claim_request();
+    request.set_ticket(ticket.m_ticket);
+    fillFence(*request.mutable_fence(), ticket.m_slot, duty->m_epoch);
+    request.set_team(ticket.m_key.m_team);
+    request.set_key(ticket.m_key.m_key);
+    request.set_body_hash(ticket.m_bodyHash);
+    request.set_deadline_ms((ticket.m_deadline - context.m_time.m_now).count());
+}
+
+auto verdictOf(ClaimResult result) -> wire::ClaimVerdict
+{
+    switch (result) {
+    case ClaimResult::Answered:
+        return wire::CLAIM_DONE;
+    case ClaimResult::NotRun:
+        return wire::CLAIM_REFUSED;
+    case ClaimResult::InDoubt:
+        break;
+    }
+    return wire::CLAIM_UNKNOWN;
+}
+
+auto sendOutcome(ClaimContext& context, std::uint64_t ticket, ClaimOutcomeDue& due) -> void
+{
+    due.m_retryAt = context.m_time.m_now + context.m_state.m_settings.m_retryInterval;
+    const auto* duty = currentDuty(context, due.m_slot);
+    if (duty == nullptr)
+        return;
+    auto& outcome = *sendClaim(context, duty->m_holder).mutable_claim_outcome();
+    fillFence(*outcome.mutable_fence(), due.m_slot, duty->m_epoch);
+    outcome.set_team(due.m_key.m_team);
+    outcome.set_key(due.m_key.m_key);
+    outcome.set_verdict(verdictOf(due.m_result));
+    outcome.set_ticket(ticket);
+    const auto* record = findClaim(context.m_state.m_slots[due.m_slot], due.m_key);
+    const auto kept = record != nullptr && record->m_status == ClaimStatus::Done;
+    outcome.set_answer_lost(!kept || record->m_answerLost);
+    if (kept)
+        outcome.set_answer(record->m_answer);
+}
+
+auto oweOutcome(ClaimContext& context, const ClaimTicket& ticket, ClaimResult result) -> void
+{
+    auto& state = context.m_state;
+    auto& due = state.m_outcomes[ticket.m_ticket];
+    due = ClaimOutcomeDue { ticket.m_key, result, ticket.m_slot, {}, {} };
+    due.m_forgetAt = context.m_time.m_now + state.m_settings.m_window;
+    sendOutcome(context, ticket.m_ticket, due);
+}
+
+// Why a grant may not be used although it was asked for; None: it may.
+auto grantObstacle(const ClaimContext& context, const ClaimTicket& ticket) -> ErrorKind
+{
+    if (!context.m_view.m_vouched)
+        return ErrorKind::NotVouched;
+    return ticket.m_deadline <= context.m_time.m_now ? ErrorKind::DeadlinePassed : ErrorKind::None;
+}
+
+auto refuseGrant(ClaimContext& context, const ClaimTicket& ticket, ErrorKind obstacle) -> void
+{
+    oweOutcome(context, ticket, ClaimResult::NotRun);
+    reply(context,
+        { ticket.m_ticket, obstacle, "the request was not dispatched", {}, context.m_view.m_vouched,
+            context.m_state.m_settings.m_retryInterval });
+}
+
+auto recordGrant(ClaimContext& context, const ClaimTicket& ticket, const ClaimGrant& grant) -> bool
+{
+    auto& state = context.m_state;
+    auto& slot = state.m_slots[ticket.m_slot];
+    const auto* present = findClaim(slot, ticket.m_key);
+    if (present != nullptr && present->m_grant == grant && slot.m_epoch != 0)
+        return true; // This entry is the holder: the record is there already.
+    ClaimRecord record;
+    record.m_status = ClaimStatus::InFlight;
+    record.m_grant = grant;
+    record.m_bodyHash = ticket.m_bodyHash;
+    record.m_dispatcher = state.m_self;
+    record.m_ticket = ticket.m_ticket;
+    return storeClaim(state, slot, ticket.m_key, std::move(record)) != nullptr;
+}
+
+auto useGrant(ClaimContext& context, const ClaimTicket& ticket, const ClaimGrant& grant) -> void
+{
+    auto obstacle = grantObstacle(context, ticket);
+    if (obstacle == ErrorKind::None && !recordGrant(context, ticket, grant))
+        obstacle = ErrorKind::QueueFull;
+    if (obstacle != ErrorKind::None) {
+        refuseGrant(context, ticket, obstacle);
+        return;
+    }
+    context.m_state.m_running.emplace(ticket.m_ticket, ticket);
+    context.m_actions.emplace_back(DispatchClaimed { ticket.m_ticket });
+}
+
+// A grant older than what is known of the key is a late message.
+auto isSuperseded(ClaimSlot& slot, const ClaimKey& key, const ClaimGrant& grant) -> bool
+{
+    const auto* present = findClaim(slot, key);
+    return present != nullptr && grant < present->m_grant;
+}
+
+auto passOn(ClaimContext& context, const wire::ClaimAnswer& answer) -> void
+{
+    ClaimReply out;
+    out.m_ticket = answer.ticket();
+    out.m_error = static_cast<ErrorKind>(answer.error());
+    out.m_reason = answer.reason();
+    out.m_answer = answer.answer();
+    out.m_notRun = answer.not_run() && context.m_view.m_vouched;
+    out.m_retryAfter = Duration(answer.retry_after_ms());
+    reply(context, std::move(out));
+}
+
+auto applyOutcome(ClaimContext& context, const ClaimTicket& ticket, ClaimResult result, std::string_view answer) -> void
+{
+    auto& state = context.m_state;
+    auto& slot = state.m_slots[ticket.m_slot];
+    auto* record = findClaim(slot, ticket.m_key);
+    if (record == nullptr || record->m_dispatcher != state.m_self || record->m_ticket != ticket.m_ticket)
+        return;
+    if (result == ClaimResult::Answered)
+        storeAnswer(state, *record, answer, false);
+    else if (result == ClaimResult::InDoubt)
+        record->m_status = ClaimStatus::Unknown;
+    else if (slot.m_epoch == 0)
+        eraseClaim(state, slot, ticket.m_key);
+}
+
+} // namespace
+
+auto wantClaim(ClaimContext& context, ClaimTicket wanted) -> void
+{
+    auto& state = context.m_state;
+    if (state.m_tickets.size() >= state.m_settings.m_maximumTickets) {
+        reply(context,
+            { wanted.m_ticket, ErrorKind::QueueFull, "too many requests wait for their claim", {}, false,
+                state.m_settings.m_retryInterval });
+        return;
+    }
+    wanted.m_slot = claimSlot(wanted.m_key, state.m_settings.m_slots);
+    const auto stored = state.m_tickets.emplace(wanted.m_ticket, std::move(wanted)).first;
+    askHolder(context, stored->second);
+}
+
+auto takeClaimAnswer(ClaimContext& context, const wire::ClaimAnswer& answer) -> void
+{
+    auto& state = context.m_state;
+    const auto found = state.m_tickets.find(answer.ticket());
+    if (found == state.m_tickets.end())
+        return;
+    const auto ticket = found->second;
+    auto& slot = state.m_slots[ticket.m_slot];
+    const ClaimGrant grant { answer.fence().epoch(), answer.serial() };
+    if (answer.fence().duty() != claimDuty(ticket.m_slot) || grant.m_epoch < slot.m_floor)
+        return;
+    const auto granted = answer.verdict() == wire::CLAIM_GRANTED;
+    if (granted && isSuperseded(slot, ticket.m_key, grant))
+        return;
+    state.m_tickets.erase(found);
+    if (granted)
+        useGrant(context, ticket, grant);
+    else
+        passOn(context, answer);
+}
+
+auto endDispatch(ClaimContext& context, std::uint64_t ticketNumber, ClaimResult result, std::string_view answer) -> void
+{
+    const auto found = context.m_state.m_running.find(ticketNumber);
+    if (found == context.m_state.m_running.end())
+        return;
+    const auto ticket = found->second;
+    context.m_state.m_running.erase(found);
+    applyOutcome(context, ticket, result, answer);
+    oweOutcome(context, ticket, result);
+}
+
+auto abandonTicket(ClaimContext& context, std::uint64_t ticketNumber) -> void
+{
+    const auto found = context.m_state.m_tickets.find(ticketNumber);
+    if (found == context.m_state.m_tickets.end())
+        return;
+    const auto ticket = found->second;
+    context.m_state.m_tickets.erase(found);
+    oweOutcome(context, ticket, ClaimResult::NotRun);
+}
+
+auto takeOutcomeConfirmed(ClaimContext& context, std::uint64_t ticket) -> void
+{
+    auto& state = context.m_state;
+    const auto found = state.m_outcomes.find(ticket);
+    if (found == state.m_outcomes.end())
+        return;
+    const auto due = found->second;
+    state.m_outcomes.erase(found);
+    auto& slot = state.m_slots[due.m_slot];
+    const auto* record = findClaim(slot, due.m_key);
+    if (due.m_result != ClaimResult::NotRun || record == nullptr)
+        return;
+    if (record->m_dispatcher == state.m_self && record->m_ticket == ticket)
+        eraseClaim(state, slot, due.m_key);
+}
+
+auto tickDispatcher(ClaimContext& context) -> void
+{
+    const auto now = context.m_time.m_now;
+    std::vector<std::uint64_t> overdue;
+    for (auto& [number, ticket] : context.m_state.m_tickets) {
+        if (ticket.m_deadline <= now)
+            overdue.push_back(number);
+        else if (ticket.m_retryAt <= now)
+            askHolder(context, ticket);
+    }
+    for (const auto number : overdue) {
+        abandonTicket(context, number);
+        reply(context, { number, ErrorKind::DeadlinePassed, "the key's holder did not answer", {}, false, {} });
+    }
+    std::erase_if(context.m_state.m_outcomes, [now](const auto& item) { return item.second.m_forgetAt <= now; });
+    for (auto& [number, due] : context.m_state.m_outcomes) {
+        if (due.m_retryAt <= now)
+            sendOutcome(context, number, due);
+    }
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/claims/ClaimEvents.cpp
@@ -0,0 +1,131 @@
+#include "hemlockvane/claims/ClaimEvents.h"
+
+#include "hemlockvane/claims/ClaimContext.h"
+#include "hemlockvane/claims/ClaimDispatcher.h"
+#include "hemlockvane/claims/ClaimHolder.h"
+#include "hemlockvane/claims/ClaimRecords.h"
+#include "hemlockvane/claims/ClaimRecovery.h"
+#include "hemlockvane/claims/ClaimState.h"
+#include "hemlockvane/claims/ClaimView.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockvane {
+
+namespace {
+
+auto takeMessage(ClaimContext& context, const wire::Envelope& envelope) -> void
+{
+    const std::string_view sender = envelope.sender();
+    switch (envelope.message_case()) {
+    case wire::Envelope::kClaimRequest:
+        return takeClaimRequest(context, sender, envelope.claim_request());
+    case wire::Envelope::kClaimAnswer:
+        return takeClaimAnswer(context, envelope.claim_answer());
+    case wire::Envelope::kClaimOutcome:
+        if (envelope.claim_outcome().is_answer())
+            return takeOutcomeConfirmed(context, envelope.claim_outcome().ticket());
+        return takeClaimOutcome(context, sender, envelope.claim_outcome());
+    case wire::Envelope::kClaimMirror:
+        if (envelope.claim_mirror().is_answer())
+            return takeMirrorAnswer(context, sender, envelope.claim_mirror());
+        return keepMirror(context, sender, envelope.claim_mirror());
+    case wire::Envelope::kClaimReportRequest:
+        return answerReportRequest(context, sender, envelope.claim_report_request());
+    case wire::Envelope::kClaimReport:
+        takeReport(context, sender, envelope.claim_report());
+        for (std::size_t slot = 0; slot < context.m_state.m_slots.size(); ++slot)
+            tickRecovery(context, slot);
+        return;
+    case wire::Envelope::kClaimCovered:
+        return takeCovered(context, envelope.claim_covered());
+    default:
+        return;
+    }
+}
+
+// Takes the messages that this entry sent to itself, and those that follow from them.
+auto deliverLocally(ClaimContext& context) -> void
+{
+    std::vector<ClaimAction> outward;
+    for (std::size_t i = 0; i < context.m_actions.size(); ++i) {
+        auto action = std::move(context.m_actions[i]);
+        const auto* message = std::get_if<SendToPeer>(&action);
+        if (message != nullptr && message->m_peer == context.m_state.m_self)
+            takeMessage(context, message->m_envelope);
+        else
+            outward.push_back(std::move(action));
+    }
+    context.m_actions = std::move(outward);
+}
+
+template <typename Handler>
+auto handle(ClaimState& state, const ClaimView& view, const ClaimTime& time, const Handler& handler)
+    -> std::vector<ClaimAction>
+{
+    state.m_wall = std::max(state.m_wall, time.m_wall);
+    std::vector<ClaimAction> actions;
+    ClaimContext context { state, view, time, actions };
+    handler(context);
+    deliverLocally(context);
+    return actions;
+}
+
+} // namespace
+
+auto sendClaim(ClaimContext& context, std::string_view peer) -> wire::Envelope&
+{
+    auto& action = context.m_actions.emplace_back(SendToPeer { std::string(peer), {} });
+    auto& envelope = std::get<SendToPeer>(action).m_envelope;
+    envelope.set_sender(context.m_state.m_self);
+    return envelope;
+}
+
+auto onClaimWanted(ClaimState& state, const ClaimView& view, ClaimTicket wanted, const ClaimTime& time)
+    -> std::vector<ClaimAction>
+{
+    return handle(state, view, time, [&](ClaimContext& context) { wantClaim(context, std::move(wanted)); });
+}
+
+auto onClaimOutcome(ClaimState& state, const ClaimView& view, std::uint64_t ticket, ClaimResult result,
+    std::string_view answer, const ClaimTime& time) -> std::vector<ClaimAction>
+{
+    return handle(state, view, time, [&](ClaimContext& context) { endDispatch(context, ticket, result, answer); });
+}
+
+auto onClaimCancelled(ClaimState& state, const ClaimView& view, std::uint64_t ticket, const ClaimTime& time)
+    -> std::vector<ClaimAction>
+{
+    return handle(state, view, time, [&](ClaimContext& context) { abandonTicket(context, ticket); });
+}
+
+auto onClaimMessage(ClaimState& state, const ClaimView& view, const wire::Envelope& envelope, const ClaimTime& time)
+    -> std::vector<ClaimAction>
+{
+    return handle(state, view, time, [&](ClaimContext& context) { takeMessage(context, envelope); });
+}
+
+auto onMembershipFolded(ClaimState& state, const ClaimView& view, const ClaimTime& time) -> std::vector<ClaimAction>
+{
+    return handle(state, view, time, [&](ClaimContext& context) {
+        followMembership(context);
+        for (std::size_t slot = 0; slot < state.m_slots.size(); ++slot)
+            tickRecovery(context, slot);
+    });
+}
+
+auto onClaimTick(ClaimState& state, const ClaimView& view, const ClaimTime& time) -> std::vector<ClaimAction>
+{
+    return handle(state, view, time, [&](ClaimContext& context) {
+        std::erase_if(state.m_removed, [&](const auto& item) { return item.second <= time.m_now; });
+        for (std::size_t slot = 0; slot < state.m_slots.size(); ++slot) {
+            forgetExpired(state, state.m_slots[slot]);
+            tickRecovery(context, slot);
+            tickHolder(context, slot);
+        }
+        tickDispatcher(context);
+    });
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/claims/ClaimHolder.cpp
@@ -0,0 +1,434 @@
+#include "hemlockvane/claims/ClaimHolder.h"
+
+#include "hemlockvane/claims/ClaimContext.h"
+#include "hemlockvane/claims/ClaimRecords.h"
+#include "hemlockvane/claims/ClaimRecovery.h"
+#include "hemlockvane/claims/ClaimState.h"
+#include "hemlockvane/claims/ClaimView.h"
+#include "hemlockvane/claims/RequestKey.h"
+#include "hemlockvane/membership/MembershipState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockvane {
+
+namespace {
+
+auto zoneOf(const ClaimContext& context, std::string_view instance) -> std::string_view
+{
+    const auto& entries = context.m_view.m_membership.m_entries;
+    const auto found = entries.find(instance);
+    return found == entries.end() ? std::string_view {} : std::string_view { found->second.m_zone };
+}
+
+auto fillFence(wire::Fence& fence, std::size_t slot, Offset epoch) -> void
+{
+    fence.set_duty(claimDuty(slot));
+    fence.set_epoch(epoch);
+}
+
+auto answerTo(ClaimContext& context, std::size_t slot, std::string_view instance, std::uint64_t ticket,
+    wire::ClaimVerdict verdict) -> wire::ClaimAnswer&
+{
+    auto& answer = *sendClaim(context, instance).mutable_claim_answer();
+    answer.set_ticket(ticket);
+    fillFence(*answer.mutable_fence(), slot, context.m_state.m_slots[slot].m_epoch);
+    answer.set_verdict(verdict);
+    return answer;
+}
+
+auto fillError(wire::ClaimAnswer& answer, ErrorKind error, std::string_view reason) -> void
+{
+    answer.set_error(static_cast<std::uint32_t>(error));
+    answer.set_reason(std::string(reason));
+}
+
+auto answerUnknown(ClaimContext& context, std::size_t slot, std::string_view instance, std::uint64_t ticket,
+    std::string_view reason) -> void
+{
+    auto& answer = answerTo(context, slot, instance, ticket, wire::CLAIM_UNKNOWN);
+    fillError(answer, ErrorKind::OutcomeUnknown, reason);
+}
+
+auto answerRefused(ClaimContext& context, std::size_t slot, std::string_view instance, std::uint64_t ticket,
+    ErrorKind error, std::string_view reason, bool notRun) -> void
+{
+    auto& answer = answerTo(context, slot, instance, ticket, wire::CLAIM_REFUSED);
+    fillError(answer, error, reason);
+    answer.set_not_run(notRun);
+}
+
+auto answerGranted(ClaimContext& context, std::size_t slot, const ClaimRecord& record) -> void
+{
+    auto& answer = answerTo(context, slot, record.m_dispatcher, record.m_ticket, wire::CLAIM_GRANTED);
+    answer.set_serial(record.m_grant.m_serial);
+}
+
+auto answerInFlight(ClaimContext& context, std::size_t slot, const ClaimWaiter& waiter) -> void
+{
+    auto& answer = answerTo(context, slot, waiter.m_instance, waiter.m_ticket, wire::CLAIM_IN_FLIGHT);
+    fillError(answer, ErrorKind::OutcomeUnknown, "the request is still running; ask again with the same key");
+    answer.set_retry_after_ms(context.m_state.m_settings.m_retryInterval.count());
+}
+
+// Answers from a record that has its outcome.
+auto answerFromRecord(ClaimContext& context, std::size_t slot, const ClaimRecord& record, std::string_view instance,
+    std::uint64_t ticket) -> void
+{
+    if (record.m_status == ClaimStatus::Unknown) {
+        answerUnknown(context, slot, instance, ticket, "the request was dispatched and its outcome was lost");
+        return;
+    }
+    auto& answer = answerTo(context, slot, instance, ticket, wire::CLAIM_DONE);
+    answer.set_answer(record.m_answer);
+    if (record.m_answerLost)
+        fillError(answer, ErrorKind::AnswerLost, "the request ran; its answer was too large to keep");
+}
+
+auto answerWaiters(ClaimContext& context, std::size_t slot, ClaimRecord& record) -> void
+{
+    for (const auto& waiter : std::exchange(record.m_waiters, {}))
+        answerFromRecord(context, slot, record, waiter.m_instance, waiter.m_ticket);
+}
+
+auto addWaiter(ClaimContext& context, std::size_t slot, const ClaimKey& key, ClaimRecord& record, ClaimWaiter waiter)
+    -> void
+{
+    const auto known = std::any_of(record.m_waiters.begin(), record.m_waiters.end(),
+        [&](const auto& other) { return other.m_instance == waiter.m_instance && other.m_ticket == waiter.m_ticket; });
+    if (known)
+        return;
+    if (record.m_waiters.size() >= context.m_state.m_settings.m_maximumWaiters) {
+        answerInFlight(context, slot, waiter);
+        return;
+    }
+    context.m_state.m_slots[slot].m_due.emplace(waiter.m_deadline, key);
+    record.m_waiters.push_back(std::move(waiter));
+}
+
+auto requestAgain(ClaimContext& context, std::size_t slot, const ClaimKey& key, ClaimRecord& record, ClaimWaiter asker,
+    std::uint64_t bodyHash) -> void
+{
+    if (record.m_bodyHash != bodyHash) {
+        answerRefused(context, slot, asker.m_instance, asker.m_ticket, ErrorKind::Conflict,
+            "the key was used for another request", true);
+        return;
+    }
+    if (record.m_status == ClaimStatus::Done || record.m_status == ClaimStatus::Unknown) {
+        answerFromRecord(context, slot, record, asker.m_instance, asker.m_ticket);
+        return;
+    }
+    if (record.m_dispatcher != asker.m_instance || record.m_ticket != asker.m_ticket)
+        addWaiter(context, slot, key, record, std::move(asker));
+    else if (record.m_status == ClaimStatus::InFlight)
+        answerGranted(context, slot, record);
+}
+
+// Why a key without a record is not granted. The order matters: what may have run is never told as not run.
+auto refuseNew(ClaimContext& context, std::size_t slotIndex, WallMillis stamp, const ClaimWaiter& asker) -> bool
+{
+    const auto& state = context.m_state;
+    const auto& settings = state.m_settings;
+    const auto& instance = asker.m_instance;
+    const auto refuse = [&](ErrorKind error, std::string_view reason, bool notRun) {
+        answerRefused(context, slotIndex, instance, asker.m_ticket, error, reason, notRun);
+        return true;
+    };
+    if (!context.m_view.m_vouched)
+        return refuse(ErrorKind::NotVouched, "the key's holder cannot vouch for its state", false);
+    if (stamp <= state.m_slots[slotIndex].m_horizon || stamp < state.m_wall - settings.m_window.count()) {
+        answerUnknown(context, slotIndex, instance, asker.m_ticket, "it is not known whether the key was used before");
+        return true;
+    }
+    if (stamp > state.m_wall + settings.m_callerSkew.count())
+        return refuse(ErrorKind::BadRequest, "the key's time lies in the future", true);
+    if (state.m_recordCount >= settings.m_maximumRecords)
+        return refuse(ErrorKind::QueueFull, "the key's holder has no room for another key", true);
+    if (asker.m_deadline <= context.m_time.m_now)
+        return refuse(ErrorKind::DeadlinePassed, "the deadline has passed", true);
+    return false;
+}
+
+auto becomeInFlight(ClaimContext& context, std::size_t slotIndex, const ClaimKey& key, ClaimRecord& record) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    slot.m_granting.erase(key);
+    record.m_status = ClaimStatus::InFlight;
+    slot.m_due.emplace(record.m_deadline + context.m_state.m_settings.m_outcomeGrace, key);
+    answerGranted(context, slotIndex, record);
+}
+
+auto grant(ClaimContext& context, std::size_t slotIndex, const ClaimKey& key, const ClaimWaiter& asker,
+    std::uint64_t bodyHash) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    ClaimRecord fresh;
+    fresh.m_grant = { slot.m_epoch, slot.m_nextSerial++ };
+    fresh.m_bodyHash = bodyHash;
+    fresh.m_dispatcher = asker.m_instance;
+    fresh.m_ticket = asker.m_ticket;
+    fresh.m_deadline = asker.m_deadline;
+    auto& record = *storeClaim(context.m_state, slot, key, std::move(fresh));
+    if (isCopied(context, record)) {
+        becomeInFlight(context, slotIndex, key, record);
+        return;
+    }
+    slot.m_granting.insert(key);
+    slot.m_due.emplace(record.m_deadline, key);
+    askMirror(context, slotIndex, key, record);
+}
+
+auto refuseWhileRecovering(
+    ClaimContext& context, std::size_t slot, const wire::ClaimRequest& request, std::string_view sender) -> void
+{
+    const auto wait = settleMillis(context);
+    if (wait <= request.deadline_ms())
+        return;
+    auto& answer = answerTo(context, slot, sender, request.ticket(), wire::CLAIM_REFUSED);
+    fillError(answer, ErrorKind::NoCapacity, "the key's holder is taking over");
+    answer.set_retry_after_ms(wait);
+}
+
+// Members that may keep a copy beside this entry and the dispatcher, those in another zone only if there are any.
+auto mirrorCandidates(const ClaimContext& context, const ClaimRecord& record) -> std::vector<std::string_view>
+{
+    const auto zone = zoneOf(context, context.m_state.m_self);
+    std::vector<std::string_view> near;
+    std::vector<std::string_view> far;
+    for (const auto& [instance, entry] : context.m_view.m_membership.m_entries) {
+        if (entry.m_removedAt != 0 || instance == context.m_state.m_self || instance == record.m_dispatcher)
+            continue;
+        (entry.m_zone == zone ? near : far).push_back(instance);
+    }
+    return far.empty() ? near : far;
+}
+
+auto fillMirror(ClaimContext& context, std::size_t slot, const ClaimKey& key, const ClaimRecord& record) -> void
+{
+    auto& mirror = *sendClaim(context, record.m_mirrorAsked).mutable_claim_mirror();
+    mirror.set_ticket(record.m_grant.m_serial);
+    fillFence(*mirror.mutable_fence(), slot, context.m_state.m_slots[slot].m_epoch);
+    *mirror.mutable_entry() = toEntry(key, record);
+}
+
+// Brings an existing copy up to date; nobody waits for it.
+auto updateMirror(ClaimContext& context, std::size_t slot, const ClaimKey& key, ClaimRecord& record) -> void
+{
+    if (record.m_mirror.empty() || !isMember(context.m_view.m_membership, record.m_mirror))
+        return;
+    record.m_mirrorAsked = record.m_mirror;
+    fillMirror(context, slot, key, record);
+}
+
+auto confirmOutcome(ClaimContext& context, std::string_view sender, const wire::ClaimOutcome& outcome) -> void
+{
+    auto& confirmation = *sendClaim(context, sender).mutable_claim_outcome();
+    *confirmation.mutable_fence() = outcome.fence();
+    confirmation.set_ticket(outcome.ticket());
+    confirmation.set_is_answer(true);
+}
+
+auto applyOutcome(ClaimContext& context, std::size_t slotIndex, const ClaimKey& key, ClaimRecord& record,
+    const wire::ClaimOutcome& outcome) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    if (outcome.verdict() == wire::CLAIM_REFUSED) {
+        // Waiters are dropped: they ask again, and the first of them is granted anew.
+        if (record.m_status != ClaimStatus::Done)
+            eraseClaim(context.m_state, slot, key);
+        return;
+    }
+    if (outcome.verdict() == wire::CLAIM_DONE)
+        storeAnswer(context.m_state, record, outcome.answer(), outcome.answer_lost());
+    else if (record.m_status != ClaimStatus::Done)
+        record.m_status = ClaimStatus::Unknown;
+    answerWaiters(context, slotIndex, record);
+    updateMirror(context, slotIndex, key, record);
+}
+
+auto expireWaiters(ClaimContext& context, std::size_t slot, ClaimRecord& record) -> void
+{
+    const auto now = context.m_time.m_now;
+    for (const auto& waiter : record.m_waiters) {
+        if (waiter.m_deadline <= now)
+            answerInFlight(context, slot, waiter);
+    }
+    std::erase_if(record.m_waiters, [now](const auto& waiter) { return waiter.m_deadline <= now; });
+}
+
+auto endOverdue(ClaimContext& context, std::size_t slotIndex, const ClaimKey& key) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    auto* record = findClaim(slot, key);
+    if (record == nullptr)
+        return;
+    const auto now = context.m_time.m_now;
+    if (record->m_status == ClaimStatus::Granting && record->m_deadline <= now) {
+        answerRefused(context, slotIndex, record->m_dispatcher, record->m_ticket, ErrorKind::DeadlinePassed,
+            "no other zone could keep a copy of the claim in time", true);
+        eraseClaim(context.m_state, slot, key);
+        return;
+    }
+    expireWaiters(context, slotIndex, *record);
+    const auto outcomeDue = record->m_deadline + context.m_state.m_settings.m_outcomeGrace;
+    if (record->m_status == ClaimStatus::InFlight && outcomeDue <= now) {
+        record->m_status = ClaimStatus::Unknown;
+        answerWaiters(context, slotIndex, *record);
+    }
+}
+
+auto repeatCopies(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    for (const auto& key : slot.m_granting)
+        askMirror(context, slotIndex, key, *findClaim(slot, key));
+    std::size_t sent = 0;
+    for (const auto& key : slot.m_uncopied) {
+        if (++sent > context.m_state.m_settings.m_mirrorBatch)
+            break;
+        askMirror(context, slotIndex, key, *findClaim(slot, key));
+    }
+}
+
+} // namespace
+
+auto isCopied(const ClaimContext& context, const ClaimRecord& record) -> bool
+{
+    const auto& membership = context.m_view.m_membership;
+    const auto zone = zoneOf(context, context.m_state.m_self);
+    const auto anotherZone = std::any_of(membership.m_entries.begin(), membership.m_entries.end(),
+        [&](const auto& item) { return item.second.m_removedAt == 0 && item.second.m_zone != zone; });
+    const auto keeps = [&](std::string_view instance) {
+        if (instance == context.m_state.m_self || !isMember(membership, instance))
+            return false;
+        return !anotherZone || zoneOf(context, instance) != zone;
+    };
+    if (keeps(record.m_dispatcher) || keeps(record.m_mirror))
+        return true;
+    return mirrorCandidates(context, record).empty();
+}
+
+auto askMirror(ClaimContext& context, std::size_t slot, const ClaimKey& key, ClaimRecord& record) -> void
+{
+    const auto candidates = mirrorCandidates(context, record);
+    if (candidates.empty())
+        return;
+    const auto turn = record.m_grant.m_serial + record.m_mirrorAttempts++;
+    record.m_mirrorAsked = candidates[turn % candidates.size()];
+    fillMirror(context, slot, key, record);
+}
+
+auto takeClaimRequest(ClaimContext& context, std::string_view sender, const wire::ClaimRequest& request) -> void
+{
+    auto& state = context.m_state;
+    const ClaimKey key { request.team(), request.key() };
+    const auto slotIndex = claimSlot(key, state.m_settings.m_slots);
+    auto& slot = state.m_slots[slotIndex];
+    if (slot.m_epoch == 0 || request.fence().epoch() != slot.m_epoch)
+        return;
+    if (!slot.m_active) {
+        refuseWhileRecovering(context, slotIndex, request, sender);
+        return;
+    }
+    ClaimWaiter asker { std::string(sender), request.ticket(), context.m_time.m_now + Duration(request.deadline_ms()) };
+    auto* record = findClaim(slot, key);
+    if (record != nullptr) {
+        requestAgain(context, slotIndex, key, *record, std::move(asker), request.body_hash());
+        return;
+    }
+    LastReason reason;
+    const auto parsed = parseRequestKey(key.m_key, reason);
+    if (!parsed)
+        answerRefused(context, slotIndex, sender, request.ticket(), reason.m_kind, reason.m_text, true);
+    else if (!refuseNew(context, slotIndex, parsed->m_stampedAt, asker))
+        grant(context, slotIndex, key, asker, request.body_hash());
+}
+
+auto takeClaimOutcome(ClaimContext& context, std::string_view sender, const wire::ClaimOutcome& outcome) -> void
+{
+    auto& state = context.m_state;
+    const ClaimKey key { outcome.team(), outcome.key() };
+    const auto slotIndex = claimSlot(key, state.m_settings.m_slots);
+    auto& slot = state.m_slots[slotIndex];
+    if (!slot.m_active)
+        return;
+    confirmOutcome(context, sender, outcome);
+    auto* record = findClaim(slot, key);
+    if (record == nullptr)
+        return;
+    std::erase_if(record->m_waiters,
+        [&](const auto& waiter) { return waiter.m_instance == sender && waiter.m_ticket == outcome.ticket(); });
+    if (record->m_dispatcher == sender && record->m_ticket == outcome.ticket())
+        applyOutcome(context, slotIndex, key, *record, outcome);
+}
+
+auto keepMirror(ClaimContext& context, std::string_view sender, const wire::ClaimMirror& mirror) -> void
+{
+    auto& state = context.m_state;
+    const auto& entry = mirror.entry();
+    const ClaimKey key { entry.team(), entry.key() };
+    auto& slot = state.m_slots[claimSlot(key, state.m_settings.m_slots)];
+    if (mirror.fence().epoch() < slot.m_floor)
+        return;
+    auto copy = fromEntry(entry);
+    const auto* present = findClaim(slot, key);
+    const auto newer = present == nullptr || present->m_grant < copy.m_grant
+        || (present->m_grant == copy.m_grant && present->m_status <= copy.m_status);
+    const auto stored = !newer || storeClaim(state, slot, key, std::move(copy)) != nullptr;
+    auto& answer = *sendClaim(context, sender).mutable_claim_mirror();
+    answer = mirror;
+    answer.mutable_entry()->clear_answer();
+    answer.set_is_answer(true);
+    answer.set_refused(!stored);
+}
+
+auto takeMirrorAnswer(ClaimContext& context, std::string_view sender, const wire::ClaimMirror& mirror) -> void
+{
+    auto& state = context.m_state;
+    const ClaimKey key { mirror.entry().team(), mirror.entry().key() };
+    const auto slotIndex = claimSlot(key, state.m_settings.m_slots);
+    auto& slot = state.m_slots[slotIndex];
+    auto* record = findClaim(slot, key);
+    if (!slot.m_active || mirror.fence().epoch() != slot.m_epoch || mirror.refused() || record == nullptr)
+        return;
+    const ClaimGrant grant { mirror.entry().grant_epoch(), mirror.entry().grant_serial() };
+    if (record->m_grant != grant)
+        return;
+    record->m_mirror = sender;
+    if (!isCopied(context, *record))
+        return;
+    slot.m_uncopied.erase(key);
+    if (record->m_status == ClaimStatus::Granting)
+        becomeInFlight(context, slotIndex, key, *record);
+}
+
+auto loseDispatcher(ClaimContext& context, std::size_t slot, const ClaimKey& key, ClaimRecord& record) -> void
+{
+    if (record.m_status == ClaimStatus::Granting) {
+        eraseClaim(context.m_state, context.m_state.m_slots[slot], key);
+        return;
+    }
+    if (record.m_status == ClaimStatus::InFlight)
+        record.m_status = ClaimStatus::Unknown;
+    answerWaiters(context, slot, record);
+}
+
+auto tickHolder(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    if (!slot.m_active)
+        return;
+    const auto now = context.m_time.m_now;
+    while (!slot.m_due.empty() && slot.m_due.begin()->first <= now) {
+        const auto key = slot.m_due.begin()->second;
+        slot.m_due.erase(slot.m_due.begin());
+        endOverdue(context, slotIndex, key);
+    }
+    if (slot.m_retryAt > now)
+        return;
+    slot.m_retryAt = now + context.m_state.m_settings.m_retryInterval;
+    repeatCopies(context, slotIndex);
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/claims/ClaimRecovery.cpp
@@ -0,0 +1,400 @@
+#include "hemlockvane/claims/ClaimRecovery.h"
+
+#include "hemlockvane/claims/ClaimContext.h"
+#include "hemlockvane/claims/ClaimHolder.h"
+#include "hemlockvane/claims/ClaimRecords.h"
+#include "hemlockvane/claims/ClaimState.h"
+#include "hemlockvane/claims/ClaimView.h"
+#include "hemlockvane/claims/RequestKey.h"
+#include "hemlockvane/membership/MembershipState.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace hemlockvane {
+
+namespace {
+
+// What one member, this entry included, says about a key.
+struct Testimony {
+    std::string_view m_reporter;
+    ClaimRecord m_record;
+};
+
+using Testimonies = std::map<ClaimKey, std::vector<Testimony>>;
+
+auto fillFence(wire::Fence& fence, std::size_t slot, Offset epoch) -> void
+{
+    fence.set_duty(claimDuty(slot));
+    fence.set_epoch(epoch);
+}
+
+auto slotOfDuty(const ClaimState& state, std::string_view duty) -> std::optional<std::size_t>
+{
+    constexpr std::string_view prefix = "claims/";
+    if (!duty.starts_with(prefix))
+        return std::nullopt;
+    std::size_t slot = 0;
+    for (const auto c : duty.substr(prefix.size())) {
+        constexpr std::size_t base = 10;
+        if (c < '0' || c > '9' || slot >= state.m_slots.size())
+            return std::nullopt;
+        slot = slot * base + static_cast<std::size_t>(c - '0');
+    }
+    return slot < state.m_slots.size() ? std::optional(slot) : std::nullopt;
+}
+
+// Grants that were not given yet never will be.
+auto dropGranting(ClaimState& state, ClaimSlot& slot) -> void
+{
+    for (const auto& key : std::exchange(slot.m_granting, {}))
+        eraseClaim(state, slot, key);
+}
+
+auto stepDown(ClaimContext& context, ClaimSlot& slot) -> void
+{
+    dropGranting(context.m_state, slot);
+    slot.m_epoch = 0;
+    slot.m_active = false;
+    slot.m_reports.clear();
+    slot.m_uncopied.clear();
+    slot.m_due.clear();
+    for (auto& [key, record] : slot.m_records)
+        record.m_waiters.clear();
+}
+
+auto raiseFloor(ClaimContext& context, ClaimSlot& slot, Offset epoch) -> void
+{
+    slot.m_floor = std::max(slot.m_floor, epoch);
+    if (slot.m_epoch != 0 && slot.m_epoch < slot.m_floor)
+        stepDown(context, slot);
+}
+
+auto makeReport(ClaimSlot& slot, wire::ClaimReport& report) -> void
+{
+    for (const auto& [key, record] : slot.m_records) {
+        if (record.m_status != ClaimStatus::Granting)
+            *report.add_entries() = toEntry(key, record);
+    }
+    report.set_covered_through(slot.m_coveredThrough);
+    report.set_horizon_ms(slot.m_coveredHorizon);
+}
+
+// Members that were there when the duty was given and have not reported.
+auto awaitedMembers(const ClaimContext& context, const ClaimSlot& slot) -> std::vector<std::string_view>
+{
+    std::vector<std::string_view> awaited;
+    for (const auto& [instance, entry] : context.m_view.m_membership.m_entries) {
+        if (instance == context.m_state.m_self || slot.m_reports.contains(instance))
+            continue;
+        if (entry.m_joinedAt < slot.m_epoch && entry.m_removedAt == 0)
+            awaited.push_back(instance);
+    }
+    return awaited;
+}
+
+auto isEverybodyHeard(const ClaimContext& context, const ClaimSlot& slot) -> bool
+{
+    const auto& removed = context.m_state.m_removed;
+    const auto stopped = std::all_of(
+        removed.begin(), removed.end(), [&](const auto& item) { return slot.m_reports.contains(item.first); });
+    return stopped && awaitedMembers(context, slot).empty();
+}
+
+auto sendReportRequests(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    slot.m_retryAt = context.m_time.m_now + context.m_state.m_settings.m_retryInterval;
+    for (const auto instance : awaitedMembers(context, slot)) {
+        auto& request = *sendClaim(context, instance).mutable_claim_report_request();
+        fillFence(*request.mutable_fence(), slotIndex, slot.m_epoch);
+    }
+}
+
+auto startTakeover(ClaimContext& context, std::size_t slotIndex, Offset epoch) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    slot.m_epoch = epoch;
+    slot.m_active = false;
+    slot.m_nextSerial = 1;
+    slot.m_announced = 0;
+    slot.m_announceAt = {};
+    sendReportRequests(context, slotIndex);
+}
+
+auto collect(const ClaimSlot& slot, std::string_view self) -> Testimonies
+{
+    Testimonies all;
+    for (const auto& [key, record] : slot.m_records)
+        all[key].push_back({ self, record });
+    for (const auto& [reporter, report] : slot.m_reports) {
+        for (const auto& entry : report.entries())
+            all[ClaimKey { entry.team(), entry.key() }].push_back({ reporter, fromEntry(entry) });
+    }
+    return all;
+}
+
+auto isHeard(const ClaimContext& context, const ClaimSlot& slot, std::string_view instance) -> bool
+{
+    return instance == context.m_state.m_self || slot.m_reports.contains(instance);
+}
+
+// A dispatcher that was heard and says nothing of a grant did not use it, and has promised not to.
+auto dropUnused(const ClaimContext& context, const ClaimSlot& slot, std::vector<Testimony>& testimonies) -> void
+{
+    const auto unused = [&](const Testimony& testimony) {
+        const auto& record = testimony.m_record;
+        if (record.m_status == ClaimStatus::Done || !isHeard(context, slot, record.m_dispatcher))
+            return false;
+        return std::none_of(testimonies.begin(), testimonies.end(), [&](const Testimony& other) {
+            return other.m_reporter == record.m_dispatcher && other.m_record.m_grant == record.m_grant;
+        });
+    };
+    std::vector<Testimony> used;
+    std::copy_if(testimonies.begin(), testimonies.end(), std::back_inserter(used), std::not_fn(unused));
+    testimonies = std::move(used);
+}
+
+auto latest(const std::vector<Testimony>& testimonies) -> const Testimony&
+{
+    return *std::max_element(testimonies.begin(), testimonies.end(), [](const auto& left, const auto& right) {
+        return std::pair(left.m_record.m_grant, left.m_record.m_status)
+            < std::pair(right.m_record.m_grant, right.m_record.m_status);
+    });
+}
+
+auto findKeeper(const ClaimContext& context, const std::vector<Testimony>& testimonies, ClaimRecord& record) -> void
+{
+    for (const auto& testimony : testimonies) {
+        if (testimony.m_record.m_grant != record.m_grant || testimony.m_reporter == context.m_state.m_self)
+            continue;
+        record.m_mirror = testimony.m_reporter;
+        if (isCopied(context, record))
+            return;
+    }
+}
+
+auto adopt(ClaimContext& context, std::size_t slotIndex, const ClaimKey& key, const std::vector<Testimony>& testimonies)
+    -> void
+{
+    auto& state = context.m_state;
+    auto& slot = state.m_slots[slotIndex];
+    auto record = latest(testimonies).m_record;
+    record.m_mirror.clear();
+    record.m_deadline = context.m_time.m_now + state.m_settings.m_recoveredDeadline;
+    findKeeper(context, testimonies, record);
+    if (record.m_status == ClaimStatus::InFlight && !isMember(context.m_view.m_membership, record.m_dispatcher))
+        record.m_status = ClaimStatus::Unknown;
+    auto* stored = storeClaim(state, slot, key, std::move(record));
+    if (stored == nullptr) {
+        LastReason reason;
+        const auto parsed = parseRequestKey(key.m_key, reason);
+        slot.m_horizon = std::max(slot.m_horizon, parsed ? parsed->m_stampedAt : 0);
+        return;
+    }
+    if (stored->m_status == ClaimStatus::InFlight)
+        slot.m_due.emplace(stored->m_deadline + state.m_settings.m_outcomeGrace, key);
+    if (!isCopied(context, *stored))
+        slot.m_uncopied.insert(key);
+}
+
+auto recoverHorizon(ClaimContext& context, ClaimSlot& slot) -> void
+{
+    auto covered = slot.m_coveredThrough;
+    slot.m_horizon = slot.m_coveredHorizon;
+    for (const auto& [reporter, report] : slot.m_reports) {
+        covered = std::max<Offset>(covered, report.covered_through());
+        slot.m_horizon = std::max<WallMillis>(slot.m_horizon, report.horizon_ms());
+    }
+    if (isKnowledgeComplete(context.m_view.m_membership, covered))
+        return;
+    const auto& settings = context.m_state.m_settings;
+    const auto lastStamp = context.m_state.m_wall + (settings.m_callerSkew + settings.m_entrySkew).count();
+    slot.m_horizon = std::max(slot.m_horizon, lastStamp);
+}
+
+auto activate(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    recoverHorizon(context, slot);
+    auto all = collect(slot, context.m_state.m_self);
+    for (auto& [key, testimonies] : all) {
+        dropUnused(context, slot, testimonies);
+        if (testimonies.empty())
+            eraseClaim(context.m_state, slot, key);
+        else
+            adopt(context, slotIndex, key, testimonies);
+    }
+    slot.m_reports.clear();
+    slot.m_active = true;
+}
+
+// The copies of a held record after a member was removed.
+auto accountForRemoved(ClaimContext& context, std::size_t slotIndex, std::string_view instance) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    std::vector<ClaimKey> touched;
+    for (const auto& [key, record] : slot.m_records) {
+        if (record.m_dispatcher == instance || record.m_mirror == instance)
+            touched.push_back(key);
+    }
+    for (const auto& key : touched) {
+        auto& record = slot.m_records.find(key)->second;
+        const auto granting = record.m_status == ClaimStatus::Granting;
+        if (!granting && !isCopied(context, record))
+            slot.m_uncopied.insert(key);
+        if (record.m_dispatcher == instance)
+            loseDispatcher(context, slotIndex, key, record);
+    }
+}
+
+auto accountForRemovals(ClaimContext& context) -> void
+{
+    auto& state = context.m_state;
+    for (const auto& [instance, entry] : context.m_view.m_membership.m_entries) {
+        if (entry.m_removedAt == 0 || entry.m_removedAt < state.m_processedEnd)
+            continue;
+        if (!entry.m_planned)
+            state.m_removed[instance] = context.m_time.m_now + state.m_settings.m_settleTime;
+        for (std::size_t slot = 0; slot < state.m_slots.size(); ++slot) {
+            if (state.m_slots[slot].m_active)
+                accountForRemoved(context, slot, instance);
+        }
+    }
+    state.m_processedEnd = context.m_view.m_foldedEnd;
+}
+
+auto followDuty(ClaimContext& context, std::size_t slotIndex, const DutyRecord& duty) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    const auto mine = duty.m_holder == context.m_state.m_self;
+    raiseFloor(context, slot, duty.m_epoch);
+    if (slot.m_epoch == duty.m_epoch && slot.m_epoch != 0 && !mine)
+        stepDown(context, slot);
+    if (mine && slot.m_epoch == 0 && duty.m_epoch >= slot.m_floor)
+        startTakeover(context, slotIndex, duty.m_epoch);
+}
+
+auto announceCovered(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    const auto through = context.m_state.m_processedEnd == 0 ? 0 : context.m_state.m_processedEnd - 1;
+    slot.m_announceAt = context.m_time.m_now + context.m_state.m_settings.m_announceInterval;
+    slot.m_coveredThrough = std::max(slot.m_coveredThrough, through);
+    slot.m_coveredHorizon = std::max(slot.m_coveredHorizon, slot.m_horizon);
+    slot.m_announced = through;
+    for (const auto& [instance, entry] : context.m_view.m_membership.m_entries) {
+        if (entry.m_removedAt != 0 || instance == context.m_state.m_self)
+            continue;
+        auto& covered = *sendClaim(context, instance).mutable_claim_covered();
+        fillFence(*covered.mutable_fence(), slotIndex, slot.m_epoch);
+        covered.set_covered_through(through);
+        covered.set_horizon_ms(slot.m_horizon);
+    }
+}
+
+auto tickActive(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    if (!slot.m_uncopied.empty() || slot.m_announceAt > context.m_time.m_now)
+        return;
+    announceCovered(context, slotIndex);
+}
+
+} // namespace
+
+auto isKnowledgeComplete(const MembershipState& membership, Offset coveredThrough) -> bool
+{
+    std::size_t missing = 0;
+    std::string_view zone;
+    for (const auto& [instance, entry] : membership.m_entries) {
+        if (entry.m_removedAt == 0 || entry.m_removedAt <= coveredThrough)
+            continue;
+        if (missing > 0 && entry.m_zone != zone)
+            return false;
+        zone = entry.m_zone;
+        ++missing;
+    }
+    if (missing == 0)
+        return true;
+    return std::any_of(membership.m_entries.begin(), membership.m_entries.end(), [&](const auto& item) {
+        const auto& entry = item.second;
+        if (entry.m_removedAt != 0 || entry.m_joinedAt > coveredThrough)
+            return false;
+        return missing == 1 || entry.m_zone != zone;
+    });
+}
+
+auto settleMillis(const ClaimContext& context) -> std::int64_t
+{
+    std::int64_t longest = 0;
+    for (const auto& [instance, settledAt] : context.m_state.m_removed)
+        longest = std::max<std::int64_t>(longest, (settledAt - context.m_time.m_now).count());
+    return longest;
+}
+
+auto followMembership(ClaimContext& context) -> void
+{
+    accountForRemovals(context);
+    for (const auto& [name, duty] : context.m_view.m_membership.m_duties) {
+        const auto slot = slotOfDuty(context.m_state, name);
+        if (slot)
+            followDuty(context, *slot, duty);
+    }
+}
+
+auto answerReportRequest(ClaimContext& context, std::string_view sender, const wire::ClaimReportRequest& request)
+    -> void
+{
+    const auto slotIndex = slotOfDuty(context.m_state, request.fence().duty());
+    if (!slotIndex)
+        return;
+    auto& slot = context.m_state.m_slots[*slotIndex];
+    if (request.fence().epoch() < slot.m_floor)
+        return;
+    raiseFloor(context, slot, request.fence().epoch());
+    auto& report = *sendClaim(context, sender).mutable_claim_report();
+    *report.mutable_fence() = request.fence();
+    makeReport(slot, report);
+}
+
+auto takeReport(ClaimContext& context, std::string_view sender, const wire::ClaimReport& report) -> void
+{
+    const auto slotIndex = slotOfDuty(context.m_state, report.fence().duty());
+    if (!slotIndex)
+        return;
+    auto& slot = context.m_state.m_slots[*slotIndex];
+    if (slot.m_active || slot.m_epoch == 0 || report.fence().epoch() != slot.m_epoch)
+        return;
+    slot.m_reports.emplace(sender, report);
+}
+
+auto takeCovered(ClaimContext& context, const wire::ClaimCovered& covered) -> void
+{
+    const auto slotIndex = slotOfDuty(context.m_state, covered.fence().duty());
+    if (!slotIndex)
+        return;
+    auto& slot = context.m_state.m_slots[*slotIndex];
+    if (covered.fence().epoch() < slot.m_floor)
+        return;
+    slot.m_coveredThrough = std::max<Offset>(slot.m_coveredThrough, covered.covered_through());
+    slot.m_coveredHorizon = std::max<WallMillis>(slot.m_coveredHorizon, covered.horizon_ms());
+}
+
+auto tickRecovery(ClaimContext& context, std::size_t slotIndex) -> void
+{
+    auto& slot = context.m_state.m_slots[slotIndex];
+    if (slot.m_epoch == 0)
+        return;
+    if (slot.m_active) {
+        tickActive(context, slotIndex);
+        return;
+    }
+    if (isEverybodyHeard(context, slot))
+        activate(context, slotIndex);
+    else if (slot.m_retryAt <= context.m_time.m_now)
+        sendReportRequests(context, slotIndex);
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/tests/core/claims/ClaimExplorationTest.cpp
@@ -0,0 +1,240 @@
+#include "core/claims/ClaimWorld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <unordered_set>
+
+namespace hemlockvane {
+
+namespace {
+
+// What the adversary may still do on a path. A message that is never delivered is a lost one.
+struct Budget {
+    int m_requests = 2;
+    int m_ticks = 1;
+    int m_takeovers = 1;
+    int m_settles = 1;
+    int m_depth = 0;
+};
+
+struct Step {
+    ClaimWorld m_world;
+    Budget m_budget;
+};
+
+struct Exploration {
+    std::unordered_set<std::size_t> m_seen;
+    std::size_t m_unsafe = 0;
+    bool m_forgetsPromise = false; ///< Breaks the rule that a member refuses older epochs once it has reported.
+    bool m_crash = true; ///< False: the first entry is paused instead, and wakes at any moment.
+    std::size_t m_lost = 0; ///< Entry that crashes or pauses.
+};
+
+constexpr std::size_t heir = 1;
+constexpr std::size_t statesLimit = 500'000;
+
+auto explore(Exploration& exploration, const Step& step) -> void;
+
+auto tryStep(Exploration& exploration, const Step& from, const std::function<void(Step&)>& change) -> void
+{
+    Step next = from;
+    --next.m_budget.m_depth;
+    change(next);
+    explore(exploration, next);
+}
+
+auto tryRequests(Exploration& exploration, const Step& step) -> void
+{
+    if (step.m_budget.m_requests == 0)
+        return;
+    for (std::size_t node = 0; node < step.m_world.m_nodes.size(); ++node) {
+        if (step.m_world.m_nodes[node].m_crashed)
+            continue;
+        tryStep(exploration, step, [node](Step& next) {
+            --next.m_budget.m_requests;
+            request(next.m_world, node);
+        });
+    }
+}
+
+auto tryMessages(Exploration& exploration, const Step& step) -> void
+{
+    for (std::size_t i = 0; i < step.m_world.m_messages.size(); ++i)
+        tryStep(exploration, step, [&exploration, i](Step& next) {
+            deliver(next.m_world, i);
+            if (exploration.m_forgetsPromise)
+                next.m_world.m_nodes.back().m_state.m_slots[0].m_floor = 0;
+        });
+}
+
+auto tryOutcomes(Exploration& exploration, const Step& step) -> void
+{
+    for (std::size_t i = 0; i < step.m_world.m_running.size(); ++i) {
+        for (const auto result : { ClaimResult::Answered, ClaimResult::NotRun, ClaimResult::InDoubt })
+            tryStep(exploration, step, [i, result](Step& next) { finish(next.m_world, i, result); });
+    }
+}
+
+auto tryTakeover(Exploration& exploration, const Step& step) -> void
+{
+    if (step.m_budget.m_takeovers == 0)
+        return;
+    const auto lost = exploration.m_lost;
+    tryStep(exploration, step, [&exploration, lost](Step& next) {
+        --next.m_budget.m_takeovers;
+        next.m_world.m_nodes[lost].m_crashed = exploration.m_crash;
+        if (exploration.m_crash)
+            std::erase_if(next.m_world.m_running, [lost](const auto& running) { return running.first == lost; });
+        append(next.m_world, { ClaimWorldRecord::Kind::Remove, nodeName(lost), "" });
+        if (lost == 0)
+            append(next.m_world, { ClaimWorldRecord::Kind::Take, nodeName(heir), "" });
+    });
+}
+
+auto tryFolds(Exploration& exploration, const Step& step) -> void
+{
+    for (std::size_t node = 0; node < step.m_world.m_nodes.size(); ++node) {
+        const auto behind = step.m_world.m_nodes[node].m_foldedEnd < step.m_world.m_log.size();
+        if (behind && node != exploration.m_lost)
+            tryStep(exploration, step, [node](Step& next) { foldLog(next.m_world, node); });
+    }
+}
+
+auto tryTimes(Exploration& exploration, const Step& step) -> void
+{
+    if (step.m_budget.m_ticks > 0) {
+        tryStep(exploration, step, [](Step& next) {
+            --next.m_budget.m_ticks;
+            passTime(next.m_world, next.m_world.m_nodes[0].m_state.m_settings.m_retryInterval);
+        });
+    }
+    if (step.m_budget.m_settles > 0 && step.m_budget.m_takeovers == 0) {
+        tryStep(exploration, step, [&exploration](Step& next) {
+            --next.m_budget.m_settles;
+            next.m_world.m_nodes[exploration.m_lost].m_vouched = false;
+            passTime(next.m_world, next.m_world.m_nodes[0].m_state.m_settings.m_settleTime);
+        });
+    }
+}
+
+auto explore(Exploration& exploration, const Step& step) -> void
+{
+    const auto& budget = step.m_budget;
+    const auto text = fingerprint(step.m_world) + '/' + std::to_string(budget.m_depth) + std::to_string(budget.m_ticks)
+        + std::to_string(budget.m_settles);
+    if (!exploration.m_seen.insert(std::hash<std::string> {}(text)).second)
+        return;
+    if (step.m_world.m_executed > 1 || step.m_world.m_falseNotRun) {
+        ++exploration.m_unsafe;
+        return;
+    }
+    if (budget.m_depth == 0 || exploration.m_seen.size() > statesLimit)
+        return;
+    tryRequests(exploration, step);
+    tryMessages(exploration, step);
+    tryOutcomes(exploration, step);
+    tryTakeover(exploration, step);
+    tryFolds(exploration, step);
+    tryTimes(exploration, step);
+}
+
+} // namespace
+
+class ClaimExplorationTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ClaimExplorationTest);
+    CPPUNIT_TEST(everyOrder_fromTheStart_runsAtMostOnce);
+    CPPUNIT_TEST(everyOrder_holderCrashedInFlight_runsAtMostOnce);
+    CPPUNIT_TEST(everyOrder_holderPausedWithGrantUnderway_runsAtMostOnce);
+    CPPUNIT_TEST(everyOrder_dispatcherPausedWithGrantUnderway_runsAtMostOnce);
+    CPPUNIT_TEST(everyOrder_holderIsDispatcherAndCrashes_runsAtMostOnce);
+    CPPUNIT_TEST(everyOrder_promiseForgotten_isCaught);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto everyOrder_fromTheStart_runsAtMostOnce() -> void
+    {
+        Exploration exploration;
+        auto start = begin();
+        start.m_budget.m_depth = 7;
+        check(exploration, start);
+    }
+
+    auto everyOrder_holderCrashedInFlight_runsAtMostOnce() -> void
+    {
+        Exploration exploration;
+        auto start = begin();
+        requestThrough(start, 1);
+        deliverAll(start.m_world);
+        check(exploration, start);
+    }
+
+    auto everyOrder_holderPausedWithGrantUnderway_runsAtMostOnce() -> void
+    {
+        Exploration exploration;
+        exploration.m_crash = false;
+        auto start = begin();
+        requestThrough(start, 2);
+        deliver(start.m_world, 0);
+        check(exploration, start);
+    }
+
+    auto everyOrder_dispatcherPausedWithGrantUnderway_runsAtMostOnce() -> void
+    {
+        Exploration exploration;
+        exploration.m_crash = false;
+        exploration.m_lost = 2;
+        auto start = begin();
+        requestThrough(start, 2);
+        deliver(start.m_world, 0);
+        check(exploration, start);
+    }
+
+    auto everyOrder_holderIsDispatcherAndCrashes_runsAtMostOnce() -> void
+    {
+        Exploration exploration;
+        auto start = begin();
+        requestThrough(start, 0);
+        check(exploration, start);
+    }
+
+    // The search must be able to fail: a member that forgets its promise uses a grant of the old holder.
+    auto everyOrder_promiseForgotten_isCaught() -> void
+    {
+        Exploration exploration;
+        exploration.m_forgetsPromise = true;
+        auto start = begin();
+        requestThrough(start, 2);
+        deliver(start.m_world, 0);
+        start.m_budget.m_ticks = 0;
+        ++start.m_budget.m_depth;
+        explore(exploration, start);
+        CPPUNIT_ASSERT(exploration.m_unsafe > 0);
+    }
+
+private:
+    static auto begin() -> Step
+    {
+        Step start { makeClaimWorld({ "z1", "z2", "z2" }), {} };
+        start.m_budget.m_depth = 8;
+        return start;
+    }
+
+    static auto requestThrough(Step& start, std::size_t node) -> void
+    {
+        --start.m_budget.m_requests;
+        request(start.m_world, node);
+    }
+
+    // The search must have been exhaustive to its depth, and found nothing.
+    static auto check(Exploration& exploration, const Step& start) -> void
+    {
+        explore(exploration, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, exploration.m_unsafe);
+        CPPUNIT_ASSERT(exploration.m_seen.size() <= statesLimit);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimExplorationTest);
+
+} // namespace hemlockvane
