Answer bad and slow clients before closing, and survive a handler that throws

Cause: three faults in the HTTP server. Closing a socket with unread bytes resets the connection, so a client that was still sending lost its refusal. The stream's own timeout closes the socket, so a slow sender never got one. A handler's exception left the detached coroutine and ended the process. Further: connections over the limit were closed without a word, a request cut short got no answer, and accept spun when it failed. Now refusals are followed by a bounded linger, the read limit is a timer that leaves the socket open, and exceptions become internal errors.

--- a/app/ParseArguments.cpp
+++ b/app/ParseArguments.cpp
@@ -2,8 +2,6 @@
 
 #include "ExitCode.h"
 
-#include <tclap/CmdLine.h>
-
 #include <cstdio>
 #include <cstdlib>
 
--- a/app/ParseArguments.h
+++ b/app/ParseArguments.h
@@ -1,8 +1,6 @@
 #pragma once
 
-namespace TCLAP {
-class CmdLine;
-} // namespace TCLAP
+#include <tclap/CmdLine.h>
 
 namespace hemlockvane::app {
 
--- a/src/detail/http/HttpServer.cpp
+++ b/src/detail/http/HttpServer.cpp
@@ -7,10 +7,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
+#include <exception>
 #include <set>
 
 namespace hemlockvane::detail {
@@ -34,8 +37,15 @@
     Stream m_stream;
     beast::flat_buffer m_buffer;
     bool m_isBusy = false;
+    bool m_isTimedOut = false; // The request did not arrive in time.
+    std::uint64_t m_reads = 0; // Requests begun, so that a late timer does not hit the next one.
 };
 
+constexpr std::chrono::milliseconds lingerTime { 1000 }; // For a client to read a refusal while it still sends.
+constexpr std::size_t maximumLingerBytes = 4UL * 1024 * 1024;
+constexpr std::size_t maximumRefusals = 256; // Connections over the limit that are told so at once.
+constexpr std::chrono::milliseconds acceptPause { 20 }; // When the process has no descriptors left.
+
 auto toRequest(http::request<http::string_body>&& message) -> HttpRequest
 {
     HttpRequest request;
@@ -70,17 +80,48 @@
         return { ErrorKind::TooLarge, "the body is larger than this entry takes" };
     if (error == http::error::header_limit)
         return { ErrorKind::TooLarge, "the header is larger than this entry takes" };
-    if (error == beast::error::timeout)
+    if (error == asio::error::operation_aborted)
         return { ErrorKind::DeadlinePassed, "the request did not arrive in time" };
+    if (error == http::error::partial_message)
+        return { ErrorKind::BadRequest, "the request was cut short" };
     return { ErrorKind::BadRequest, "malformed HTTP request: " + error.message() };
 }
 
 // An error that leaves nobody to answer to.
-auto isDisconnect(const beast::error_code& error) -> bool
+auto isDisconnect(const Session& session, const beast::error_code& error) -> bool
 {
     return error == http::error::end_of_stream || error == asio::error::connection_reset
-        || error == asio::error::operation_aborted || error == asio::error::broken_pipe
-        || error == http::error::partial_message;
+        || error == asio::error::broken_pipe || (error == asio::error::operation_aborted && !session.m_isTimedOut);
+}
+
+// Cancels the read of a request that takes too long; unlike the stream's own timeout it leaves the socket open for
+// the refusal.
+auto limitRead(const std::shared_ptr<Session>& session, asio::steady_timer& timer, std::chrono::milliseconds limit)
+    -> void
+{
+    const auto read = ++session->m_reads;
+    timer.expires_after(limit);
+    timer.async_wait([session, read](const beast::error_code& error) {
+        if (error || session->m_reads != read)
+            return;
+        session->m_isTimedOut = true;
+        session->m_stream.cancel();
+    });
+}
+
+// Closing a socket that holds unread bytes resets the connection, and the client loses the answer. So the client's
+// bytes are read and dropped for a moment.
+auto lingerAndClose(Session& session) -> asio::awaitable<void>
+{
+    beast::error_code error;
+    session.m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    session.m_stream.expires_after(lingerTime);
+    std::size_t dropped = 0;
+    std::array<char, 16384> scratch {};
+    while (!error && dropped < maximumLingerBytes)
+        dropped += co_await session.m_stream.async_read_some(
+            asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
+    session.m_stream.close();
 }
 
 } // namespace
@@ -96,16 +137,20 @@
 
     auto accept() -> asio::awaitable<void>;
     auto serve(std::shared_ptr<Session> session) -> asio::awaitable<void>;
-    auto serveOne(Session& session) -> asio::awaitable<bool>;
+    auto serveOne(const std::shared_ptr<Session>& session) -> asio::awaitable<bool>;
+    auto refuse(std::shared_ptr<Session> session) -> asio::awaitable<void>;
+    auto callHandler(HttpRequest request) -> asio::awaitable<HttpResponse>;
     auto write(Session& session, HttpResponse response, unsigned version, bool keepAlive, bool isHead)
         -> asio::awaitable<bool>;
-    auto readRequest(Session& session, Parser& parser, beast::error_code& error) -> asio::awaitable<void>;
+    auto readRequest(const std::shared_ptr<Session>& session, Parser& parser, beast::error_code& error)
+        -> asio::awaitable<void>;
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
     HttpHandler m_handler;
     std::set<std::shared_ptr<Session>> m_sessions;
+    std::size_t m_refusals = 0; // Connections over the limit that are being told so.
     bool m_isDraining = false;
 };
 
@@ -116,65 +161,93 @@
         auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted)
             co_return;
-        if (error || m_sessions.size() >= m_limits.m_maximumConnections)
+        if (error) {
+            asio::steady_timer pause(m_context, acceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
+        }
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         auto session = std::make_shared<Session>(std::move(socket));
+        if (m_sessions.size() >= m_limits.m_maximumConnections) {
+            if (m_refusals < maximumRefusals)
+                asio::co_spawn(m_context, refuse(session), asio::detached);
+            continue;
+        }
         m_sessions.insert(session);
         asio::co_spawn(m_context, serve(session), asio::detached);
     }
 }
 
+auto HttpServer::Impl::refuse(std::shared_ptr<Session> session) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    ++m_refusals;
+    const LastReason reason { ErrorKind::NoCapacity, "this entry has no connection left" };
+    co_await write(*session, errorResponse(reason), 11, false, false);
+    co_await lingerAndClose(*session);
+    --m_refusals;
+}
+
 auto HttpServer::Impl::serve(std::shared_ptr<Session> session) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    while (co_await serveOne(*session)) { }
-    beast::error_code error;
-    session->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    session->m_stream.close();
+    while (co_await serveOne(session)) { }
+    co_await lingerAndClose(*session);
     m_sessions.erase(session);
 }
 
-auto HttpServer::Impl::readRequest(Session& session, Parser& parser, beast::error_code& error) -> asio::awaitable<void>
+auto HttpServer::Impl::readRequest(const std::shared_ptr<Session>& session, Parser& parser, beast::error_code& error)
+    -> asio::awaitable<void>
 {
-    if (session.m_buffer.size() == 0) {
-        session.m_stream.expires_after(m_limits.m_idleTimeout);
-        const auto read = co_await session.m_stream.async_read_some(
-            session.m_buffer.prepare(1024), asio::redirect_error(asio::use_awaitable, error));
-        session.m_buffer.commit(read);
+    auto& stream = session->m_stream;
+    if (session->m_buffer.size() == 0) {
+        stream.expires_after(m_limits.m_idleTimeout);
+        const auto read = co_await stream.async_read_some(
+            session->m_buffer.prepare(1024), asio::redirect_error(asio::use_awaitable, error));
+        session->m_buffer.commit(read);
         if (error) {
             error = error == asio::error::eof ? http::error::end_of_stream : error;
             error = error == beast::error::timeout ? http::error::end_of_stream : error;
             co_return;
         }
     }
-    session.m_isBusy = true;
-    session.m_stream.expires_after(m_limits.m_readTimeout);
-    co_await http::async_read(
-        session.m_stream, session.m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    session->m_isBusy = true;
+    stream.expires_never();
+    asio::steady_timer timer(m_context);
+    limitRead(session, timer, m_limits.m_readTimeout);
+    co_await http::async_read(stream, session->m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    ++session->m_reads;
+}
+
+auto HttpServer::Impl::callHandler(HttpRequest request) -> asio::awaitable<HttpResponse>
+{
+    try {
+        co_return co_await m_handler(std::move(request));
+    } catch (const std::exception& exception) {
+        co_return errorResponse({ ErrorKind::Internal, exception.what() });
+    }
 }
 
-auto HttpServer::Impl::serveOne(Session& session) -> asio::awaitable<bool>
+auto HttpServer::Impl::serveOne(const std::shared_ptr<Session>& session) -> asio::awaitable<bool>
 {
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_limits.m_maximumHeaderBytes));
     parser.body_limit(m_limits.m_maximumBodyBytes);
     beast::error_code error;
-    session.m_isBusy = false;
+    session->m_isBusy = false;
     co_await readRequest(session, parser, error);
-    if (error && isDisconnect(error))
+    if (error && isDisconnect(*session, error))
         co_return false;
     if (error) {
-        co_await write(session, errorResponse(readFailure(error)), 11, false, false);
+        co_await write(*session, errorResponse(readFailure(error)), 11, false, false);
         co_return false;
     }
-    session.m_stream.expires_never();
     const auto version = parser.get().version();
     const auto isHead = parser.get().method() == http::verb::head;
     const auto wantsMore = parser.get().keep_alive();
-    auto response = co_await m_handler(toRequest(parser.release()));
+    auto response = co_await callHandler(toRequest(parser.release()));
     const auto keepAlive = wantsMore && !m_isDraining;
-    co_return co_await write(session, std::move(response), version, keepAlive, isHead) && keepAlive;
+    co_return co_await write(*session, std::move(response), version, keepAlive, isHead) && keepAlive;
 }
 
 auto HttpServer::Impl::write(Session& session, HttpResponse response, unsigned version, bool keepAlive, bool isHead)
