--- /dev/null
+++ b/bench/FoldBench.cpp
@@ -0,0 +1,417 @@
+#include "hemlockvane/configuration.h"
+#include "hemlockvane/log.h"
+#include "hemlockvane/membership.h"
+
+#include "hemlockvane/peers.pb.h"
+#include "hemlockvane/records.pb.h"
+
+#include <malloc.h>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hemlockvane {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr WallMillis startOfTime = 1700000000000;
+constexpr std::size_t operationsInGroup = 8;
+constexpr std::size_t keyHashBytes = 32;
+constexpr int pools = 277;
+constexpr int teams = 260;
+constexpr int zones = 14;
+constexpr double bytesInMiB = 1048576;
+
+struct Options {
+    std::uint32_t m_seed = 1;
+    int m_repeats = 3;
+};
+
+auto microsSince(Clock::time_point begin) -> double
+{
+    return std::chrono::duration<double, std::micro>(Clock::now() - begin).count();
+}
+
+auto heapBytes() -> double { return static_cast<double>(mallinfo2().uordblks); }
+
+// The smallest of several runs: what disturbs a run only adds to it.
+template <typename Run> auto fastest(int repeats, Run run) -> double
+{
+    auto best = run();
+    for (int i = 1; i < repeats; ++i)
+        best = std::min(best, run());
+    return best;
+}
+
+class RecordMaker {
+public:
+    explicit RecordMaker(std::uint32_t seed)
+        : m_random(seed)
+    {
+    }
+
+    auto add() -> wire::Operation&
+    {
+        auto& operation = *m_group.add_operations();
+        operation.set_id("entry-7f3a9c52/" + std::to_string(++m_count));
+        return operation;
+    }
+
+    auto isFull() const -> bool { return m_group.operations_size() >= static_cast<int>(operationsInGroup); }
+
+    auto take() -> std::string
+    {
+        m_group.set_format(recordFormat);
+        m_group.set_author("entry-7f3a9c52");
+        m_group.set_stamped_at_ms(startOfTime + static_cast<WallMillis>(m_count));
+        auto record = m_group.SerializeAsString();
+        m_group.Clear();
+        return record;
+    }
+
+    auto pick(int count) -> int { return static_cast<int>(m_random() % static_cast<std::uint32_t>(count)); }
+
+private:
+    wire::Group m_group;
+    std::mt19937 m_random;
+    std::uint64_t m_count = 0;
+};
+
+// Folds operations made by `fill(operation, i)` in groups.
+template <typename Fill> auto foldMany(FleetState& state, RecordMaker& maker, int count, Fill fill) -> void
+{
+    for (int i = 0; i < count; ++i) {
+        fill(maker.add(), i);
+        if (maker.isFull() || i + 1 == count)
+            foldRecord(state, maker.take());
+    }
+}
+
+auto jobName(int i) -> std::string { return "018f3c5e-7d2a-7000-8000-" + std::to_string(100000000000LL + i); }
+
+auto workerName(int i) -> std::string { return "worker-" + std::to_string(10000 + i); }
+
+auto fillEntry(wire::Operation& operation, int i) -> void
+{
+    auto& change = *operation.mutable_join_entry();
+    change.set_instance("entry-" + std::to_string(i));
+    change.set_zone("zone-" + std::to_string(i % zones));
+    change.set_address("tcp://10.0.0.1:7001");
+    change.set_traffic_address("10.0.0.1:8001");
+}
+
+auto fillWorker(wire::Operation& operation, int i) -> void
+{
+    auto& change = *operation.mutable_add_instance();
+    change.set_instance(workerName(i));
+    change.set_pool("pool-" + std::to_string(i % pools));
+    change.set_zone("zone-" + std::to_string(i % zones));
+    change.set_rack("rack-" + std::to_string(i / 4));
+    change.mutable_capacity()->set_cores(32);
+    change.mutable_capacity()->set_memory_mb(131072);
+}
+
+auto fillJob(wire::Operation& operation, int i) -> void
+{
+    auto& change = *operation.mutable_submit_job();
+    change.set_job(jobName(i));
+    change.set_team("team-" + std::to_string(i % teams));
+    change.set_queue("queue-" + std::to_string(i % pools));
+    change.mutable_size()->set_cores(4);
+    change.mutable_size()->set_memory_mb(8192);
+    change.mutable_size()->set_run_seconds(600);
+    change.set_repeatable(true);
+    change.set_max_attempts(3);
+    change.set_command("match --lot 4711 --shade 12");
+}
+
+auto fillKey(wire::Operation& operation, int i) -> void
+{
+    auto& change = *operation.mutable_grant_key();
+    change.set_key_id("key-" + std::to_string(i));
+    std::string hash(keyHashBytes, 'h');
+    const auto digits = std::to_string(i);
+    hash.replace(0, digits.size(), digits);
+    change.set_key_hash(hash);
+    change.set_team("team-" + std::to_string(i % teams));
+    change.set_author("ana");
+}
+
+auto fillDefault(wire::Operation& operation, Offset version) -> void
+{
+    auto& change = *operation.mutable_set_default();
+    change.set_setting("team.limit");
+    change.set_value("500");
+    change.set_author("ana");
+    change.set_expected_version(version);
+}
+
+auto fillException(wire::Operation& operation, int i) -> void
+{
+    auto& change = *operation.mutable_set_exception();
+    change.set_setting("team.limit");
+    change.set_scope("team-" + std::to_string(i));
+    change.set_value("20");
+    change.set_reason("school season until the end of the month");
+    change.set_author("ana");
+}
+
+// Workers, entries with the placement duty, and jobs.
+auto makeState(RecordMaker& maker, int workers, int jobs) -> FleetState
+{
+    FleetState state;
+    foldMany(state, maker, 9, fillEntry);
+    foldMany(state, maker, 1, [](auto& operation, int) {
+        operation.mutable_take_duty()->set_duty("placement");
+        operation.mutable_take_duty()->set_instance("entry-0");
+    });
+    foldMany(state, maker, workers, fillWorker);
+    foldMany(state, maker, jobs, fillJob);
+    return state;
+}
+
+// Bytes of heap for one item of each kind, over a range large enough to level out the containers' growth.
+template <typename Fill> auto printBytesEach(const Options& options, const char* kind, Fill fill) -> void
+{
+    for (const int count : { 1000, 4000, 16000 }) {
+        RecordMaker maker(options.m_seed);
+        const auto before = heapBytes();
+        auto state = FleetState();
+        foldMany(state, maker, count, fill);
+        const auto window = static_cast<double>(state.m_operations.m_order.size());
+        const auto all = heapBytes() - before;
+        state.m_operations = {};
+        const auto kept = heapBytes() - before;
+        std::printf("| %s | %d | %.0f | %.0f | %.0f |\n", kind, count, kept / count, (all - kept) / window,
+            static_cast<double>(saveSnapshot(state).size()) / count);
+    }
+}
+
+auto printStateBytes(const Options& options) -> void
+{
+    std::printf("\n## State\n\n");
+    std::printf(
+        "| item | items | heap bytes an item | heap bytes an operation remembered | snapshot bytes an item |\n");
+    std::printf("|---|---|---|---|---|\n");
+    printBytesEach(options, "worker instance", fillWorker);
+    printBytesEach(options, "job", fillJob);
+    printBytesEach(options, "key", fillKey);
+    printBytesEach(options, "exception", fillException);
+    printBytesEach(options, "entry", fillEntry);
+}
+
+template <typename Fill>
+auto foldCost(const Options& options, const FleetState& base, RecordMaker& maker, int count, Fill fill) -> double
+{
+    std::vector<std::string> records;
+    for (int i = 0; i < count; ++i) {
+        fill(maker.add(), i);
+        if (maker.isFull())
+            records.push_back(maker.take());
+    }
+    return fastest(options.m_repeats, [&] {
+        auto state = base;
+        const auto begin = Clock::now();
+        for (const auto& record : records)
+            foldRecord(state, record);
+        return microsSince(begin) / count;
+    });
+}
+
+auto printFoldCost(const Options& options) -> void
+{
+    constexpr int measured = 4000;
+    std::printf(
+        "\n## Fold\n\nMicroseconds an operation, %zu operations a record, %d workers.\n\n", operationsInGroup, 3100);
+    std::printf("| jobs in the state | submit | place | change a default | grant a key | mark an instance |\n");
+    std::printf("|---|---|---|---|---|---|\n");
+    for (const int jobs : { 4000, 16000, 64000 }) {
+        RecordMaker maker(options.m_seed);
+        const auto base = makeState(maker, 3100, jobs);
+        const auto epoch = base.m_membership.m_duties.find("placement")->second.m_epoch;
+        const auto submit
+            = foldCost(options, base, maker, measured, [&](auto& operation, int i) { fillJob(operation, jobs + i); });
+        const auto place = foldCost(options, base, maker, measured, [&](auto& operation, int i) {
+            auto& change = *operation.mutable_place_job();
+            change.mutable_fence()->set_duty("placement");
+            change.mutable_fence()->set_epoch(epoch);
+            change.set_job(jobName(i));
+            change.set_worker(workerName(i % 3100));
+            change.set_attempt(1);
+        });
+        const auto change = foldCost(options, base, maker, measured,
+            [&](auto& operation, int) { fillDefault(operation, base.m_nextOffset + measured); });
+        const auto grant = foldCost(options, base, maker, measured, fillKey);
+        const auto mark = foldCost(options, base, maker, measured, [&](auto& operation, int i) {
+            operation.mutable_mark_instance()->set_instance(workerName(i % 3100));
+            operation.mutable_mark_instance()->set_available(i % 2 == 0);
+        });
+        std::printf("| %d | %.2f | %.2f | %.2f | %.2f | %.2f |\n", jobs, submit, place, change, grant, mark);
+    }
+}
+
+auto printSnapshotCost(const Options& options) -> void
+{
+    std::printf("\n## Snapshot and bootstrap\n\n%d workers; the tail is 20000 records of %zu operations.\n\n", 3100,
+        operationsInGroup);
+    std::printf(
+        "| jobs | operations remembered | bytes | save ms | load ms | scan ms | tail ms | bootstrap ms | heap MiB |\n");
+    std::printf("|---|---|---|---|---|---|---|---|---|\n");
+    constexpr int tailRecords = 20000;
+    constexpr double microsInMilli = 1000;
+    for (const int jobs : { 4000, 16000, 64000 }) {
+        RecordMaker maker(options.m_seed);
+        const auto heapBefore = heapBytes();
+        const auto state = makeState(maker, 3100, jobs);
+        const auto heap = heapBytes() - heapBefore;
+        std::string bytes;
+        const auto save = fastest(options.m_repeats, [&] {
+            const auto begin = Clock::now();
+            bytes = saveSnapshot(state);
+            return microsSince(begin);
+        });
+        const auto load = fastest(options.m_repeats, [&] {
+            LastReason reason;
+            const auto begin = Clock::now();
+            const auto loaded = loadSnapshot(bytes, reason);
+            return loaded ? microsSince(begin) : 0.0;
+        });
+        auto writer = beginSnapshot(state, "entry-7f3a9c52/1", {});
+        SnapshotReader reader;
+        double scan = 0;
+        while (!isComplete(writer)) {
+            wire::Group group;
+            *group.add_operations() = currentChunk(writer);
+            const auto record = group.SerializeAsString();
+            const auto begin = Clock::now();
+            scanRecord(reader, record);
+            scan += microsSince(begin);
+            ++writer.m_nextIndex;
+        }
+        std::vector<std::string> tail;
+        for (int i = 0; i < tailRecords * static_cast<int>(operationsInGroup); ++i) {
+            auto& operation = maker.add();
+            operation.mutable_mark_instance()->set_instance(workerName(maker.pick(3100)));
+            operation.mutable_mark_instance()->set_available(maker.pick(2) == 0);
+            if (maker.isFull())
+                tail.push_back(maker.take());
+        }
+        auto folded = state;
+        const auto begin = Clock::now();
+        for (const auto& record : tail)
+            foldRecord(folded, record);
+        const auto tailCost = microsSince(begin);
+        std::printf("| %d | %zu | %zu | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", jobs,
+            state.m_operations.m_order.size(), bytes.size(), save / microsInMilli, load / microsInMilli,
+            scan / microsInMilli, tailCost / microsInMilli, (load + scan + tailCost) / microsInMilli,
+            heap / bytesInMiB);
+    }
+}
+
+auto printMembershipCost(const Options& options) -> void
+{
+    std::printf(
+        "\n## Membership\n\n83 duties. A plan is made a few times a second; a report is taken for each beat.\n\n");
+    std::printf(
+        "| entries | plan, calm us | plan, entry lost us | report taken us | beat bytes |\n|---|---|---|---|---|\n");
+    for (const int entries : { 9, 28, 84 }) {
+        RecordMaker maker(options.m_seed);
+        FleetState state;
+        foldMany(state, maker, entries, fillEntry);
+        auto& members = state.m_membership;
+        const auto duties = dutyNames(DutyCounts());
+        for (std::size_t i = 0; i < duties.size(); ++i)
+            members.m_duties[duties[i]] = DutyRecord { "entry-" + std::to_string(i % entries), i + 1 };
+        auto planner = makePlanner("entry-0", duties, PlannerLimits(), Instant());
+        constexpr int rounds = 200;
+        auto begin = Clock::now();
+        for (int i = 0; i < rounds; ++i)
+            planMembership(planner, members, Instant());
+        const auto calm = microsSince(begin) / rounds;
+        members.m_entries.find("entry-1")->second.m_removedAt = 1;
+        begin = Clock::now();
+        for (int i = 0; i < rounds; ++i) {
+            planner.m_due.clear();
+            planMembership(planner, members, Instant());
+        }
+        const auto lost = microsSince(begin) / rounds;
+        VouchState vouch;
+        vouch.m_self = "entry-0";
+        InstanceListView view;
+        view.m_askedAt = Instant();
+        for (const auto& [id, record] : members.m_entries)
+            view.m_instances[id] = ListedStatus::Live;
+        onLogRead(vouch, Instant(), 0);
+        onInstanceList(vouch, members, view, Instant());
+        begin = Clock::now();
+        for (int i = 0; i < rounds; ++i)
+            for (int k = 1; k < entries; ++k)
+                onPeerReport(vouch, members, "entry-" + std::to_string(k), { Instant(), 0, false, {} }, Instant());
+        const auto report = microsSince(begin) / rounds / (entries - 1);
+        wire::Envelope beat;
+        beat.set_sender("entry-7f3a9c52");
+        beat.mutable_beat()->set_sequence(100000);
+        beat.mutable_beat()->set_is_answer(true);
+        beat.mutable_beat()->set_folded_end(1000000);
+        beat.mutable_beat()->set_state_hash(1);
+        beat.mutable_beat()->set_log_reachable(true);
+        beat.mutable_beat()->set_log_read_age_ms(1000);
+        std::printf("| %d | %.1f | %.1f | %.2f | %zu |\n", entries, calm, lost, report, beat.ByteSizeLong());
+    }
+}
+
+auto printViewCost(const Options& options) -> void
+{
+    std::printf("\n## View\n\nCopying a part of the state for the traffic thread, microseconds.\n\n");
+    std::printf("| keys | exceptions | copy keys | copy configuration |\n|---|---|---|---|\n");
+    for (const int count : { 260, 1040, 4160 }) {
+        RecordMaker maker(options.m_seed);
+        FleetState state;
+        foldMany(state, maker, count, fillKey);
+        foldMany(state, maker, count, fillException);
+        const auto keys = fastest(options.m_repeats, [&] {
+            const auto begin = Clock::now();
+            const auto copy = state.m_keys;
+            return copy.m_keys.empty() ? 0.0 : microsSince(begin);
+        });
+        const auto configuration = fastest(options.m_repeats, [&] {
+            const auto begin = Clock::now();
+            const auto copy = state.m_configuration;
+            return copy.m_exceptions.empty() ? 0.0 : microsSince(begin);
+        });
+        std::printf("| %d | %d | %.0f | %.0f |\n", count, count, keys, configuration);
+    }
+}
+
+} // namespace
+
+} // namespace hemlockvane
+
+auto main(int argc, char** argv) -> int
+{
+    try {
+        TCLAP::CmdLine command("Measures the fold, snapshots, bootstrap and membership planning", ' ', "0.1");
+        TCLAP::ValueArg<std::uint32_t> seed("", "seed", "Seed of the random choices", false, 1, "number", command);
+        TCLAP::ValueArg<int> repeats("", "repeats", "Runs of which the fastest counts", false, 3, "number", command);
+        command.parse(argc, argv);
+        const hemlockvane::Options options { seed.getValue(), std::max(1, repeats.getValue()) };
+        std::printf("seed %u, fastest of %d\n", options.m_seed, options.m_repeats);
+        hemlockvane::printStateBytes(options);
+        hemlockvane::printFoldCost(options);
+        hemlockvane::printSnapshotCost(options);
+        hemlockvane::printMembershipCost(options);
+        hemlockvane::printViewCost(options);
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "FoldBench: %s\n", error.what());
+        return 1;
+    }
+    return 0;
+}
--- a/include/hemlockvane/membership/Vouch.h
+++ b/include/hemlockvane/membership/Vouch.h
@@ -3,6 +3,7 @@
 #include "hemlockvane/membership/MembershipState.h"
 #include "hemlockvane/membership/VouchState.h"
 
+#include <optional>
 #include <string_view>
 
 namespace hemlockvane {
@@ -30,6 +31,15 @@
 auto onPeerReport(VouchState& state, const MembershipState& members, std::string_view peer, const PeerReport& report,
     Instant now) -> void;
 
+/// @brief True when this entry's own reads have reached the log's end lately; goes into its beats.
+///
+/// Turns false at half the tenure, so that peers learn it while their vouches are unbroken.
+auto readsLog(const VouchState& state, Instant now) -> bool;
+
+/// @brief Time since this entry sent its last read that reached the log's end; goes into its beats.
+/// @result empty when there was none
+auto logReadAge(const VouchState& state, Instant now) -> std::optional<Duration>;
+
 /// @brief True when the entry may act on its folded state; to be asked right before each act.
 /// @param now read from the monotonic clock that counts suspend
 auto mayAct(const VouchState& state, Instant now) -> bool;
--- a/include/hemlockvane/membership/VouchState.h
+++ b/include/hemlockvane/membership/VouchState.h
@@ -18,6 +18,7 @@
     Offset m_foldedEnd = 0; ///< Next offset that this entry folds.
     Offset m_knownEnd = 0; ///< Latest end of the log heard of in any way.
     std::optional<Instant> m_vouchedFrom; ///< Everything recorded before this instant is folded.
+    std::optional<Instant> m_logReadFrom; ///< When the last own read that reached the log's end was sent.
     InstanceListView m_list;
     std::set<std::string, std::less<>> m_everListed;
     std::map<std::string, PeerReport, std::less<>> m_reports; ///< Latest by peer.
--- a/src/membership/Vouch.cpp
+++ b/src/membership/Vouch.cpp
@@ -69,8 +69,10 @@
 auto onLogRead(VouchState& state, Instant sentAt, Offset logEnd) -> void
 {
     onKnownEnd(state, logEnd);
-    if (state.m_foldedEnd >= logEnd)
-        vouchFrom(state, sentAt);
+    if (state.m_foldedEnd < logEnd)
+        return;
+    state.m_logReadFrom = std::max(state.m_logReadFrom.value_or(sentAt), sentAt);
+    vouchFrom(state, sentAt);
 }
 
 auto onInstanceList(VouchState& state, const MembershipState& members, InstanceListView view, Instant now) -> void
@@ -101,6 +103,16 @@
     extend(state, members, now);
 }
 
+auto readsLog(const VouchState& state, Instant now) -> bool
+{
+    return state.m_logReadFrom && now < *state.m_logReadFrom + state.m_limits.m_tenure / 2;
+}
+
+auto logReadAge(const VouchState& state, Instant now) -> std::optional<Duration>
+{
+    return state.m_logReadFrom ? std::optional(now - *state.m_logReadFrom) : std::nullopt;
+}
+
 auto mayAct(const VouchState& state, Instant now) -> bool { return now < vouchedUntil(state); }
 
 auto vouchedUntil(const VouchState& state) -> Instant
--- a/tests/core/membership/VouchTest.cpp
+++ b/tests/core/membership/VouchTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(onPeerReport_selfOffList_doesNotExtend);
     CPPUNIT_TEST(onPeerReport_peerReadLog_vouchesLessItsAge);
     CPPUNIT_TEST(onPeerReport_peerReadLogButBehindIt_doesNotVouch);
+    CPPUNIT_TEST(readsLog_readsSlowerThanTenure_turnsFalseBeforeVouchEnds);
     CPPUNIT_TEST(onPeerReport_crossedAnswers_keepLatestQuestion);
     CPPUNIT_TEST(onInstanceList_emptyList_isIgnored);
     CPPUNIT_TEST(takeoverSettled_tenureOnly_isFalse);
@@ -204,6 +205,16 @@
         CPPUNIT_ASSERT(!mayAct(m_state, at(2100)));
     }
 
+    auto readsLog_readsSlowerThanTenure_turnsFalseBeforeVouchEnds() -> void
+    {
+        CPPUNIT_ASSERT(readsLog(m_state, at(499)));
+        CPPUNIT_ASSERT(!readsLog(m_state, at(500)));
+        CPPUNIT_ASSERT(mayAct(m_state, at(500)));
+        CPPUNIT_ASSERT(logReadAge(m_state, at(500)) == Duration(500));
+        onPeerReport(m_state, m_members, "b", { at(500), 10, true, Duration(100) }, at(500));
+        CPPUNIT_ASSERT(!readsLog(m_state, at(500)));
+    }
+
     auto onPeerReport_crossedAnswers_keepLatestQuestion() -> void
     {
         listed(800, { "a", "b", "c" });
