Add placement: leases, packing by learned sizes, shares, urgent work and blame

Sizes are 90 % quantiles of reported peaks, shares are weighted max-min with throttle, checkpoint and stop in this order, urgent work clears the worker that costs least, and a failure counts against a worker only when the queue does not fail elsewhere too. Running jobs are indexed by worker, so that a report costs its own tasks only.

--- /dev/null
+++ b/include/hemlockvane/placement/FleetRoom.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/placement/PlacementState.h"
+#include "hemlockvane/placement/ResourceSize.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlockvane {
+
+/// @brief One worker as a plan sees it.
+struct WorkerRoom {
+    std::string_view m_id;
+    const InstanceRecord* m_instance = nullptr;
+    ResourceSize m_capacity;
+    ResourceSize m_free; ///< Negative where the worker is over-used.
+    bool m_open = false; ///< Takes new jobs.
+    bool m_suspect = false; ///< Takes repeatable jobs only.
+    std::vector<std::string_view> m_tasks; ///< Running and being placed.
+};
+
+/// @brief Every worker's room, in the order of ids.
+struct FleetRoom {
+    std::vector<WorkerRoom> m_workers;
+    std::map<std::string_view, std::size_t> m_index;
+    std::map<std::string_view, std::vector<std::size_t>> m_byPool;
+};
+
+/// @brief Capacity of an instance.
+auto capacityOf(const InstanceRecord& instance) -> ResourceSize;
+
+/// @brief Size that a job declared.
+auto declaredSize(const JobRecord& job) -> ResourceSize;
+
+/// @brief Size that a waiting job is expected to need, learned from its team's jobs in its queue.
+auto expectedSize(const PlacementState& state, const JobRecord& job) -> ResourceSize;
+
+/// @brief Size that a running job takes: what was measured, once it was, else what is expected.
+auto runningSize(const PlacementState& state, std::string_view id, const JobRecord& job) -> ResourceSize;
+
+/// @brief Builds the room of all workers.
+/// @complexity linear in workers and running jobs, times a logarithm
+auto buildRoom(const FleetState& fleet, const PlacementState& state, Instant now, WallMillis wallNow) -> FleetRoom;
+
+/// @brief True when some instance of the fleet, whatever its state, can hold the declared size.
+/// @param reason receives NeverRunnable and the largest worker
+/// @complexity linear in the instances
+auto isRunnable(const PoolState& pools, const ResourceSize& declared, LastReason& reason) -> bool;
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/placement/PlacementPlan.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/placement/FleetRoom.h"
+#include "hemlockvane/placement/PlacementAction.h"
+#include "hemlockvane/placement/PlacementInput.h"
+#include "hemlockvane/placement/PlacementState.h"
+#include "hemlockvane/placement/PressureRequest.h"
+
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace hemlockvane {
+
+/// @brief What the parts of one plan share.
+struct PlacementPlan {
+    const FleetState& m_fleet;
+    PlacementState& m_state;
+    const PlacementInput& m_input;
+    FleetRoom m_room;
+    std::map<std::string, std::uint32_t, std::less<>> m_permits;
+    std::vector<std::string_view> m_unplaced; ///< Waiting jobs that found no room, urgent ones excluded.
+    std::map<std::string_view, PressureRequest> m_pressure; ///< Running jobs to be pressed.
+    std::vector<PlacementAction> m_actions;
+};
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/placement/PressureLevel.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace hemlockvane {
+
+/// @brief How far a task was pressed to give up its worker's resources.
+enum class PressureLevel : std::uint8_t { None, Throttled, Checkpointing, Stopping };
+
+} // namespace hemlockvane
--- /dev/null
+++ b/include/hemlockvane/placement/TaskStatus.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "hemlockvane/placement/PressureLevel.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief What the placement holder knows of a running attempt beyond the log.
+struct TaskStatus {
+    bool m_startSent = false; ///< By this holder.
+    std::string m_incarnation; ///< Of the worker when the task was started or first seen; empty: neither yet.
+    std::int64_t m_peakMilliCores = 0;
+    std::int64_t m_peakMemoryMb = 0;
+    std::int64_t m_memoryMb = 0; ///< Of the last report.
+    PressureLevel m_pressure = PressureLevel::None;
+    Instant m_pressedAt {};
+};
+
+} // namespace hemlockvane
--- a/src/jobs/ApplyJobs.cpp
+++ b/src/jobs/ApplyJobs.cpp
@@ -13,7 +13,7 @@
 auto endJob(JobState& jobs, const std::string& id, JobRecord& job, JobStatus status, WallMillis at) -> void
 {
     jobs.m_queued.erase(id);
-    jobs.m_running.erase(id);
+    unindexRunning(jobs, id, job.m_worker);
     job.m_status = status;
     job.m_worker.clear();
     job.m_changedAt = at;
@@ -22,7 +22,7 @@
 
 auto requeue(JobState& jobs, const std::string& id, JobRecord& job, WallMillis at) -> void
 {
-    jobs.m_running.erase(id);
+    unindexRunning(jobs, id, job.m_worker);
     jobs.m_queued.insert(id);
     job.m_status = JobStatus::Queued;
     job.m_worker.clear();
@@ -156,7 +156,7 @@
     job.m_leaseEpoch = context.m_offset;
     job.m_changedAt = context.m_stampedAt;
     jobs.m_queued.erase(change.job());
-    jobs.m_running.insert(change.job());
+    indexRunning(jobs, change.job(), change.worker());
     return context.m_offset;
 }
 
--- a/src/log/Snapshot.cpp
+++ b/src/log/Snapshot.cpp
@@ -169,7 +169,7 @@
         if (job.m_status == JobStatus::Queued)
             state.m_queued.insert(item.job());
         else if (job.m_status == JobStatus::Running)
-            state.m_running.insert(item.job());
+            indexRunning(state, item.job(), job.m_worker);
         else
             state.m_ended.emplace(job.m_changedAt, item.job());
     }
--- /dev/null
+++ b/src/placement/FleetRoom.cpp
@@ -0,0 +1,109 @@
+#include "hemlockvane/placement/FleetRoom.h"
+
+#include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/placement/WorkerTrust.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr std::int64_t milliPerCore = 1000;
+
+auto isHeard(const PlacementState& state, std::string_view worker, Instant now) -> bool
+{
+    const auto found = state.m_workers.find(worker);
+    return found != state.m_workers.end() && found->second.m_heardAt
+        && now - *found->second.m_heardAt < state.m_limits.m_silentAfter;
+}
+
+auto addTask(FleetRoom& room, std::string_view worker, std::string_view job, const ResourceSize& size) -> void
+{
+    const auto found = room.m_index.find(worker);
+    if (found == room.m_index.end())
+        return;
+    auto& target = room.m_workers[found->second];
+    target.m_free = target.m_free - size;
+    target.m_tasks.push_back(job);
+}
+
+} // namespace
+
+auto capacityOf(const InstanceRecord& instance) -> ResourceSize
+{
+    return { instance.m_cores * milliPerCore, instance.m_memoryMb, instance.m_accelerators };
+}
+
+auto declaredSize(const JobRecord& job) -> ResourceSize
+{
+    return { job.m_cores * milliPerCore, job.m_memoryMb, job.m_accelerators };
+}
+
+auto expectedSize(const PlacementState& state, const JobRecord& job) -> ResourceSize
+{
+    const auto found = state.m_queues.find({ job.m_team, job.m_queue });
+    if (found == state.m_queues.end())
+        return declaredSize(job);
+    return { estimateSize(found->second.m_milliCores, job.m_cores * milliPerCore),
+        estimateSize(found->second.m_memoryMb, job.m_memoryMb), job.m_accelerators };
+}
+
+auto runningSize(const PlacementState& state, std::string_view id, const JobRecord& job) -> ResourceSize
+{
+    auto size = expectedSize(state, job);
+    const auto found = state.m_tasks.find(id);
+    if (found == state.m_tasks.end())
+        return size;
+    size.m_milliCores = std::max(size.m_milliCores, found->second.m_peakMilliCores);
+    size.m_memoryMb = std::max(size.m_memoryMb, found->second.m_peakMemoryMb);
+    return size;
+}
+
+auto buildRoom(const FleetState& fleet, const PlacementState& state, Instant now, WallMillis wallNow) -> FleetRoom
+{
+    FleetRoom room;
+    room.m_workers.reserve(fleet.m_pools.m_instances.size());
+    std::map<std::string_view, bool> isSpare;
+    for (const auto& [id, instance] : fleet.m_pools.m_instances) {
+        const auto [spare, isNew] = isSpare.try_emplace(instance.m_pool, false);
+        if (isNew)
+            spare->second = effectiveValue(fleet.m_configuration, "pool.spare", instance.m_pool, wallNow).m_value != 0;
+        WorkerRoom worker { id, &instance, capacityOf(instance), capacityOf(instance), false, isSuspect(state, id),
+            {} };
+        worker.m_open
+            = !spare->second && !isUnavailable(instance) && isHeard(state, id, now) && !isSetAside(state, id, now);
+        room.m_index[id] = room.m_workers.size();
+        room.m_byPool[instance.m_pool].push_back(room.m_workers.size());
+        room.m_workers.push_back(std::move(worker));
+    }
+    for (const auto& id : fleet.m_jobs.m_running) {
+        const auto& job = fleet.m_jobs.m_jobs.find(id)->second;
+        addTask(room, job.m_worker, id, runningSize(state, id, job));
+    }
+    for (const auto& [id, pending] : state.m_placing) {
+        const auto job = fleet.m_jobs.m_jobs.find(id);
+        if (job != fleet.m_jobs.m_jobs.end() && job->second.m_status == JobStatus::Queued)
+            addTask(room, pending.m_worker, id, expectedSize(state, job->second));
+    }
+    return room;
+}
+
+auto isRunnable(const PoolState& pools, const ResourceSize& declared, LastReason& reason) -> bool
+{
+    ResourceSize largest;
+    for (const auto& [id, instance] : pools.m_instances) {
+        const auto capacity = capacityOf(instance);
+        if (fits(declared, capacity))
+            return true;
+        if (capacity.m_milliCores >= largest.m_milliCores)
+            largest = capacity;
+    }
+    fail(reason, ErrorKind::NeverRunnable,
+        "no worker of the fleet can hold the job; the largest has "
+            + std::to_string(largest.m_milliCores / milliPerCore) + " cores, " + std::to_string(largest.m_memoryMb)
+            + " MB and " + std::to_string(largest.m_accelerators) + " accelerators");
+    return false;
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/placement/PlaceWaiting.cpp
@@ -0,0 +1,394 @@
+#include "hemlockvane/placement/PlaceWaiting.h"
+
+#include "hemlockvane/configuration/EffectiveValue.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <queue>
+#include <span>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr double zoneSpreadWeight = 1.0;
+constexpr double rackSpreadWeight = 0.5;
+constexpr std::size_t jobsTriedPerTeam = 16;
+constexpr std::uint32_t mostBackoffDoublings = 20;
+constexpr WallMillis longestBackoff = 3600000;
+constexpr std::size_t costOfNonRepeatable = 8;
+
+struct WaitingJob {
+    std::string_view m_id;
+    const JobRecord* m_job = nullptr;
+};
+
+struct WaitingTeam {
+    std::string_view m_team;
+    std::int64_t m_weight = 1;
+    std::int64_t m_running = 0; // In millicores.
+    std::vector<WaitingJob> m_jobs; // Oldest first.
+    std::size_t m_next = 0;
+    std::size_t m_unplaced = 0;
+};
+
+// Tasks of one team and queue in each failure domain, counted when they are first asked for.
+struct SpreadCounts {
+    std::map<std::string_view, std::int64_t> m_zones;
+    std::map<std::string_view, std::int64_t> m_racks;
+    std::int64_t m_total = 0;
+};
+
+struct Placer {
+    PlacementPlan& m_plan;
+    std::map<std::pair<std::string_view, std::string_view>, SpreadCounts> m_spread;
+    std::map<std::string_view, std::string_view> m_reservedFor; // Worker to job.
+    std::vector<std::size_t> m_everywhere;
+};
+
+auto backoffEnd(const PlacementPlan& plan, const JobRecord& job) -> WallMillis
+{
+    if (job.m_failedOn.empty())
+        return job.m_changedAt;
+    const auto first
+        = effectiveValue(plan.m_fleet.m_configuration, "jobs.backoff_ms", job.m_queue, plan.m_input.m_wallNow).m_value;
+    const auto doublings = std::min<std::size_t>(job.m_failedOn.size() - 1, mostBackoffDoublings);
+    return job.m_changedAt + std::min<WallMillis>(longestBackoff, first << doublings);
+}
+
+auto isWaiting(const PlacementPlan& plan, const std::string& id, const JobRecord& job) -> bool
+{
+    const auto onItsWay = plan.m_state.m_placing.contains(id) || plan.m_state.m_ending.contains(id);
+    return !onItsWay && plan.m_input.m_wallNow >= backoffEnd(plan, job);
+}
+
+auto indexPlaced(Placer& placer) -> void
+{
+    const auto& jobs = placer.m_plan.m_fleet.m_jobs.m_jobs;
+    for (const auto& worker : placer.m_plan.m_room.m_workers) {
+        for (const auto task : worker.m_tasks) {
+            const auto& job = jobs.find(task)->second;
+            auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
+            ++spread.m_zones[worker.m_instance->m_zone];
+            ++spread.m_racks[worker.m_instance->m_rack];
+            ++spread.m_total;
+        }
+    }
+}
+
+auto countOf(const std::map<std::string_view, std::int64_t>& counts, std::string_view domain) -> double
+{
+    const auto found = counts.find(domain);
+    return found == counts.end() ? 0 : static_cast<double>(found->second);
+}
+
+auto partLeft(std::int64_t left, std::int64_t capacity) -> double
+{
+    return capacity == 0 ? 0 : static_cast<double>(left) / static_cast<double>(capacity);
+}
+
+// Lower is better: little room left over, and few of the same team's tasks in the same failure domains.
+auto scoreOf(const WorkerRoom& worker, const ResourceSize& size, const SpreadCounts& spread) -> double
+{
+    const auto left = worker.m_free - size;
+    const auto waste = partLeft(left.m_milliCores, worker.m_capacity.m_milliCores)
+        + partLeft(left.m_memoryMb, worker.m_capacity.m_memoryMb)
+        + partLeft(left.m_accelerators, worker.m_capacity.m_accelerators);
+    if (spread.m_total == 0)
+        return waste;
+    const auto total = static_cast<double>(spread.m_total);
+    return waste + zoneSpreadWeight * countOf(spread.m_zones, worker.m_instance->m_zone) / total
+        + rackSpreadWeight * countOf(spread.m_racks, worker.m_instance->m_rack) / total;
+}
+
+auto hasFailedOn(const JobRecord& job, std::string_view worker) -> bool
+{
+    return std::find(job.m_failedOn.begin(), job.m_failedOn.end(), worker) != job.m_failedOn.end();
+}
+
+// A job of a queue runs on the pool of the same name when there is one, else anywhere.
+auto candidatesFor(const Placer& placer, const JobRecord& job) -> std::span<const std::size_t>
+{
+    const auto found = placer.m_plan.m_room.m_byPool.find(job.m_queue);
+    if (found != placer.m_plan.m_room.m_byPool.end())
+        return found->second;
+    return placer.m_everywhere;
+}
+
+auto mayUse(const Placer& placer, const WorkerRoom& worker, const WaitingJob& waiting) -> bool
+{
+    if (!worker.m_open || (worker.m_suspect && !waiting.m_job->m_repeatable))
+        return false;
+    const auto reserved = placer.m_reservedFor.find(worker.m_id);
+    return reserved == placer.m_reservedFor.end() || reserved->second == waiting.m_id;
+}
+
+// Workers that the job failed on are used again only when no other one could hold it.
+auto hasOtherWorker(const Placer& placer, const WaitingJob& waiting, const ResourceSize& size) -> bool
+{
+    const auto candidates = candidatesFor(placer, *waiting.m_job);
+    return std::any_of(candidates.begin(), candidates.end(), [&](auto index) {
+        const auto& worker = placer.m_plan.m_room.m_workers[index];
+        return worker.m_open && fits(clampTo(size, worker.m_capacity), worker.m_capacity)
+            && !hasFailedOn(*waiting.m_job, worker.m_id);
+    });
+}
+
+auto findWorker(Placer& placer, const WaitingJob& waiting) -> std::optional<std::size_t>
+{
+    const auto& job = *waiting.m_job;
+    const auto size = expectedSize(placer.m_plan.m_state, job);
+    const auto avoidFailed = !job.m_failedOn.empty() && hasOtherWorker(placer, waiting, size);
+    const auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
+    std::optional<std::size_t> best;
+    auto bestScore = std::numeric_limits<double>::infinity();
+    for (const auto index : candidatesFor(placer, job)) {
+        const auto& worker = placer.m_plan.m_room.m_workers[index];
+        if (!fits(clampTo(size, worker.m_capacity), worker.m_free) || !mayUse(placer, worker, waiting))
+            continue;
+        if (avoidFailed && hasFailedOn(job, worker.m_id))
+            continue;
+        const auto score = scoreOf(worker, size, spread);
+        if (score >= bestScore)
+            continue;
+        best = index;
+        bestScore = score;
+    }
+    return best;
+}
+
+auto placeOn(Placer& placer, const WaitingJob& waiting, WorkerRoom& worker) -> void
+{
+    auto& plan = placer.m_plan;
+    const auto& job = *waiting.m_job;
+    PlacementAction action;
+    action.m_kind = PlacementActionKind::PlaceJob;
+    action.m_worker = worker.m_id;
+    action.m_job = waiting.m_id;
+    action.m_attempt = job.m_attempt + 1;
+    action.m_fenceEpoch = plan.m_state.m_epoch;
+    action.m_reason = job.m_urgent ? "urgent, best fit" : "best fit";
+    plan.m_state.m_placing[action.m_job] = { action.m_worker, action.m_attempt };
+    plan.m_actions.push_back(std::move(action));
+
+    worker.m_free = worker.m_free - expectedSize(plan.m_state, job);
+    worker.m_tasks.push_back(waiting.m_id);
+    auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
+    ++spread.m_zones[worker.m_instance->m_zone];
+    ++spread.m_racks[worker.m_instance->m_rack];
+    ++spread.m_total;
+    --plan.m_permits.find(job.m_team)->second;
+}
+
+auto hasPermit(const PlacementPlan& plan, std::string_view team) -> bool
+{
+    const auto found = plan.m_permits.find(team);
+    return found != plan.m_permits.end() && found->second > 0;
+}
+
+auto place(Placer& placer, const WaitingJob& waiting) -> bool
+{
+    const auto index = findWorker(placer, waiting);
+    if (!index)
+        return false;
+    placeOn(placer, waiting, placer.m_plan.m_room.m_workers[*index]);
+    return true;
+}
+
+// Fewest tasks that make room for an urgent job on a worker; empty when that can't be done within bounds.
+auto victimsOn(const Placer& placer, const WorkerRoom& worker, const ResourceSize& size)
+    -> std::optional<std::vector<std::string_view>>
+{
+    const auto& plan = placer.m_plan;
+    const auto& jobs = plan.m_fleet.m_jobs.m_jobs;
+    std::vector<std::pair<std::int64_t, std::string_view>> tasks;
+    for (const auto task : worker.m_tasks) {
+        const auto& job = jobs.find(task)->second;
+        if (!job.m_urgent && job.m_status == JobStatus::Running)
+            tasks.emplace_back(runningSize(plan.m_state, task, job).m_milliCores, task);
+    }
+    std::sort(tasks.rbegin(), tasks.rend());
+    auto room = worker.m_free;
+    std::vector<std::string_view> victims;
+    for (const auto& [milliCores, task] : tasks) {
+        if (fits(size, room))
+            break;
+        room = room + runningSize(plan.m_state, task, jobs.find(task)->second);
+        victims.push_back(task);
+    }
+    if (!fits(size, room) || victims.size() > plan.m_state.m_limits.m_victimsForUrgent)
+        return std::nullopt;
+    return victims;
+}
+
+auto costOf(const PlacementPlan& plan, std::span<const std::string_view> victims) -> std::size_t
+{
+    auto cost = victims.size();
+    for (const auto victim : victims) {
+        if (!plan.m_fleet.m_jobs.m_jobs.find(victim)->second.m_repeatable)
+            cost += costOfNonRepeatable;
+    }
+    return cost;
+}
+
+auto pressVictims(PlacementPlan& plan, std::span<const std::string_view> victims) -> void
+{
+    for (const auto victim : victims) {
+        const auto repeatable = plan.m_fleet.m_jobs.m_jobs.find(victim)->second.m_repeatable;
+        const auto last = repeatable ? PressureLevel::Stopping : PressureLevel::Checkpointing;
+        plan.m_pressure[victim] = { PressureLevel::Checkpointing, last, "makes room for urgent work" };
+    }
+}
+
+// Chooses the worker that is cleared for an urgent job at least cost.
+auto reserve(Placer& placer, const WaitingJob& waiting) -> void
+{
+    auto& plan = placer.m_plan;
+    const auto size = expectedSize(plan.m_state, *waiting.m_job);
+    const WorkerRoom* best = nullptr;
+    std::vector<std::string_view> bestVictims;
+    auto bestCost = std::numeric_limits<std::size_t>::max();
+    for (const auto index : candidatesFor(placer, *waiting.m_job)) {
+        const auto& worker = plan.m_room.m_workers[index];
+        const auto needed = clampTo(size, worker.m_capacity);
+        if (!mayUse(placer, worker, waiting) || !fits(needed, worker.m_capacity))
+            continue;
+        auto victims = victimsOn(placer, worker, needed);
+        if (!victims || costOf(plan, *victims) >= bestCost)
+            continue;
+        best = &worker;
+        bestCost = costOf(plan, *victims);
+        bestVictims = std::move(*victims);
+    }
+    if (best == nullptr)
+        return;
+    plan.m_state.m_reserved[std::string(waiting.m_id)] = best->m_id;
+    placer.m_reservedFor[best->m_id] = waiting.m_id;
+    pressVictims(plan, bestVictims);
+}
+
+auto keepReservation(Placer& placer, const WaitingJob& waiting) -> bool
+{
+    auto& plan = placer.m_plan;
+    const auto reserved = plan.m_state.m_reserved.find(waiting.m_id);
+    if (reserved == plan.m_state.m_reserved.end())
+        return false;
+    const auto index = plan.m_room.m_index.find(reserved->second);
+    if (index == plan.m_room.m_index.end() || !plan.m_room.m_workers[index->second].m_open)
+        return false;
+    const auto& worker = plan.m_room.m_workers[index->second];
+    const auto needed = clampTo(expectedSize(plan.m_state, *waiting.m_job), worker.m_capacity);
+    const auto victims = victimsOn(placer, worker, needed);
+    if (!victims)
+        return false;
+    pressVictims(plan, *victims);
+    return true;
+}
+
+auto placeUrgent(Placer& placer, std::vector<WaitingJob>& urgent) -> void
+{
+    std::sort(urgent.begin(), urgent.end(),
+        [](const auto& a, const auto& b) { return a.m_job->m_submittedAt < b.m_job->m_submittedAt; });
+    for (const auto& waiting : urgent) {
+        if (!hasPermit(placer.m_plan, waiting.m_job->m_team) || place(placer, waiting))
+            continue;
+        if (!keepReservation(placer, waiting))
+            reserve(placer, waiting);
+    }
+}
+
+auto isBehind(const WaitingTeam* a, const WaitingTeam* b) -> bool
+{
+    const auto left = a->m_running * b->m_weight;
+    const auto right = b->m_running * a->m_weight;
+    return left != right ? left > right : a->m_team > b->m_team;
+}
+
+auto nextOf(Placer& placer, WaitingTeam& team) -> void
+{
+    const auto& waiting = team.m_jobs[team.m_next++];
+    if (place(placer, waiting)) {
+        team.m_running += expectedSize(placer.m_plan.m_state, *waiting.m_job).m_milliCores;
+        return;
+    }
+    ++team.m_unplaced;
+    placer.m_plan.m_unplaced.push_back(waiting.m_id);
+}
+
+// Progressive filling: the team that has least for its weight goes next, which gives the weighted max-min shares.
+auto placeByShare(Placer& placer, std::map<std::string_view, WaitingTeam>& teams) -> void
+{
+    std::priority_queue<WaitingTeam*, std::vector<WaitingTeam*>, decltype(&isBehind)> order(&isBehind);
+    for (auto& [name, team] : teams) {
+        std::sort(team.m_jobs.begin(), team.m_jobs.end(),
+            [](const auto& a, const auto& b) { return a.m_job->m_submittedAt < b.m_job->m_submittedAt; });
+        order.push(&team);
+    }
+    const auto most = placer.m_plan.m_state.m_limits.m_actionsAtOnce;
+    while (!order.empty() && placer.m_plan.m_actions.size() < most) {
+        auto* team = order.top();
+        order.pop();
+        const auto over = team->m_next == team->m_jobs.size() || team->m_unplaced >= jobsTriedPerTeam;
+        if (over || !hasPermit(placer.m_plan, team->m_team))
+            continue;
+        nextOf(placer, *team);
+        order.push(team);
+    }
+}
+
+auto collectWaiting(const PlacementPlan& plan, std::vector<WaitingJob>& urgent)
+    -> std::map<std::string_view, WaitingTeam>
+{
+    std::map<std::string_view, WaitingTeam> teams;
+    for (const auto& id : plan.m_fleet.m_jobs.m_queued) {
+        const auto& job = plan.m_fleet.m_jobs.m_jobs.find(id)->second;
+        if (!isWaiting(plan, id, job))
+            continue;
+        if (job.m_urgent)
+            urgent.push_back({ id, &job });
+        else
+            teams[job.m_team].m_jobs.push_back({ id, &job });
+    }
+    for (auto& [name, team] : teams) {
+        team.m_team = name;
+        team.m_weight
+            = effectiveValue(plan.m_fleet.m_configuration, "team.share", name, plan.m_input.m_wallNow).m_value;
+    }
+    for (const auto& worker : plan.m_room.m_workers) {
+        for (const auto task : worker.m_tasks) {
+            const auto& job = plan.m_fleet.m_jobs.m_jobs.find(task)->second;
+            const auto team = teams.find(job.m_team);
+            if (team != teams.end())
+                team->second.m_running += runningSize(plan.m_state, task, job).m_milliCores;
+        }
+    }
+    return teams;
+}
+
+auto dropStaleReservations(PlacementPlan& plan) -> void
+{
+    std::erase_if(plan.m_state.m_reserved, [&](const auto& item) {
+        const auto job = plan.m_fleet.m_jobs.m_jobs.find(item.first);
+        return job == plan.m_fleet.m_jobs.m_jobs.end() || job->second.m_status != JobStatus::Queued;
+    });
+}
+
+} // namespace
+
+auto placeWaiting(PlacementPlan& plan) -> void
+{
+    dropStaleReservations(plan);
+    Placer placer { plan, {}, {}, {} };
+    for (std::size_t index = 0; index < plan.m_room.m_workers.size(); ++index)
+        placer.m_everywhere.push_back(index);
+    for (const auto& [job, worker] : plan.m_state.m_reserved)
+        placer.m_reservedFor[worker] = job;
+    indexPlaced(placer);
+    std::vector<WaitingJob> urgent;
+    auto teams = collectWaiting(plan, urgent);
+    placeUrgent(placer, urgent);
+    placeByShare(placer, teams);
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/placement/PressTasks.cpp
@@ -0,0 +1,236 @@
+#include "hemlockvane/placement/PressTasks.h"
+
+#include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/placement/TeamShares.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr std::int64_t wholePercent = 100;
+constexpr WallMillis millisPerSecond = 1000;
+
+auto lastStepFor(const JobRecord& job) -> PressureLevel
+{
+    return job.m_repeatable ? PressureLevel::Stopping : PressureLevel::Checkpointing;
+}
+
+auto requestForEnd(PlacementPlan& plan, const std::string& id, const JobRecord& job) -> void
+{
+    if (job.m_cancelRequested)
+        plan.m_pressure[id] = { PressureLevel::Stopping, PressureLevel::Stopping, "cancelled" };
+    else if (job.m_deadlineAt != 0 && plan.m_input.m_wallNow >= job.m_deadlineAt)
+        plan.m_pressure[id] = { PressureLevel::Stopping, PressureLevel::Stopping, "its deadline passed" };
+}
+
+// A drain asks for checkpoints at once; what does not give one is stopped when half of the drain's time is over.
+auto requestForDrain(PlacementPlan& plan, const WorkerRoom& worker) -> void
+{
+    if (worker.m_instance->m_drainingFor.empty())
+        return;
+    const auto& configuration = plan.m_fleet.m_configuration;
+    const auto drain = effectiveValue(configuration, "wave.drain_s", "", plan.m_input.m_wallNow).m_value;
+    const auto half = worker.m_instance->m_drainingSince + drain * millisPerSecond / 2;
+    for (const auto task : worker.m_tasks) {
+        const auto& job = plan.m_fleet.m_jobs.m_jobs.find(task)->second;
+        if (job.m_status != JobStatus::Running)
+            continue;
+        const auto last = plan.m_input.m_wallNow >= half ? lastStepFor(job) : PressureLevel::Checkpointing;
+        plan.m_pressure.try_emplace(
+            task, PressureRequest { PressureLevel::Checkpointing, last, "its worker is draining" });
+    }
+}
+
+auto memoryExcess(const PlacementState& state, std::string_view id, const JobRecord& job) -> std::int64_t
+{
+    const auto found = state.m_tasks.find(id);
+    return found == state.m_tasks.end() ? 0 : found->second.m_memoryMb - job.m_memoryMb;
+}
+
+// Over its memory, a worker's task with the most beyond what it declared is pressed.
+auto requestForMemory(PlacementPlan& plan, const WorkerRoom& worker) -> void
+{
+    std::int64_t used = 0;
+    const JobRecord* worst = nullptr;
+    std::string_view worstId;
+    for (const auto task : worker.m_tasks) {
+        const auto status = plan.m_state.m_tasks.find(task);
+        if (status == plan.m_state.m_tasks.end())
+            continue;
+        used += status->second.m_memoryMb;
+        const auto& job = plan.m_fleet.m_jobs.m_jobs.find(task)->second;
+        const auto worse
+            = worst == nullptr || memoryExcess(plan.m_state, task, job) > memoryExcess(plan.m_state, worstId, *worst);
+        if (job.m_status != JobStatus::Running || !worse)
+            continue;
+        worst = &job;
+        worstId = task;
+    }
+    if (worst == nullptr || used <= worker.m_capacity.m_memoryMb)
+        return;
+    plan.m_pressure.try_emplace(
+        worstId, PressureRequest { PressureLevel::Throttled, lastStepFor(*worst), "its worker is over its memory" });
+}
+
+auto sharesOf(const PlacementPlan& plan) -> std::vector<TeamShare>
+{
+    std::map<std::string_view, TeamShare> teams;
+    std::int64_t capacity = 0;
+    for (const auto& worker : plan.m_room.m_workers) {
+        capacity += worker.m_open ? worker.m_capacity.m_milliCores : 0;
+        for (const auto task : worker.m_tasks) {
+            const auto& job = plan.m_fleet.m_jobs.m_jobs.find(task)->second;
+            const auto size = runningSize(plan.m_state, task, job).m_milliCores;
+            teams[job.m_team].m_running += size;
+            teams[job.m_team].m_demand += size;
+        }
+    }
+    for (const auto id : plan.m_unplaced) {
+        const auto& job = plan.m_fleet.m_jobs.m_jobs.find(id)->second;
+        teams[job.m_team].m_demand += expectedSize(plan.m_state, job).m_milliCores;
+    }
+    std::vector<TeamShare> shares;
+    for (auto& [name, share] : teams) {
+        share.m_team = name;
+        share.m_weight
+            = effectiveValue(plan.m_fleet.m_configuration, "team.share", name, plan.m_input.m_wallNow).m_value;
+        shares.push_back(share);
+    }
+    divideByShare(shares, capacity);
+    return shares;
+}
+
+struct Candidate {
+    bool m_pressedAlready = false;
+    Offset m_placedAt = 0;
+    std::string_view m_id;
+    const JobRecord* m_job = nullptr;
+};
+
+// Tasks of a team, those pressed already first, then the ones placed last, which lose least.
+auto tasksOf(const PlacementPlan& plan, std::string_view team) -> std::vector<Candidate>
+{
+    std::vector<Candidate> tasks;
+    for (const auto& id : plan.m_fleet.m_jobs.m_running) {
+        const auto& job = plan.m_fleet.m_jobs.m_jobs.find(id)->second;
+        if (job.m_team != team || job.m_urgent)
+            continue;
+        const auto status = plan.m_state.m_tasks.find(id);
+        const auto pressed = status != plan.m_state.m_tasks.end() && status->second.m_pressure != PressureLevel::None;
+        tasks.push_back({ pressed, job.m_leaseEpoch, id, &job });
+    }
+    std::sort(tasks.begin(), tasks.end(), [](const auto& a, const auto& b) {
+        if (a.m_pressedAlready != b.m_pressedAlready)
+            return a.m_pressedAlready;
+        return a.m_placedAt > b.m_placedAt;
+    });
+    return tasks;
+}
+
+auto pressTeam(PlacementPlan& plan, const TeamShare& share, std::int64_t& missing, std::size_t& added) -> void
+{
+    auto excess = share.m_running - share.m_entitled;
+    for (const auto& task : tasksOf(plan, share.m_team)) {
+        const auto size = runningSize(plan.m_state, task.m_id, *task.m_job).m_milliCores;
+        if (missing <= 0 || added >= plan.m_state.m_limits.m_pressedAtOnce)
+            return;
+        if (size > excess)
+            continue;
+        excess -= size;
+        missing -= size;
+        added += task.m_pressedAlready ? 0 : 1;
+        plan.m_pressure.try_emplace(task.m_id,
+            PressureRequest { PressureLevel::Throttled, lastStepFor(*task.m_job), "its team is over its share" });
+    }
+}
+
+auto requestForShares(PlacementPlan& plan) -> void
+{
+    if (plan.m_unplaced.empty())
+        return;
+    const auto tolerance = wholePercent + plan.m_state.m_limits.m_sharePercent;
+    const auto shares = sharesOf(plan);
+    std::int64_t missing = 0;
+    for (const auto& share : shares) {
+        if (share.m_running * tolerance < share.m_entitled * wholePercent)
+            missing += share.m_entitled - share.m_running;
+    }
+    std::size_t added = 0;
+    for (const auto& share : shares) {
+        if (share.m_running * wholePercent > share.m_entitled * tolerance)
+            pressTeam(plan, share, missing, added);
+    }
+}
+
+auto kindOf(PressureLevel level) -> PlacementActionKind
+{
+    switch (level) {
+    case PressureLevel::Throttled:
+        return PlacementActionKind::ThrottleTask;
+    case PressureLevel::Checkpointing:
+        return PlacementActionKind::CheckpointTask;
+    case PressureLevel::Stopping:
+        return PlacementActionKind::StopTask;
+    case PressureLevel::None:
+        break;
+    }
+    return PlacementActionKind::ReleaseTask;
+}
+
+auto send(PlacementPlan& plan, std::string_view id, TaskStatus& task, PressureLevel level, const std::string& reason)
+    -> void
+{
+    const auto& job = plan.m_fleet.m_jobs.m_jobs.find(id)->second;
+    task.m_pressure = level;
+    task.m_pressedAt = plan.m_input.m_now;
+    PlacementAction action;
+    action.m_kind = kindOf(level);
+    action.m_worker = job.m_worker;
+    action.m_job = id;
+    action.m_attempt = job.m_attempt;
+    action.m_leaseEpoch = job.m_leaseEpoch;
+    action.m_fenceEpoch = plan.m_state.m_epoch;
+    action.m_reason = reason;
+    plan.m_actions.push_back(std::move(action));
+}
+
+auto nextStep(const TaskStatus& task, const PressureRequest& request) -> PressureLevel
+{
+    if (task.m_pressure < request.m_from)
+        return request.m_from;
+    if (task.m_pressure >= request.m_to)
+        return task.m_pressure;
+    return static_cast<PressureLevel>(static_cast<std::uint8_t>(task.m_pressure) + 1);
+}
+
+} // namespace
+
+auto requestPressure(PlacementPlan& plan) -> void
+{
+    for (const auto& id : plan.m_fleet.m_jobs.m_running)
+        requestForEnd(plan, id, plan.m_fleet.m_jobs.m_jobs.find(id)->second);
+    for (const auto& worker : plan.m_room.m_workers) {
+        requestForDrain(plan, worker);
+        requestForMemory(plan, worker);
+    }
+    requestForShares(plan);
+}
+
+auto pressTasks(PlacementPlan& plan) -> void
+{
+    for (const auto& [id, request] : plan.m_pressure) {
+        auto& task = plan.m_state.m_tasks[std::string(id)];
+        const auto waited = plan.m_input.m_now - task.m_pressedAt >= plan.m_state.m_limits.m_pressureStep;
+        if (task.m_pressure < request.m_from || waited)
+            send(plan, id, task, nextStep(task, request), request.m_reason);
+    }
+    for (auto& [id, task] : plan.m_state.m_tasks) {
+        const auto running = plan.m_fleet.m_jobs.m_running.contains(id);
+        if (running && task.m_pressure == PressureLevel::Throttled && !plan.m_pressure.contains(id))
+            send(plan, id, task, PressureLevel::None, "no longer over");
+    }
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/placement/WorkerTrust.cpp
@@ -0,0 +1,116 @@
+#include "hemlockvane/placement/WorkerTrust.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr std::uint32_t wholePercent = 100;
+constexpr std::uint32_t mostDoublings = 16;
+
+auto statusOf(PlacementState& state, std::string_view worker) -> WorkerStatus&
+{
+    const auto found = state.m_workers.find(worker);
+    return found != state.m_workers.end() ? found->second : state.m_workers[std::string(worker)];
+}
+
+auto mayBeSetAside(const FleetState& fleet, const PlacementState& state, std::string_view worker, Instant now) -> bool
+{
+    const auto instance = fleet.m_pools.m_instances.find(worker);
+    if (instance == fleet.m_pools.m_instances.end())
+        return false;
+    const auto& pool = instance->second.m_pool;
+    const auto aside = std::count_if(state.m_workers.begin(), state.m_workers.end(), [&](const auto& item) {
+        const auto other = fleet.m_pools.m_instances.find(item.first);
+        return item.second.m_setAsideUntil > now && other != fleet.m_pools.m_instances.end()
+            && other->second.m_pool == pool;
+    });
+    const auto size = sizeOf(fleet.m_pools, pool);
+    const auto most = (size * state.m_limits.m_setAsidePercent + wholePercent - 1) / wholePercent;
+    return size > 1 && static_cast<std::uint32_t>(aside) < most;
+}
+
+auto setAsideIfBlamed(const FleetState& fleet, PlacementState& state, std::string_view worker, Instant now) -> void
+{
+    auto& status = statusOf(state, worker);
+    if (status.m_blamedFor.size() < state.m_limits.m_blameJobs || status.m_setAsideUntil > now)
+        return;
+    if (!mayBeSetAside(fleet, state, worker, now))
+        return;
+    const auto doublings = std::min(status.m_timesSetAside, mostDoublings);
+    status.m_setAsideUntil
+        = now + std::min(state.m_limits.m_longestSetAside, state.m_limits.m_setAside * (1 << doublings));
+    ++status.m_timesSetAside;
+    status.m_blamedFor.clear();
+}
+
+auto rememberEnd(QueueHistory& history, std::string_view worker, bool failed) -> void
+{
+    history.m_ends.emplace_back(worker, failed);
+    if (history.m_ends.size() > queueEndsKept)
+        history.m_ends.pop_front();
+}
+
+// True when the queue's jobs mostly fail on other workers too, so that a failure says nothing about this one.
+auto failsElsewhere(const QueueHistory& history, std::string_view worker) -> bool
+{
+    std::size_t ends = 0;
+    std::size_t failures = 0;
+    for (const auto& [where, failed] : history.m_ends) {
+        ends += where != worker ? 1 : 0;
+        failures += where != worker && failed ? 1 : 0;
+    }
+    return failures * 2 > ends;
+}
+
+} // namespace
+
+auto learnBlame(const FleetState& fleet, PlacementState& state, std::string_view job, std::string_view worker,
+    AttemptOutcome outcome, Instant now) -> void
+{
+    const auto found = fleet.m_jobs.m_jobs.find(job);
+    const auto failed = outcome == AttemptOutcome::Failed;
+    if (found == fleet.m_jobs.m_jobs.end() || (!failed && outcome != AttemptOutcome::Finished))
+        return;
+    auto& history = state.m_queues[{ found->second.m_team, found->second.m_queue }];
+    auto& status = statusOf(state, worker);
+    rememberEnd(history, worker, failed);
+    if (failed) {
+        status.m_failuresInRow += failsElsewhere(history, worker) ? 0 : 1;
+        return;
+    }
+    status.m_failuresInRow = 0;
+    if (!status.m_blamedFor.empty())
+        status.m_blamedFor.erase(status.m_blamedFor.begin());
+    for (const auto& other : found->second.m_failedOn) {
+        if (other == worker)
+            continue;
+        statusOf(state, other).m_blamedFor.insert(std::string(job));
+        setAsideIfBlamed(fleet, state, other, now);
+    }
+}
+
+auto isSetAside(const PlacementState& state, std::string_view worker, Instant now) -> bool
+{
+    const auto found = state.m_workers.find(worker);
+    return found != state.m_workers.end() && found->second.m_setAsideUntil > now;
+}
+
+auto isSuspect(const PlacementState& state, std::string_view worker) -> bool
+{
+    const auto found = state.m_workers.find(worker);
+    return found != state.m_workers.end() && found->second.m_failuresInRow >= state.m_limits.m_suspectFailures;
+}
+
+auto goodWorkersFailedOn(const PlacementState& state, const JobRecord& job, Instant now) -> std::uint32_t
+{
+    std::set<std::string_view> good;
+    for (const auto& worker : job.m_failedOn) {
+        if (!isSetAside(state, worker, now) && !isSuspect(state, worker))
+            good.insert(worker);
+    }
+    return static_cast<std::uint32_t>(good.size());
+}
+
+} // namespace hemlockvane
