--- a/include/hemlockvane/detail/control/ControlCore.h
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/detail/control/CommitWaiter.h"
+#include "hemlockvane/detail/control/PeerStatus.h"
 #include "hemlockvane/detail/control/TrafficView.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/peers/PeerSockets.h"
@@ -8,6 +9,8 @@
 #include "hemlockvane/detail/settings/ServeSettings.h"
 #include "hemlockvane/log/AppenderState.h"
 #include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/membership/PlannerState.h"
+#include "hemlockvane/membership/VouchState.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,11 +44,19 @@
     boost::asio::steady_timer m_appendWake;
     std::multimap<std::string, std::shared_ptr<CommitWaiter>> m_waiters; ///< By operation id.
     bool m_isLogReachable = false;
-    bool m_isStopping = false;
+    bool m_isStopping = false; ///< A planned stop has begun.
+    bool m_isStopped = false; ///< Nothing is sent or answered any more.
+    std::function<void()> m_stop = [] {}; ///< Begins a planned stop of the process.
+    VouchState m_vouch;
+    PlannerState m_planner;
+    std::optional<Instant> m_lastEndRead; ///< When the last read that reached the log's end was sent.
+    std::map<std::uint64_t, Instant> m_beatsSent; ///< By sequence.
+    std::map<std::string, PeerStatus, std::less<>> m_peerReports; ///< Last beat of each peer.
     std::string m_trafficAddress;
     std::string m_peersEndpoint;
     std::vector<ListedInstance> m_listed;
     Instant m_listedAt; ///< When the newest list was asked for.
+    bool m_isListChanged = true; ///< Not yet published to the traffic thread.
     std::uint64_t m_operationCount = 0; ///< Names this process' operations.
 
     /// Called after each folded batch of records.
--- /dev/null
+++ b/include/hemlockvane/detail/control/PeerStatus.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "hemlockvane/log/FoldContext.h"
+
+namespace hemlockvane::detail {
+
+/// @brief What a peer's last beat said, for operators.
+struct PeerStatus {
+    Instant m_heardAt;
+    Offset m_foldedEnd = 0;
+    Offset m_configurationVersion = 0;
+};
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/platform/InstanceListClient.h
+++ b/include/hemlockvane/detail/platform/InstanceListClient.h
@@ -22,4 +22,8 @@
 auto announceInstance(std::string_view address, const ListedInstance& instance, std::chrono::milliseconds timeout,
     LastReason& reason) -> boost::asio::awaitable<bool>;
 
+/// @brief Takes this instance off the list: it has stopped.
+auto withdrawInstance(std::string_view address, std::string_view instance, std::chrono::milliseconds timeout,
+    LastReason& reason) -> boost::asio::awaitable<bool>;
+
 } // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/api/KeysApi.cpp
@@ -0,0 +1,64 @@
+#include "hemlockvane/detail/api/KeysApi.h"
+
+#include "hemlockvane/detail/api/JsonResponse.h"
+#include "hemlockvane/detail/api/Router.h"
+#include "hemlockvane/detail/control/Commit.h"
+#include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/crypto/Sha256.h"
+#include "hemlockvane/detail/text/JsonFields.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <boost/json.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+auto grantKey(ControlCore& core, ApiCall call) -> asio::awaitable<HttpResponse>
+{
+    auto key = textOf(call.m_body, "key");
+    if (key.empty())
+        key = makeSecret();
+    wire::Operation operation;
+    auto& change = *operation.mutable_grant_key();
+    change.set_key_id(textOf(call.m_body, "key_id"));
+    change.set_team(textOf(call.m_body, "team"));
+    change.set_author(textOf(call.m_body, "author"));
+    change.set_key_hash(sha256(key));
+    const auto result = co_await commit(core, std::move(operation));
+    co_return resultResponse(result, { { "key", key } });
+}
+
+auto withdrawKey(ControlCore& core, ApiCall call) -> asio::awaitable<HttpResponse>
+{
+    wire::Operation operation;
+    auto& change = *operation.mutable_withdraw_key();
+    change.set_key_id(call.m_captures[0]);
+    change.set_author(textOf(call.m_body, "author"));
+    change.set_reason(textOf(call.m_body, "reason"));
+    co_return resultResponse(co_await commit(core, std::move(operation)));
+}
+
+auto listKeys(ControlCore& core, ApiCall) -> asio::awaitable<HttpResponse>
+{
+    json::array rows;
+    for (const auto& [id, key] : core.m_state.m_keys.m_keys)
+        rows.push_back(json::object { { "key_id", id }, { "team", key.m_team }, { "author", key.m_author },
+            { "withdrawn", key.m_withdrawn }, { "reason", key.m_reason } });
+    co_return jsonResponse({ { "keys", std::move(rows) } });
+}
+
+} // namespace
+
+auto addKeyRoutes(Router& router, ControlCore& core) -> void
+{
+    router.add("POST", "/v1/keys", [&core](ApiCall call) { return grantKey(core, std::move(call)); });
+    router.add("GET", "/v1/keys", [&core](ApiCall call) { return listKeys(core, std::move(call)); });
+    router.add("DELETE", "/v1/keys/{}", [&core](ApiCall call) { return withdrawKey(core, std::move(call)); });
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/control/ControlCore.cpp
+++ b/src/detail/control/ControlCore.cpp
@@ -2,6 +2,9 @@
 
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/log/Appender.h"
+#include "hemlockvane/membership/Duties.h"
+#include "hemlockvane/membership/MembershipPlan.h"
+#include "hemlockvane/membership/Vouch.h"
 
 #include "hemlockvane/peers.pb.h"
 
@@ -39,6 +42,9 @@
     , m_appender(makeAppender({}, monotonicNow()))
     , m_appendWake(m_context, asio::steady_timer::time_point::max())
 {
+    m_vouch.m_self = m_instance;
+    m_vouch.m_limits = { m_settings.m_vouch, m_settings.m_listLag, m_settings.m_drift };
+    m_planner = makePlanner(m_instance, dutyNames(DutyCounts {}), PlannerLimits {}, monotonicNow());
     m_view.store(std::make_shared<const TrafficView>());
     publishView(*this);
 }
@@ -50,6 +56,10 @@
     view->m_keys = shareIfChanged(published->m_keys, core.m_state.m_keys);
     view->m_configuration = shareIfChanged(published->m_configuration, core.m_state.m_configuration);
     view->m_membership = shareIfChanged(published->m_membership, core.m_state.m_membership);
+    if (core.m_isListChanged)
+        view->m_listed = std::make_shared<const std::vector<ListedInstance>>(core.m_listed);
+    core.m_isListChanged = false;
+    view->m_vouchedUntil = vouchedUntil(core.m_vouch);
     view->m_isDraining = core.m_isStopping;
     core.m_view.store(std::move(view));
 }
--- a/src/detail/control/LogTail.cpp
+++ b/src/detail/control/LogTail.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/log/Appender.h"
 #include "hemlockvane/log/Fold.h"
+#include "hemlockvane/membership/Vouch.h"
 
 #include "hemlockvane/records.pb.h"
 
@@ -59,10 +60,12 @@
         co_return false;
     if (batch->first_offset() == core.m_state.m_nextOffset)
         foldBatch(core, *batch);
+    onFoldedEnd(core.m_vouch, core.m_state.m_nextOffset);
+    onLogRead(core.m_vouch, sentAt, batch->end_offset());
     const auto isAtEnd = !core.m_state.m_halted && core.m_state.m_nextOffset >= batch->end_offset();
     if (isAtEnd) {
         onLogEnd(core.m_appender, sentAt);
-        core.m_view.store(core.m_view.load());
+        core.m_lastEndRead = sentAt;
     }
     for (const auto& handler : core.m_onFolded)
         handler();
@@ -79,7 +82,7 @@
 
 auto tailLog(ControlCore& core) -> asio::awaitable<void>
 {
-    while (!core.m_isStopping) {
+    while (!core.m_isStopped) {
         const auto succeeded = co_await readOnce(core);
         if (!succeeded)
             co_await sleepFor(readRetryDelay);
@@ -88,7 +91,7 @@
 
 auto pumpAppends(ControlCore& core) -> asio::awaitable<void>
 {
-    while (!core.m_isStopping) {
+    while (!core.m_isStopped) {
         const auto pending = nextAppend(core.m_appender, core.m_instance, wallNow(), monotonicNow());
         if (pending) {
             LastReason reason;
--- a/src/detail/platform/InstanceListClient.cpp
+++ b/src/detail/platform/InstanceListClient.cpp
@@ -71,4 +71,14 @@
     co_return response && response->m_status == statusOk;
 }
 
+auto withdrawInstance(std::string_view address, std::string_view instance, std::chrono::milliseconds timeout,
+    LastReason& reason) -> asio::awaitable<bool>
+{
+    HttpRequest request;
+    request.m_method = "DELETE";
+    request.m_target = "/v1/instances/" + std::string(instance);
+    const auto response = co_await httpCall(address, request, timeout, reason);
+    co_return response && response->m_status == statusOk;
+}
+
 } // namespace hemlockvane::detail
