--- /dev/null
+++ b/include/hemlockvane/detail/api/JobsApi.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "hemlockvane/detail/http/HttpRequest.h"
+#include "hemlockvane/detail/http/HttpResponse.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace hemlockvane::detail {
+
+struct TrafficShell;
+
+/// @brief Answers the callers' job calls: submit, status and cancel; NotFound for another path.
+auto handleJobs(TrafficShell& shell, HttpRequest request) -> boost::asio::awaitable<HttpResponse>;
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/control/MembershipDriver.h
+++ b/include/hemlockvane/detail/control/MembershipDriver.h
@@ -17,6 +17,9 @@
 /// @brief Sends a beat to every member again and again; ends when the process stops.
 auto sendBeats(ControlCore& core) -> boost::asio::awaitable<void>;
 
+/// @brief Shows this entry as leaving on the instance list.
+auto announceLeaving(ControlCore& core) -> boost::asio::awaitable<void>;
+
 /// @brief Gives every duty back and leaves the fleet; returns when that was read back or the log is down.
 auto leaveFleet(ControlCore& core) -> boost::asio::awaitable<void>;
 
--- a/include/hemlockvane/detail/http/HttpServer.h
+++ b/include/hemlockvane/detail/http/HttpServer.h
@@ -36,6 +36,9 @@
     /// @result the port in use, empty on error
     auto listen(std::string_view address, LastReason& reason) -> std::optional<std::uint16_t>;
 
+    /// @brief From now on every connection is closed after its next answer, which says so.
+    auto closeAfterAnswers() -> void;
+
     /// @brief Stops accepting and closes idle connections; requests in flight are answered first.
     auto drain() -> void;
 
--- /dev/null
+++ b/include/hemlockvane/detail/traffic/RequestPath.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "hemlockvane/detail/http/HttpRequest.h"
+#include "hemlockvane/detail/http/HttpResponse.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace hemlockvane::detail {
+
+struct TrafficShell;
+
+/// @brief Takes a request "/v1/requests/{queue}/..." to an executor of the queue's service and its whole answer back.
+auto handleRequest(TrafficShell& shell, HttpRequest request) -> boost::asio::awaitable<HttpResponse>;
+
+} // namespace hemlockvane::detail
--- a/src/detail/api/ConfigurationApi.cpp
+++ b/src/detail/api/ConfigurationApi.cpp
@@ -61,8 +61,8 @@
 
 auto showConfiguration(ControlCore& core, ApiCall) -> asio::awaitable<HttpResponse>
 {
-    co_return jsonResponse({ { "version", core.m_state.m_configuration.m_version },
-        { "settings", showSettings(core) }, { "exceptions", showExceptions(core) } });
+    co_return jsonResponse({ { "version", core.m_state.m_configuration.m_version }, { "settings", showSettings(core) },
+        { "exceptions", showExceptions(core) } });
 }
 
 auto showHistory(ControlCore& core, ApiCall) -> asio::awaitable<HttpResponse>
@@ -127,9 +127,10 @@
 auto addConfigurationRoutes(Router& router, ControlCore& core) -> void
 {
     router.add("GET", "/v1/configuration", [&core](ApiCall call) { return showConfiguration(core, std::move(call)); });
-    router.add("GET", "/v1/configuration/history", [&core](ApiCall call) { return showHistory(core, std::move(call)); });
-    router.add("PUT", "/v1/configuration/defaults/{}",
-        [&core](ApiCall call) { return setDefault(core, std::move(call)); });
+    router.add(
+        "GET", "/v1/configuration/history", [&core](ApiCall call) { return showHistory(core, std::move(call)); });
+    router.add(
+        "PUT", "/v1/configuration/defaults/{}", [&core](ApiCall call) { return setDefault(core, std::move(call)); });
     router.add("PUT", "/v1/configuration/exceptions/{}/{}",
         [&core](ApiCall call) { return setException(core, std::move(call)); });
     router.add("DELETE", "/v1/configuration/exceptions/{}/{}",
--- a/src/detail/api/FleetApi.cpp
+++ b/src/detail/api/FleetApi.cpp
@@ -113,7 +113,8 @@
     router.add("POST", "/v1/waves", [&core](ApiCall call) { return startWave(core, std::move(call)); });
     router.add("GET", "/v1/waves", [&core](ApiCall call) { return listWaves(core, std::move(call)); });
     router.add("POST", "/v1/waves/{}/pause", [&core](ApiCall call) { return pauseWave(core, std::move(call), true); });
-    router.add("POST", "/v1/waves/{}/resume", [&core](ApiCall call) { return pauseWave(core, std::move(call), false); });
+    router.add(
+        "POST", "/v1/waves/{}/resume", [&core](ApiCall call) { return pauseWave(core, std::move(call), false); });
 }
 
 } // namespace hemlockvane::detail
--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -56,7 +56,8 @@
 {
     LastReason reason;
     while (!core.m_isStopping && !isMember(core.m_state.m_membership, core.m_instance)) {
-        if (!co_await announceInstance(core.m_settings.m_instancesAddress, ownListing(core, false), listTimeout, reason))
+        if (!co_await announceInstance(
+                core.m_settings.m_instancesAddress, ownListing(core, false), listTimeout, reason))
             logOf("membership").warn("cannot announce on the instance list: {}", reason.m_text);
         wire::Operation operation;
         operation.set_id(core.m_instance + "/join");
@@ -99,8 +100,9 @@
         core.m_stop();
         return;
     }
-    logOf("membership").info("{} {}: {}", action.m_step == MembershipStep::TakeDuty ? "take" : "change",
-        action.m_subject, action.m_reason);
+    logOf("membership")
+        .info("{} {}: {}", action.m_step == MembershipStep::TakeDuty ? "take" : "change", action.m_subject,
+            action.m_reason);
     post(core, toOperation(core, action));
 }
 
@@ -121,6 +123,7 @@
     beat.set_folded_end(core.m_state.m_nextOffset);
     beat.set_state_hash(core.m_state.m_chainHash);
     beat.set_log_reachable(core.m_isLogReachable);
+    beat.set_configuration_version(core.m_state.m_configuration.m_version);
     if (core.m_lastEndRead)
         beat.set_log_read_age_ms(static_cast<std::uint32_t>((monotonicNow() - *core.m_lastEndRead).count()));
 }
@@ -160,6 +163,8 @@
     if (envelope.message_case() != wire::Envelope::kBeat)
         return;
     checkDivergence(core, envelope);
+    const auto& beat = envelope.beat();
+    core.m_peerReports[envelope.sender()] = { monotonicNow(), beat.folded_end(), beat.configuration_version() };
     if (envelope.beat().is_answer())
         takeBeatAnswer(core, envelope);
     else
@@ -220,10 +225,16 @@
     }
 }
 
+auto announceLeaving(ControlCore& core) -> asio::awaitable<void>
+{
+    LastReason reason;
+    if (!co_await announceInstance(core.m_settings.m_instancesAddress, ownListing(core, true), listTimeout, reason))
+        logOf("membership").warn("cannot announce the stop on the instance list: {}", reason.m_text);
+}
+
 auto leaveFleet(ControlCore& core) -> asio::awaitable<void>
 {
     LastReason reason;
-    co_await announceInstance(core.m_settings.m_instancesAddress, ownListing(core, true), listTimeout, reason);
     const auto deadline = monotonicNow() + handoverTimeout;
     while (isMember(core.m_state.m_membership, core.m_instance) && monotonicNow() < deadline) {
         for (const auto& action : planHandover(core.m_planner, core.m_state.m_membership))
--- a/src/detail/http/HttpServer.cpp
+++ b/src/detail/http/HttpServer.cpp
@@ -223,6 +223,8 @@
     return acceptor.local_endpoint().port();
 }
 
+auto HttpServer::closeAfterAnswers() -> void { m_impl->m_isDraining = true; }
+
 auto HttpServer::drain() -> void
 {
     beast::error_code error;
--- /dev/null
+++ b/src/detail/server/EntryServer.cpp
@@ -0,0 +1,149 @@
+#include "hemlockvane/detail/server/EntryServer.h"
+
+#include "hemlockvane/detail/api/OperatorsApi.h"
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/LogTail.h"
+#include "hemlockvane/detail/control/MembershipDriver.h"
+#include "hemlockvane/detail/crypto/Sha256.h"
+#include "hemlockvane/detail/http/HttpServer.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/traffic/TrafficShell.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t instanceSuffixDigits = 8;
+constexpr Duration drainPoll { 50 };
+constexpr Duration longestDrain { 60000 };
+
+auto newInstanceId(const ServeSettings& settings) -> std::string
+{
+    return settings.m_instance + "-" + makeSecret().substr(0, instanceSuffixDigits);
+}
+
+auto withPort(std::string_view address, std::uint16_t port) -> std::string
+{
+    return std::string(address.substr(0, address.rfind(':') + 1)) + std::to_string(port);
+}
+
+// Everything of one entry instance: its two threads and what runs on them.
+struct Entry {
+    explicit Entry(const ServeSettings& settings)
+        : m_core(settings, newInstanceId(settings), m_metrics)
+        , m_shell(m_core, m_metrics)
+        , m_operators(m_core)
+        , m_operatorsServer(
+              m_core.m_context, {}, [this](HttpRequest request) { return m_operators.handle(std::move(request)); })
+        , m_trafficServer(m_shell.m_context, settings.m_limits,
+              [this](HttpRequest request) { return handleCaller(m_shell, std::move(request)); })
+        , m_signals(m_core.m_context, SIGTERM, SIGINT)
+    {
+    }
+
+    Metrics m_metrics;
+    ControlCore m_core;
+    TrafficShell m_shell;
+    OperatorsApi m_operators;
+    HttpServer m_operatorsServer;
+    HttpServer m_trafficServer;
+    asio::signal_set m_signals;
+};
+
+auto openSockets(Entry& entry, LastReason& reason) -> bool
+{
+    auto& core = entry.m_core;
+    const auto& settings = core.m_settings;
+    const auto peers = core.m_peers.listen(settings.m_peersListen, reason);
+    if (!peers)
+        return false;
+    const auto operators = entry.m_operatorsServer.listen(settings.m_operatorsListen, reason);
+    if (!operators)
+        return false;
+    const auto traffic = entry.m_trafficServer.listen(settings.m_trafficListen, reason);
+    if (!traffic)
+        return false;
+    core.m_peersEndpoint = *peers;
+    core.m_trafficAddress = withPort(settings.m_trafficListen, *traffic);
+    logOf("entry").info("callers on {}, operators on {}, peers on {}", core.m_trafficAddress,
+        withPort(settings.m_operatorsListen, *operators), *peers);
+    return true;
+}
+
+// Stops in steps, so that no request is cut: tell the balancer, let requests in flight end, hand over, leave.
+auto stopGracefully(Entry& entry) -> asio::awaitable<void>
+{
+    auto& core = entry.m_core;
+    if (core.m_isStopping)
+        co_return;
+    logOf("entry").info("planned stop begins");
+    core.m_isStopping = true;
+    core.m_planner.m_isLeaving = true;
+    publishView(core);
+    co_await announceLeaving(core);
+    asio::post(entry.m_shell.m_context, [&entry]() { entry.m_trafficServer.closeAfterAnswers(); });
+    co_await sleepFor(core.m_settings.m_listLag);
+    asio::post(entry.m_shell.m_context, [&entry]() { entry.m_trafficServer.drain(); });
+    const auto deadline = monotonicNow() + longestDrain;
+    do
+        co_await sleepFor(drainPoll);
+    while (entry.m_shell.m_requests > 0 && monotonicNow() < deadline);
+    co_await leaveFleet(core);
+    core.m_isStopped = true;
+    logOf("entry").info("planned stop ends, requests cut: {}", entry.m_shell.m_requests.load());
+    entry.m_shell.m_context.stop();
+    core.m_peers.close();
+    core.m_context.stop();
+}
+
+auto start(Entry& entry) -> void
+{
+    auto& core = entry.m_core;
+    core.m_stop = [&entry]() { asio::co_spawn(entry.m_core.m_context, stopGracefully(entry), asio::detached); };
+    entry.m_signals.async_wait([&core](const boost::system::error_code& error, int) {
+        if (!error)
+            core.m_stop();
+    });
+    attachMembership(core);
+    asio::co_spawn(core.m_context, tailLog(core), asio::detached);
+    asio::co_spawn(core.m_context, pumpAppends(core), asio::detached);
+    asio::co_spawn(core.m_context, watchInstances(core), asio::detached);
+    asio::co_spawn(core.m_context, runMembership(core), asio::detached);
+    asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
+}
+
+} // namespace
+
+auto serveEntry(const ServeSettings& settings, std::string_view logLevel) -> int
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    Entry entry(settings);
+    startLogging(entry.m_core.m_instance, logLevel);
+    LastReason reason;
+    if (!openSockets(entry, reason)) {
+        logOf("entry").error("{}", reason.m_text);
+        return 1;
+    }
+    start(entry);
+    std::thread traffic([&entry]() {
+        const auto work = asio::make_work_guard(entry.m_shell.m_context);
+        entry.m_shell.m_context.run();
+    });
+    entry.m_core.m_context.run();
+    traffic.join();
+    return 0;
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/traffic/QueueRequest.cpp
@@ -0,0 +1,81 @@
+#include "hemlockvane/detail/traffic/QueueRequest.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace hemlockvane::detail {
+
+namespace {
+
+constexpr std::string_view requestsPrefix = "/v1/requests/";
+constexpr Duration longestDeadline { 600000 };
+
+// Headers between two neighbours only, and the caller's secret, are not passed on.
+constexpr std::array<std::string_view, 9> keptBack { "Authorization", "Connection", "Keep-Alive", "Transfer-Encoding",
+    "Content-Length", "Host", "Upgrade", "TE", "Proxy-Connection" };
+constexpr std::array<std::string_view, 5> repeatableMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS" };
+
+auto isKeptBack(const HttpHeader& header) -> bool
+{
+    return std::any_of(keptBack.begin(), keptBack.end(),
+        [&](std::string_view name) { return boost::beast::iequals(header.m_name, name); });
+}
+
+auto readDeadline(const HttpRequest& request, Duration fallback, LastReason& reason) -> std::optional<Duration>
+{
+    const auto text = findHeader(request.m_headers, "X-Request-Timeout-Ms");
+    if (text.empty())
+        return fallback;
+    Duration::rep millis = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), millis);
+    const auto isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!isWhole || millis <= 0 || Duration(millis) > longestDeadline)
+        return fail(reason, ErrorKind::BadRequest, "X-Request-Timeout-Ms takes 1 to 600000 milliseconds");
+    return Duration(millis);
+}
+
+auto readPriority(const HttpRequest& request, LastReason& reason) -> std::optional<bool>
+{
+    const auto text = findHeader(request.m_headers, "X-Priority");
+    if (text.empty() || text == "normal")
+        return false;
+    if (text == "urgent")
+        return true;
+    return fail(reason, ErrorKind::BadRequest, "X-Priority takes urgent or normal");
+}
+
+} // namespace
+
+auto queueOf(std::string_view target) -> std::string_view
+{
+    if (!target.starts_with(requestsPrefix))
+        return {};
+    const auto rest = target.substr(requestsPrefix.size());
+    return rest.substr(0, rest.find_first_of("/?"));
+}
+
+auto readQueueRequest(HttpRequest request, std::string_view queue, Duration defaultDeadline, Instant now,
+    LastReason& reason) -> std::optional<QueueRequest>
+{
+    const auto timeout = readDeadline(request, defaultDeadline, reason);
+    const auto isUrgent = readPriority(request, reason);
+    if (!timeout || !isUrgent)
+        return std::nullopt;
+    QueueRequest result;
+    result.m_queue = std::string(queue);
+    result.m_deadline = now + *timeout;
+    result.m_isUrgent = *isUrgent;
+    result.m_idempotencyKey = std::string(findHeader(request.m_headers, "Idempotency-Key"));
+    result.m_isRepeatable
+        = std::find(repeatableMethods.begin(), repeatableMethods.end(), request.m_method) != repeatableMethods.end();
+    const auto rest = std::string(request.m_target.substr(requestsPrefix.size() + queue.size()));
+    std::erase_if(request.m_headers, isKeptBack);
+    request.m_target = rest.starts_with('/') ? rest : "/" + rest;
+    result.m_message = std::move(request);
+    return result;
+}
+
+} // namespace hemlockvane::detail
