--- a/app/Main.cpp
+++ b/app/Main.cpp
@@ -16,6 +16,7 @@
 
 constexpr Command commands[] = {
     { "check-settings", runCheckSettings },
+    { "serve", runServe },
 };
 
 auto runCommand(int argc, char** argv) -> int
--- a/app/Serve.cpp
+++ b/app/Serve.cpp
@@ -27,7 +27,7 @@
     std::vector<SettingsProblem> problems;
     const auto settings = loadServeSettings(path, problems);
     for (const auto& problem : problems)
-        std::fprintf(stderr, "%s:%d: %s\n", path.c_str(), static_cast<int>(problem.m_line), problem.m_text.c_str());
+        std::fprintf(stderr, "%s\n", describe(problem, path).c_str());
     if (!settings)
         return 1;
     return serveEntry(*settings, level);
