--- a/app/Main.cpp
+++ b/app/Main.cpp
@@ -17,6 +17,8 @@
 constexpr Command commands[] = {
     { "check-settings", runCheckSettings },
     { "serve", runServe },
+    { "ctl", runCtl },
+    { "submit", runSubmit },
 };
 
 auto runCommand(int argc, char** argv) -> int
