Add fair shares, the entry queue and the slot planner

The holder of a service's slots divides them by weighted max-min of the demand by team over all entries, then by where each team's demand stands, so that shares hold fleet-wide when teams send through uneven entries. Each entry's queue follows the parts it was told and sheds at once.

--- a/include/hemlockvane/limits/EscrowHolder.h
+++ b/include/hemlockvane/limits/EscrowHolder.h
@@ -57,6 +57,15 @@
 auto setTargets(EscrowHolder& holder, std::string_view resource,
     const std::map<std::string, std::uint32_t, std::less<>>& targets) -> void;
 
+/// @brief Tells members their parts by team with their next grants.
+auto setShares(EscrowHolder& holder, std::string_view resource,
+    const std::map<std::string, std::vector<TeamShare>, std::less<>>& shares) -> void;
+
+/// @brief Ledgers of a resource by member.
+/// @result null when this instance does not hold the resource or its barrier is not passed
+auto ledgersOf(const EscrowHolder& holder, std::string_view resource)
+    -> const std::map<std::string, HolderLedger, std::less<>>*;
+
 /// @brief True when the barrier of the duty is passed, so that permits are granted.
 auto isOpen(const EscrowHolder& holder, std::string_view duty) -> bool;
 
--- a/include/hemlockvane/limits/HolderLedger.h
+++ b/include/hemlockvane/limits/HolderLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/limits/TeamDemand.h"
+#include "hemlockvane/limits/TeamShare.h"
 #include "hemlockvane/time/Time.h"
 
 #include <cstdint>
@@ -16,6 +17,7 @@
     std::uint32_t m_returned = 0;
     std::uint32_t m_wanted = 0;
     std::vector<TeamDemand> m_teams;
+    std::vector<TeamShare> m_shares; ///< Its part by team.
     std::uint32_t m_target = 0; ///< Permits it may keep.
     std::uint32_t m_recall = 0;
     double m_credit = 0; ///< Permits that it had too few, times seconds; decides who gets an odd permit.
--- a/include/hemlockvane/limits/MemberPermits.h
+++ b/include/hemlockvane/limits/MemberPermits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/limits/TeamDemand.h"
+#include "hemlockvane/limits/TeamShare.h"
 #include "hemlockvane/log/FoldContext.h"
 #include "hemlockvane/time/Time.h"
 
@@ -20,6 +21,7 @@
     std::uint32_t m_used = 0;
     std::uint32_t m_wanted = 0; ///< Used and waiting.
     std::vector<TeamDemand> m_teams;
+    std::vector<TeamShare> m_shares; ///< This member's part by team, as the holder last told.
     std::uint32_t m_target = 0; ///< What the holder lets this member keep.
     std::uint32_t m_recall = 0; ///< Above 0: others want what exceeds the target.
     Offset m_foldedEnd = 0; ///< A holder may count the returns once it has folded up to here.
--- /dev/null
+++ b/include/hemlockvane/shares/QueuedRequest.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief A request waiting in an entry's queue.
+struct QueuedRequest {
+    std::uint64_t m_ticket = 0; ///< The caller of the queue knows the request by it.
+    std::string m_team;
+    bool m_urgent = false;
+    Instant m_deadline;
+};
+
+} // namespace hemlockvane
--- a/src/limits/EscrowHolder.cpp
+++ b/src/limits/EscrowHolder.cpp
@@ -218,6 +218,11 @@
     grant->set_recall(ledger.m_recall);
     grant->set_sequence(++ledger.m_grantSequence);
     grant->set_acknowledged(ledger.m_demandSequence);
+    for (const auto& share : ledger.m_shares) {
+        auto* line = grant->add_shares();
+        line->set_team(share.m_team);
+        line->set_milli_permits(share.m_milliPermits);
+    }
 }
 
 auto sendGrants(const EscrowHolder& holder, std::string_view name, HolderDuty& duty, Instant now,
@@ -386,6 +391,32 @@
     state.m_targetsGiven = true;
 }
 
+auto setShares(EscrowHolder& holder, std::string_view resource,
+    const std::map<std::string, std::vector<TeamShare>, std::less<>>& shares) -> void
+{
+    const auto found = holder.m_duties.find(escrowDuty(resource));
+    if (found == holder.m_duties.end())
+        return;
+    auto& state = stateOf(holder, found->second, resource);
+    state.m_targetsGiven = true;
+    for (auto& [instance, ledger] : state.m_members) {
+        const auto given = shares.find(instance);
+        const auto parts = given == shares.end() ? std::vector<TeamShare> {} : given->second;
+        ledger.m_answerDue = ledger.m_answerDue || parts != ledger.m_shares;
+        ledger.m_shares = parts;
+    }
+}
+
+auto ledgersOf(const EscrowHolder& holder, std::string_view resource)
+    -> const std::map<std::string, HolderLedger, std::less<>>*
+{
+    const auto duty = holder.m_duties.find(escrowDuty(resource));
+    if (duty == holder.m_duties.end() || !duty->second.m_open)
+        return nullptr;
+    const auto state = duty->second.m_resources.find(resource);
+    return state == duty->second.m_resources.end() ? nullptr : &state->second.m_members;
+}
+
 auto isOpen(const EscrowHolder& holder, std::string_view duty) -> bool
 {
     const auto found = holder.m_duties.find(duty);
--- a/src/limits/EscrowMember.cpp
+++ b/src/limits/EscrowMember.cpp
@@ -95,6 +95,14 @@
     return demand;
 }
 
+auto copyShares(const wire::EscrowGrant& grant) -> std::vector<TeamShare>
+{
+    std::vector<TeamShare> shares;
+    for (const auto& line : grant.shares())
+        shares.push_back({ line.team(), line.milli_permits() });
+    return shares;
+}
+
 // Starts the totals of a new epoch from what is in hand.
 auto restartTotals(MemberPermits& permits) -> void
 {
@@ -221,6 +229,7 @@
         permits.m_grantSequence = grant.sequence();
         permits.m_target = grant.target();
         permits.m_recall = grant.recall();
+        permits.m_shares = copyShares(grant);
         permits.m_acknowledged = std::max(permits.m_acknowledged, grant.acknowledged());
     }
     returnIdle(permits, member.m_timing, now);
--- /dev/null
+++ b/src/shares/RequestQueue.cpp
@@ -0,0 +1,221 @@
+#include "hemlockvane/shares/RequestQueue.h"
+
+#include "hemlockvane/shares/FairShares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr double milli = 1000;
+// Weight of the newest run in the mean time in a slot.
+constexpr double meanRunGain = 0.1;
+// A team without a share from the holder competes with this part of its weight until the holder counts it.
+constexpr double unsharedWeight = 0.01;
+constexpr double maximumCredit = 2; // Slot seconds.
+
+auto toSeconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+
+auto toDuration(double seconds) -> Duration
+{
+    return Duration { static_cast<Duration::rep>(std::ceil(seconds * milli)) };
+}
+
+auto demandOf(const TeamQueue& team) -> double { return static_cast<double>(team.m_running + waitingIn(team)); }
+
+auto localWeight(const TeamQueue& team) -> double
+{
+    return team.m_fleetShare < 0 ? team.m_weight : team.m_fleetShare + unsharedWeight * team.m_weight;
+}
+
+// Fair shares of the slots in hand.
+auto computeEntitled(RequestQueue& queue) -> void
+{
+    std::vector<Demand> demands;
+    demands.reserve(queue.m_teams.size());
+    for (const auto& [name, team] : queue.m_teams)
+        demands.push_back({ localWeight(team), demandOf(team) });
+    const auto shares = fairShares(demands, queue.m_slots);
+    std::size_t i = 0;
+    for (auto& [name, team] : queue.m_teams)
+        team.m_entitled = shares[i++];
+}
+
+// Brings credits up to now; a team without demand keeps none.
+auto update(RequestQueue& queue, Instant now) -> void
+{
+    const auto seconds = toSeconds(now - queue.m_updatedAt);
+    queue.m_updatedAt = now;
+    for (auto& [name, team] : queue.m_teams) {
+        const auto missing = (team.m_entitled - team.m_running) * seconds;
+        team.m_credit = std::clamp(team.m_credit + missing, -maximumCredit, maximumCredit);
+        if (waitingIn(team) == 0)
+            team.m_credit = std::min(team.m_credit, 0.0);
+    }
+    computeEntitled(queue);
+}
+
+// How far a team is below its share, in slots.
+auto rankOf(const RequestQueue& queue, const TeamQueue& team) -> double
+{
+    const auto urgent = team.m_urgent.empty() ? 0.0 : std::max(1.0, team.m_entitled * queue.m_limits.m_urgentBonus);
+    return team.m_entitled - team.m_running + team.m_credit / toSeconds(queue.m_limits.m_creditTime) + urgent;
+}
+
+// Time until a request that comes after `ahead` others of its team is dispatched; 0 while run times are not known.
+auto expectedWait(const TeamQueue& team, std::size_t ahead) -> double
+{
+    if (team.m_meanRun <= 0 || team.m_entitled <= 0)
+        return 0;
+    const auto running = static_cast<double>(team.m_running + ahead + 1);
+    return std::max(0.0, running - team.m_entitled) * team.m_meanRun / team.m_entitled;
+}
+
+auto popNext(TeamQueue& team) -> QueuedRequest
+{
+    auto& from = team.m_urgent.empty() ? team.m_normal : team.m_urgent;
+    auto request = std::move(from.front());
+    from.pop_front();
+    return request;
+}
+
+// Sheds the newest request of the team that waits most for its weight.
+auto shedLongest(RequestQueue& queue) -> ShedRequest
+{
+    const auto longest = std::max_element(queue.m_teams.begin(), queue.m_teams.end(), [](auto& left, auto& right) {
+        return static_cast<double>(waitingIn(left.second)) * right.second.m_weight
+            < static_cast<double>(waitingIn(right.second)) * left.second.m_weight;
+    });
+    auto& team = longest->second;
+    auto& from = team.m_normal.empty() ? team.m_urgent : team.m_normal;
+    const auto ticket = from.back().m_ticket;
+    from.pop_back();
+    --queue.m_waiting;
+    return { ticket, ErrorKind::QueueFull, toDuration(expectedWait(team, waitingIn(team))) };
+}
+
+auto shedFrom(RequestQueue& queue, TeamQueue& team, std::deque<QueuedRequest>& requests, std::size_t ahead, Instant now,
+    std::vector<ShedRequest>& shed) -> void
+{
+    std::deque<QueuedRequest> kept;
+    for (auto& request : requests) {
+        const auto wait = toDuration(expectedWait(team, ahead + kept.size()));
+        if (request.m_deadline <= now)
+            shed.push_back({ request.m_ticket, ErrorKind::DeadlinePassed, wait });
+        else if (now + wait + toDuration(team.m_meanRun) > request.m_deadline)
+            shed.push_back({ request.m_ticket, ErrorKind::NoCapacity, wait });
+        else
+            kept.push_back(std::move(request));
+    }
+    queue.m_waiting -= requests.size() - kept.size();
+    requests = std::move(kept);
+}
+
+} // namespace
+
+auto setWeight(RequestQueue& queue, std::string_view team, double weight) -> void
+{
+    queue.m_teams[std::string(team)].m_weight = weight;
+}
+
+auto setSlots(RequestQueue& queue, std::uint32_t slots, std::span<const TeamShare> shares, Instant now) -> void
+{
+    update(queue, now);
+    queue.m_slots = slots;
+    for (auto& [name, team] : queue.m_teams)
+        team.m_fleetShare = shares.empty() ? -1 : 0;
+    for (const auto& share : shares)
+        queue.m_teams[share.m_team].m_fleetShare = share.m_milliPermits / milli;
+    computeEntitled(queue);
+}
+
+auto enqueue(RequestQueue& queue, QueuedRequest request, Instant now) -> std::vector<ShedRequest>
+{
+    update(queue, now);
+    auto& team = queue.m_teams[request.m_team];
+    const auto ahead = request.m_urgent ? team.m_urgent.size() : waitingIn(team);
+    const auto wait = toDuration(expectedWait(team, ahead));
+    if (request.m_deadline <= now)
+        return { { request.m_ticket, ErrorKind::DeadlinePassed, wait } };
+    if (now + wait + toDuration(team.m_meanRun) > request.m_deadline)
+        return { { request.m_ticket, ErrorKind::NoCapacity, wait } };
+    (request.m_urgent ? team.m_urgent : team.m_normal).push_back(std::move(request));
+    ++queue.m_waiting;
+    std::vector<ShedRequest> shed;
+    while (queue.m_waiting > queue.m_limits.m_depth)
+        shed.push_back(shedLongest(queue));
+    computeEntitled(queue);
+    return shed;
+}
+
+auto dispatchNext(RequestQueue& queue, const std::function<bool(std::string_view)>& mayRun, Instant now)
+    -> std::optional<QueuedRequest>
+{
+    update(queue, now);
+    std::vector<std::pair<double, std::string_view>> order;
+    for (const auto& [name, team] : queue.m_teams) {
+        if (waitingIn(team) > 0)
+            order.emplace_back(rankOf(queue, team), name);
+    }
+    std::stable_sort(order.begin(), order.end(), [](auto& left, auto& right) { return left.first > right.first; });
+    for (const auto& [rank, name] : order) {
+        if (!mayRun(name))
+            continue;
+        auto& team = queue.m_teams.find(name)->second;
+        auto request = popNext(team);
+        --queue.m_waiting;
+        ++team.m_running;
+        return request;
+    }
+    return std::nullopt;
+}
+
+auto finish(RequestQueue& queue, std::string_view team, Duration ranFor, Instant now) -> void
+{
+    update(queue, now);
+    const auto found = queue.m_teams.find(team);
+    if (found == queue.m_teams.end() || found->second.m_running == 0)
+        return;
+    auto& state = found->second;
+    --state.m_running;
+    const auto seconds = toSeconds(ranFor);
+    state.m_meanRun = state.m_meanRun <= 0 ? seconds : state.m_meanRun + meanRunGain * (seconds - state.m_meanRun);
+    computeEntitled(queue);
+}
+
+auto cancel(RequestQueue& queue, std::string_view team, std::uint64_t ticket) -> bool
+{
+    const auto found = queue.m_teams.find(team);
+    if (found == queue.m_teams.end())
+        return false;
+    const auto matches = [&](const auto& request) { return request.m_ticket == ticket; };
+    const auto removed
+        = std::erase_if(found->second.m_normal, matches) + std::erase_if(found->second.m_urgent, matches);
+    queue.m_waiting -= removed;
+    return removed > 0;
+}
+
+auto shedLate(RequestQueue& queue, Instant now) -> std::vector<ShedRequest>
+{
+    update(queue, now);
+    std::vector<ShedRequest> shed;
+    for (auto& [name, team] : queue.m_teams) {
+        shedFrom(queue, team, team.m_urgent, 0, now, shed);
+        shedFrom(queue, team, team.m_normal, team.m_urgent.size(), now, shed);
+    }
+    return shed;
+}
+
+auto teamDemands(const RequestQueue& queue) -> std::vector<TeamDemand>
+{
+    std::vector<TeamDemand> demands;
+    for (const auto& [name, team] : queue.m_teams) {
+        if (const auto wanted = static_cast<std::uint32_t>(demandOf(team)); wanted > 0)
+            demands.push_back({ name, wanted });
+    }
+    return demands;
+}
+
+} // namespace hemlockvane
--- /dev/null
+++ b/src/shares/SlotPlan.cpp
@@ -0,0 +1,188 @@
+#include "hemlockvane/shares/SlotPlan.h"
+
+#include "hemlockvane/shares/FairShares.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr double milli = 1000;
+
+// One team's demand over all entries.
+struct FleetDemand {
+    double m_wanted = 0;
+    double m_share = 0;
+};
+
+using FleetDemands = std::map<std::string_view, FleetDemand>;
+
+auto weightOf(const std::map<std::string, double, std::less<>>& weights, std::string_view team) -> double
+{
+    const auto found = weights.find(team);
+    return found == weights.end() ? 1 : found->second;
+}
+
+auto fleetShares(std::span<const SlotEntry> entries, const std::map<std::string, double, std::less<>>& weights,
+    double capacity) -> FleetDemands
+{
+    FleetDemands teams;
+    for (const auto& entry : entries) {
+        for (const auto& demand : entry.m_teams)
+            teams[demand.m_team].m_wanted += demand.m_wanted;
+    }
+    std::vector<Demand> demands;
+    for (const auto& [name, team] : teams)
+        demands.push_back({ weightOf(weights, name), team.m_wanted });
+    const auto shares = fairShares(demands, capacity);
+    std::size_t i = 0;
+    for (auto& [name, team] : teams)
+        team.m_share = shares[i++];
+    return teams;
+}
+
+// Divides each team's share among the entries in proportion to the demand that stands there.
+auto divideShares(std::span<const SlotEntry> entries, const FleetDemands& teams, SlotPlan& plan) -> void
+{
+    for (const auto& entry : entries) {
+        auto entitled = 0.0;
+        auto& parts = plan.m_shares[entry.m_instance];
+        for (const auto& demand : entry.m_teams) {
+            const auto& team = teams.find(demand.m_team)->second;
+            const auto part = team.m_wanted > 0 ? team.m_share * demand.m_wanted / team.m_wanted : 0;
+            parts.push_back({ demand.m_team, static_cast<std::uint32_t>(part * milli) });
+            entitled += part;
+        }
+        plan.m_entitled.push_back(entitled);
+    }
+}
+
+auto spreadSpare(SlotPlan& plan, double capacity) -> void
+{
+    const auto used = std::accumulate(plan.m_entitled.begin(), plan.m_entitled.end(), 0.0);
+    const auto spare = std::max(0.0, capacity - used) / static_cast<double>(plan.m_entitled.size());
+    for (auto& entitled : plan.m_entitled)
+        entitled += spare;
+}
+
+// Slots by executor (rows) and entry (columns) while they are being assigned.
+struct Assignment {
+    std::span<const SlotEntry> m_entries;
+    std::span<const SlotExecutor> m_executors;
+    std::vector<std::vector<std::uint32_t>> m_slots;
+    std::vector<std::uint32_t> m_room; // Free slots by executor.
+    std::vector<std::int64_t> m_missing; // By entry; below 0: too many.
+};
+
+auto pairMaximum(const SlotEntry& entry, const SlotExecutor& executor) -> std::uint32_t
+{
+    const auto found = entry.m_connections.find(executor.m_executor);
+    return found == entry.m_connections.end() ? 0 : std::min(found->second, executor.m_slots);
+}
+
+auto heldAt(const SlotEntry& entry, std::string_view executor) -> std::uint32_t
+{
+    const auto found = entry.m_held.find(executor);
+    return found == entry.m_held.end() ? 0 : found->second;
+}
+
+// Starts from the slots that entries have now, as far as each executor has them.
+auto keepHeld(std::span<const SlotEntry> entries, std::span<const SlotExecutor> executors,
+    std::span<const std::uint32_t> wanted) -> Assignment
+{
+    Assignment result { entries, executors, {}, {}, { wanted.begin(), wanted.end() } };
+    for (const auto& executor : executors) {
+        auto room = executor.m_slots;
+        auto& row = result.m_slots.emplace_back();
+        for (std::size_t e = 0; e < entries.size(); ++e) {
+            const auto held = heldAt(entries[e], executor.m_executor);
+            const auto kept = std::min({ held, pairMaximum(entries[e], executor), room });
+            row.push_back(kept);
+            room -= kept;
+            result.m_missing[e] -= kept;
+        }
+        result.m_room.push_back(room);
+    }
+    return result;
+}
+
+// Takes surplus slots away, in other zones first.
+auto dropSurplus(Assignment& state, std::size_t e) -> void
+{
+    for (const auto sameZone : { false, true }) {
+        for (std::size_t x = 0; x < state.m_executors.size() && state.m_missing[e] < 0; ++x) {
+            if ((state.m_executors[x].m_zone == state.m_entries[e].m_zone) != sameZone)
+                continue;
+            const auto drop = std::min<std::int64_t>(-state.m_missing[e], state.m_slots[x][e]);
+            state.m_slots[x][e] -= static_cast<std::uint32_t>(drop);
+            state.m_room[x] += static_cast<std::uint32_t>(drop);
+            state.m_missing[e] += drop;
+        }
+    }
+}
+
+// Gives an entry one more slot: in its own zone if any is free there, where most are free.
+auto addSlot(Assignment& state, std::size_t e) -> bool
+{
+    auto best = state.m_executors.size();
+    auto bestRank = 0U;
+    for (std::size_t x = 0; x < state.m_executors.size(); ++x) {
+        const auto& executor = state.m_executors[x];
+        if (state.m_room[x] == 0 || state.m_slots[x][e] >= pairMaximum(state.m_entries[e], executor))
+            continue;
+        const auto sameZone = executor.m_zone == state.m_entries[e].m_zone;
+        const auto rank = state.m_room[x] + (sameZone ? executor.m_slots : 0);
+        if (rank > bestRank) {
+            best = x;
+            bestRank = rank;
+        }
+    }
+    if (best == state.m_executors.size())
+        return false;
+    ++state.m_slots[best][e];
+    --state.m_room[best];
+    --state.m_missing[e];
+    return true;
+}
+
+auto fillMissing(Assignment& state) -> void
+{
+    auto added = true;
+    while (added) {
+        added = false;
+        for (std::size_t e = 0; e < state.m_entries.size(); ++e) {
+            if (state.m_missing[e] > 0)
+                added = addSlot(state, e) || added;
+        }
+    }
+}
+
+} // namespace
+
+auto planSlots(std::span<const SlotEntry> entries, std::span<const SlotExecutor> executors,
+    const std::map<std::string, double, std::less<>>& weights, std::span<const double> credits) -> SlotPlan
+{
+    SlotPlan plan;
+    if (entries.empty())
+        return plan;
+    auto capacity = 0.0;
+    for (const auto& executor : executors)
+        capacity += executor.m_slots;
+    divideShares(entries, fleetShares(entries, weights, capacity), plan);
+    spreadSpare(plan, capacity);
+    const auto wanted = apportion(plan.m_entitled, credits);
+    auto assignment = keepHeld(entries, executors, wanted);
+    for (std::size_t e = 0; e < entries.size(); ++e)
+        dropSurplus(assignment, e);
+    fillMissing(assignment);
+    for (std::size_t x = 0; x < executors.size(); ++x) {
+        auto& targets = plan.m_targets[executors[x].m_executor];
+        for (std::size_t e = 0; e < entries.size(); ++e)
+            targets[entries[e].m_instance] = assignment.m_slots[x][e];
+    }
+    return plan;
+}
+
+} // namespace hemlockvane
