--- a/app/Main.cpp
+++ b/app/Main.cpp
@@ -16,6 +16,7 @@
 
 constexpr Command commands[] = {
     { "check-settings", runCheckSettings },
+    { "serve", runServe },
     { "ctl", runCtl },
     { "submit", runSubmit },
 };
