--- /dev/null
+++ b/demo/fleet.bash
@@ -0,0 +1,140 @@
+# Starts a small fleet on loopback for the demo and the process tests: one log, one instance list, two services of three
+# executors, workers, and entries in three zones. To be sourced after demo/processes.bash.
+
+OPERATOR_KEY=${OPERATOR_KEY:-operator-key-of-the-demo}
+export HEMLOCKVANE_OPERATOR_KEY=$OPERATOR_KEY
+ZONES=(z1 z2 z3)
+declare -A OPERATORS_OF TRAFFIC_OF
+
+# startPlatform: the log service and the instance list. LOG_OPTIONS and LIST_OPTIONS add to their command lines.
+startPlatform() {
+    startStandin log LogStandin ${LOG_OPTIONS:-}
+    startStandin instances InstancesStandin ${LIST_OPTIONS:-}
+}
+
+# list NAME JSON: puts an instance on the instance list.
+list() { call PUT "${ADDRESS_OF[instances]}" "/v1/instances/$1" "$2" >/dev/null; }
+
+# startExecutor NAME SERVICE ZONE [OPTIONS...]
+startExecutor() {
+    local name=$1 service=$2 zone=$3
+    shift 3
+    startStandin "$name" ExecutorStandin --name "$name" --service "$service" "$@"
+    list "$name" "{\"kind\":\"executor\",\"service\":\"$service\",\"zone\":\"$zone\",\"rack\":\"$zone-r1\",
+        \"address\":\"${ADDRESS_OF[$name]}\",\"state\":\"live\"}"
+}
+
+# startWorker NAME POOL ZONE RACK [OPTIONS...]
+startWorker() {
+    local name=$1 pool=$2 zone=$3 rack=$4
+    shift 4
+    startStandin "$name" WorkerStandin --name "$name" "$@"
+    list "$name" "{\"kind\":\"worker\",\"pool\":\"$pool\",\"zone\":\"$zone\",\"rack\":\"$rack\",
+        \"address\":\"${ADDRESS_OF[$name]}\",\"state\":\"live\"}"
+}
+
+# startServices: services orders and shades, an executor of each in every zone.
+startServices() {
+    local service zone
+    for service in orders shades; do
+        for zone in "${ZONES[@]}"; do startExecutor "$service-$zone" "$service" "$zone" "$@"; done
+    done
+}
+
+# writeSettings NAME ZONE: LOGS/NAME.yaml. TIMING replaces the lines of the timing section.
+writeSettings() {
+    cat >"$LOGS/$1.yaml" <<YAML
+instance: $1
+zone: $2
+region: demo
+traffic:
+  listen: ${TRAFFIC_OF[$1]:-127.0.0.1:0}
+operators:
+  listen: ${OPERATORS_OF[$1]:-127.0.0.1:0}
+  key_hash: "$(printf '%s' "$OPERATOR_KEY" | sha256sum | cut -d' ' -f1)"
+peers:
+  listen: tcp://127.0.0.1:0
+log:
+  address: ${ADDRESS_OF[log]}
+instances:
+  address: ${ADDRESS_OF[instances]}
+timing:
+${TIMING:-  vouch_ms: 3000
+  list_lag_ms: 500
+  beat_ms: 200}
+YAML
+}
+
+# startEntry NAME ZONE: waits until it serves. A restarted entry keeps its ports and gets a new instance id.
+startEntry() {
+    local name=$1 line
+    writeSettings "$name" "$2"
+    : >"$LOGS/$name.log"
+    start "$name" "$BIN/hemlockvane" serve --settings "$LOGS/$name.yaml"
+    if ! waitFor 20 grep -q 'callers on ' "$LOGS/$name.log"; then
+        echo "entry $name did not start: $(cat "$LOGS/$name.log")" >&2
+        exit 1
+    fi
+    line=$(grep -o 'callers on .*' "$LOGS/$name.log" | head -1)
+    TRAFFIC_OF[$name]=$(sed -E 's/callers on ([^,]*),.*/\1/' <<<"$line")
+    OPERATORS_OF[$name]=$(sed -E 's/.*operators on ([^,]*),.*/\1/' <<<"$line")
+    if ! waitFor 30 entryIsHealthy "$name"; then
+        echo "entry $name is not healthy: $(call GET "${TRAFFIC_OF[$name]}" /health)" >&2
+        tail -20 "$LOGS/$name.log" >&2
+        exit 1
+    fi
+}
+
+entryIsHealthy() { call GET "${TRAFFIC_OF[$1]}" /health | tail -1 | grep -q '^200$'; }
+
+# startEntries: entry-z1, entry-z2, entry-z3.
+startEntries() {
+    local zone
+    for zone in "${ZONES[@]}"; do startEntry "entry-$zone" "$zone"; done
+}
+
+# ctl ENTRY ARGUMENTS...; submit ENTRY,... ARGUMENTS...: standard output and errors together, then "exit CODE".
+ctl() {
+    local entry=$1 code=0
+    shift
+    "$BIN/hemlockvane" ctl --address "${OPERATORS_OF[$entry]}" --author demo "$@" 2>&1 || code=$?
+    echo "exit $code"
+}
+
+submit() {
+    local entries=$1 addresses='' entry code=0
+    shift
+    for entry in ${entries//,/ }; do addresses+="${addresses:+,}${TRAFFIC_OF[$entry]}"; done
+    "$BIN/hemlockvane" submit --address "$addresses" ${TEAM_KEY:+--key "$TEAM_KEY"} "$@" 2>&1 || code=$?
+    echo "exit $code"
+}
+
+# executionsOf KEY: how often all executors together ran a request of that key.
+executionsOf() {
+    local name total=0 count
+    for name in "${!ADDRESS_OF[@]}"; do
+        case $name in orders-* | shades-*) ;; *) continue ;; esac
+        count=$(call GET "${ADDRESS_OF[$name]}" /standin/executions | grep -oE "\"$1\":[0-9]+" | cut -d: -f2)
+        total=$((total + ${count:-0}))
+    done
+    echo "$total"
+}
+
+# taskExecutionsOf JOB: how often all workers together ran a job.
+taskExecutionsOf() {
+    local name total=0 count
+    for name in "${!ADDRESS_OF[@]}"; do
+        case $name in worker-*) ;; *) continue ;; esac
+        count=$(call GET "${ADDRESS_OF[$name]}" /v1/tasks | grep -oE "\"executions\":\{[^}]*" | grep -oE "\"$1\":[0-9]+" | cut -d: -f2)
+        total=$((total + ${count:-0}))
+    done
+    echo "$total"
+}
+
+# newKey: a UUIDv7 for requests that may not be repeated.
+newKey() {
+    local now random
+    now=$(printf '%012x' "$(date +%s%3N)")
+    random=$(od -An -N10 -tx1 /dev/urandom | tr -d ' \n')
+    echo "${now:0:8}-${now:8:4}-7${random:0:3}-8${random:3:3}-${random:6:12}"
+}
