--- a/bench/FoldBench.cpp
+++ b/bench/FoldBench.cpp
@@ -25,6 +25,7 @@
 constexpr WallMillis startOfTime = 1700000000000;
 constexpr std::size_t operationsInGroup = 8;
 constexpr std::size_t keyHashBytes = 32;
+constexpr int workers = 3100;
 constexpr int pools = 277;
 constexpr int teams = 260;
 constexpr int zones = 14;
@@ -133,6 +134,16 @@
     change.set_command("match --lot 4711 --shade 12");
 }
 
+auto fillPlace(wire::Operation& operation, int i, Offset epoch) -> void
+{
+    auto& change = *operation.mutable_place_job();
+    change.mutable_fence()->set_duty("placement");
+    change.mutable_fence()->set_epoch(epoch);
+    change.set_job(jobName(i));
+    change.set_worker(workerName(i % workers));
+    change.set_attempt(1);
+}
+
 auto fillKey(wire::Operation& operation, int i) -> void
 {
     auto& change = *operation.mutable_grant_key();
@@ -165,7 +176,7 @@
 }
 
 // Workers, entries with the placement duty, and jobs.
-auto makeState(RecordMaker& maker, int workers, int jobs) -> FleetState
+auto makeState(RecordMaker& maker, int jobs) -> FleetState
 {
     FleetState state;
     foldMany(state, maker, 9, fillEntry);
@@ -226,32 +237,58 @@
     });
 }
 
+// Bytes of log for an operation, with its part of the record.
+template <typename Fill> auto printRecordBytes(const Options& options, const char* kind, Fill fill) -> void
+{
+    RecordMaker maker(options.m_seed);
+    for (int i = 0; !maker.isFull(); ++i)
+        fill(maker.add(), i);
+    std::printf("| %s | %.0f |\n", kind, static_cast<double>(maker.take().size()) / operationsInGroup);
+}
+
+auto printAllRecordBytes(const Options& options) -> void
+{
+    std::printf(
+        "\n## Records\n\n%zu operations a record.\n\n| operation | bytes of log |\n|---|---|\n", operationsInGroup);
+    printRecordBytes(options, "submit a job", fillJob);
+    printRecordBytes(options, "place a job", [](auto& operation, int i) { fillPlace(operation, i, 100000); });
+    printRecordBytes(options, "end an attempt", [](auto& operation, int i) {
+        auto& change = *operation.mutable_end_attempt();
+        change.mutable_fence()->set_duty("placement");
+        change.mutable_fence()->set_epoch(100000);
+        change.set_job(jobName(i));
+        change.set_attempt(1);
+        change.set_outcome(wire::JOB_FINISHED);
+    });
+    printRecordBytes(options, "set an exception", fillException);
+    printRecordBytes(options, "join an entry", fillEntry);
+    printRecordBytes(options, "take a duty", [](auto& operation, int i) {
+        operation.mutable_take_duty()->set_duty(claimsDuty(static_cast<std::uint32_t>(i)));
+        operation.mutable_take_duty()->set_instance("entry-7f3a9c52");
+        operation.mutable_take_duty()->set_replaces_epoch(100000);
+    });
+}
+
 auto printFoldCost(const Options& options) -> void
 {
     constexpr int measured = 4000;
     std::printf(
-        "\n## Fold\n\nMicroseconds an operation, %zu operations a record, %d workers.\n\n", operationsInGroup, 3100);
+        "\n## Fold\n\nMicroseconds an operation, %zu operations a record, %d workers.\n\n", operationsInGroup, workers);
     std::printf("| jobs in the state | submit | place | change a default | grant a key | mark an instance |\n");
     std::printf("|---|---|---|---|---|---|\n");
     for (const int jobs : { 4000, 16000, 64000 }) {
         RecordMaker maker(options.m_seed);
-        const auto base = makeState(maker, 3100, jobs);
+        const auto base = makeState(maker, jobs);
         const auto epoch = base.m_membership.m_duties.find("placement")->second.m_epoch;
         const auto submit
             = foldCost(options, base, maker, measured, [&](auto& operation, int i) { fillJob(operation, jobs + i); });
-        const auto place = foldCost(options, base, maker, measured, [&](auto& operation, int i) {
-            auto& change = *operation.mutable_place_job();
-            change.mutable_fence()->set_duty("placement");
-            change.mutable_fence()->set_epoch(epoch);
-            change.set_job(jobName(i));
-            change.set_worker(workerName(i % 3100));
-            change.set_attempt(1);
-        });
+        const auto place
+            = foldCost(options, base, maker, measured, [&](auto& operation, int i) { fillPlace(operation, i, epoch); });
         const auto change = foldCost(options, base, maker, measured,
             [&](auto& operation, int) { fillDefault(operation, base.m_nextOffset + measured); });
         const auto grant = foldCost(options, base, maker, measured, fillKey);
         const auto mark = foldCost(options, base, maker, measured, [&](auto& operation, int i) {
-            operation.mutable_mark_instance()->set_instance(workerName(i % 3100));
+            operation.mutable_mark_instance()->set_instance(workerName(i % workers));
             operation.mutable_mark_instance()->set_available(i % 2 == 0);
         });
         std::printf("| %d | %.2f | %.2f | %.2f | %.2f | %.2f |\n", jobs, submit, place, change, grant, mark);
@@ -260,7 +297,7 @@
 
 auto printSnapshotCost(const Options& options) -> void
 {
-    std::printf("\n## Snapshot and bootstrap\n\n%d workers; the tail is 20000 records of %zu operations.\n\n", 3100,
+    std::printf("\n## Snapshot and bootstrap\n\n%d workers; the tail is 20000 records of %zu operations.\n\n", workers,
         operationsInGroup);
     std::printf(
         "| jobs | operations remembered | bytes | save ms | load ms | scan ms | tail ms | bootstrap ms | heap MiB |\n");
@@ -270,7 +307,7 @@
     for (const int jobs : { 4000, 16000, 64000 }) {
         RecordMaker maker(options.m_seed);
         const auto heapBefore = heapBytes();
-        const auto state = makeState(maker, 3100, jobs);
+        const auto state = makeState(maker, jobs);
         const auto heap = heapBytes() - heapBefore;
         std::string bytes;
         const auto save = fastest(options.m_repeats, [&] {
@@ -299,7 +336,7 @@
         std::vector<std::string> tail;
         for (int i = 0; i < tailRecords * static_cast<int>(operationsInGroup); ++i) {
             auto& operation = maker.add();
-            operation.mutable_mark_instance()->set_instance(workerName(maker.pick(3100)));
+            operation.mutable_mark_instance()->set_instance(workerName(maker.pick(workers)));
             operation.mutable_mark_instance()->set_available(maker.pick(2) == 0);
             if (maker.isFull())
                 tail.push_back(maker.take());
@@ -405,6 +442,7 @@
         const hemlockvane::Options options { seed.getValue(), std::max(1, repeats.getValue()) };
         std::printf("seed %u, fastest of %d\n", options.m_seed, options.m_repeats);
         hemlockvane::printStateBytes(options);
+        hemlockvane::printAllRecordBytes(options);
         hemlockvane::printFoldCost(options);
         hemlockvane::printSnapshotCost(options);
         hemlockvane::printMembershipCost(options);
--- a/include/hemlockvane/log/Appender.h
+++ b/include/hemlockvane/log/Appender.h
@@ -16,6 +16,11 @@
 /// @brief An appender with a full burst of tokens.
 auto makeAppender(const AppenderLimits& limits, Instant now) -> AppenderState;
 
+/// @brief Sets the rate to this entry's part of what all entries together may append.
+/// @param fleetAppendsPerSecond budget of the whole fleet
+/// @param members entries that share it, this one included
+auto shareAppends(AppenderState& state, double fleetAppendsPerSecond, std::size_t members) -> void;
+
 /// @brief Queues an operation for the log. An id that is pending already joins the pending one.
 ///
 /// The outcome comes from onFolded, onWindow or expire. An operation whose id is in the fold's window needs no append.
--- a/src/log/Appender.cpp
+++ b/src/log/Appender.cpp
@@ -126,6 +126,11 @@
     return state;
 }
 
+auto shareAppends(AppenderState& state, double fleetAppendsPerSecond, std::size_t members) -> void
+{
+    state.m_limits.m_appendsPerSecond = fleetAppendsPerSecond / static_cast<double>(std::max<std::size_t>(1, members));
+}
+
 auto enqueue(AppenderState& state, wire::Operation operation, const AppendTerms& terms, Instant now, LastReason& reason)
     -> bool
 {
--- a/tests/core/log/AppenderTest.cpp
+++ b/tests/core/log/AppenderTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(nextAppend_groupOverItsBounds_isSplit);
     CPPUNIT_TEST(nextAppend_oneInFlight_waits);
     CPPUNIT_TEST(nextAppend_aboveRate_waitsForToken);
+    CPPUNIT_TEST(shareAppends_manyMembers_staysWithinBudget);
     CPPUNIT_TEST(onFolded_acceptedOperation_givesItsOutcome);
     CPPUNIT_TEST(onFolded_duplicateOfAnotherEntry_givesFirstOutcome);
     CPPUNIT_TEST(onLogEnd_lostAppendNotInLog_appendsSameIdAgain);
@@ -132,6 +133,22 @@
         CPPUNIT_ASSERT(next(100));
     }
 
+    auto shareAppends_manyMembers_staysWithinBudget() -> void
+    {
+        shareAppends(m_state, 300, 60);
+        auto appends = 0;
+        for (int now = 0; now < 10000; now += 20) {
+            put(std::to_string(now), now);
+            if (const auto append = next(now)) {
+                ++appends;
+                onAppendAnswer(m_state, append->m_number, AppendAnswer::Taken, at(now));
+                fold(*append);
+            }
+        }
+        CPPUNIT_ASSERT(appends >= 50);
+        CPPUNIT_ASSERT(appends <= 53);
+    }
+
     auto onFolded_acceptedOperation_givesItsOutcome() -> void
     {
         put("a", 0);
