Add maintenance planning: budgets, domain cover, width by finish time, harm

planWave counts failures first, also those that only the instance list shows, leaves room for the pool's largest other rack or zone where the budget allows it, gives that cover up when the wave would not end in time, starts with few drains until some came back well, and pauses a wave that lost instances, with their names. What an operator accepted by resuming is kept in the wave's record.

--- a/include/hemlockvane/maintenance.h
+++ b/include/hemlockvane/maintenance.h
@@ -5,6 +5,9 @@
 
 #include "hemlockvane/maintenance/ApplyMaintenance.h"
 #include "hemlockvane/maintenance/MaintenanceState.h"
+#include "hemlockvane/maintenance/PlanWave.h"
 #include "hemlockvane/maintenance/PoolBudget.h"
 #include "hemlockvane/maintenance/PoolCounts.h"
+#include "hemlockvane/maintenance/WaveForecast.h"
+#include "hemlockvane/maintenance/WaveHarm.h"
 #include "hemlockvane/maintenance/WaveRecord.h"
--- /dev/null
+++ b/include/hemlockvane/maintenance/CoverLevel.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace hemlockvane {
+
+/// @brief Failure that a pool's drains leave room for.
+enum class CoverLevel : std::uint8_t { None, Rack, Zone };
+
+} // namespace hemlockvane
--- a/include/hemlockvane/maintenance/WaveRecord.h
+++ b/include/hemlockvane/maintenance/WaveRecord.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/log/FoldContext.h"
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
@@ -17,6 +18,7 @@
     bool m_paused = false;
     std::string m_reason; ///< Of the start or of the last pause.
     std::string m_author;
+    std::uint32_t m_acceptedHarm = 0; ///< Instances lost when an operator last resumed it; they pause it no more.
     std::set<std::string, std::less<>> m_done;
     std::set<std::string, std::less<>> m_failed; ///< Did not come back.
 };
--- a/include/hemlockvane/placement/FleetRoom.h
+++ b/include/hemlockvane/placement/FleetRoom.h
@@ -3,7 +3,7 @@
 #include "hemlockvane/errors/LastReason.h"
 #include "hemlockvane/log/FleetState.h"
 #include "hemlockvane/placement/PlacementState.h"
-#include "hemlockvane/placement/ResourceSize.h"
+#include "hemlockvane/placement/WorkerRoom.h"
 
 #include <map>
 #include <string>
@@ -12,17 +12,6 @@
 
 namespace hemlockvane {
 
-/// @brief One worker as a plan sees it.
-struct WorkerRoom {
-    std::string_view m_id;
-    const InstanceRecord* m_instance = nullptr;
-    ResourceSize m_capacity;
-    ResourceSize m_free; ///< Negative where the worker is over-used.
-    bool m_open = false; ///< Takes new jobs.
-    bool m_suspect = false; ///< Takes repeatable jobs only.
-    std::vector<std::string_view> m_tasks; ///< Running and being placed.
-};
-
 /// @brief Every worker's room, in the order of ids.
 struct FleetRoom {
     std::vector<WorkerRoom> m_workers;
--- /dev/null
+++ b/include/hemlockvane/placement/WorkerRoom.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "hemlockvane/placement/ResourceSize.h"
+#include "hemlockvane/pools/InstanceRecord.h"
+
+#include <string_view>
+#include <vector>
+
+namespace hemlockvane {
+
+/// @brief One worker as a plan sees it.
+struct WorkerRoom {
+    std::string_view m_id;
+    const InstanceRecord* m_instance = nullptr;
+    ResourceSize m_capacity;
+    ResourceSize m_free; ///< Negative where the worker is over-used.
+    bool m_open = false; ///< Takes new jobs.
+    bool m_suspect = false; ///< Takes repeatable jobs only.
+    std::vector<std::string_view> m_tasks; ///< Running and being placed.
+};
+
+} // namespace hemlockvane
--- a/include/hemlockvane/pools/InstanceRecord.h
+++ b/include/hemlockvane/pools/InstanceRecord.h
@@ -11,7 +11,7 @@
 struct InstanceRecord {
     std::string m_pool;
     std::string m_zone;
-    std::string m_rack;
+    std::string m_rack; ///< Unique in the fleet.
     std::uint32_t m_cores = 0;
     std::uint32_t m_memoryMb = 0;
     std::uint32_t m_accelerators = 0;
--- a/src/log/Snapshot.cpp
+++ b/src/log/Snapshot.cpp
@@ -216,6 +216,7 @@
         auto& saved = *out.add_waves();
         saved.set_wave(id);
         saved.set_started_at(wave.m_startedAt);
+        saved.set_accepted_harm(wave.m_acceptedHarm);
         saved.set_finish_by_ms(wave.m_finishBy);
         saved.set_paused(wave.m_paused);
         saved.set_reason(wave.m_reason);
@@ -235,6 +236,7 @@
         auto& wave = state.m_waves[item.wave()];
         wave.m_pools.assign(item.pools().begin(), item.pools().end());
         wave.m_startedAt = item.started_at();
+        wave.m_acceptedHarm = item.accepted_harm();
         wave.m_finishBy = item.finish_by_ms();
         wave.m_paused = item.paused();
         wave.m_reason = item.reason();
--- a/src/maintenance/ApplyMaintenance.cpp
+++ b/src/maintenance/ApplyMaintenance.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/log/FleetState.h"
 #include "hemlockvane/maintenance/PoolBudget.h"
+#include "hemlockvane/maintenance/WaveHarm.h"
 
 #include "hemlockvane/records.pb.h"
 
@@ -69,6 +70,8 @@
         return fail(reason, ErrorKind::NotFound, "there is no wave " + change.wave());
     found->second.m_paused = change.paused();
     found->second.m_reason = change.reason();
+    if (!change.paused())
+        found->second.m_acceptedHarm = static_cast<std::uint32_t>(harmOf(state, found->second).size());
     return context.m_offset;
 }
 
--- /dev/null
+++ b/src/maintenance/PlanWave.cpp
@@ -0,0 +1,327 @@
+#include "hemlockvane/maintenance/PlanWave.h"
+
+#include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/maintenance/DomainCover.h"
+#include "hemlockvane/maintenance/PoolBudget.h"
+#include "hemlockvane/maintenance/WaveForecast.h"
+#include "hemlockvane/maintenance/WaveHarm.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <span>
+#include <tuple>
+
+namespace hemlockvane {
+
+namespace {
+
+constexpr WallMillis millisPerSecond = 1000;
+constexpr WallMillis failedAfter = 5000; // Unhealthy for this long, in ms.
+constexpr WallMillis wellAfter = 10000; // Healthy again for this long, in ms.
+constexpr WallMillis rebootAgainAfter = 60000; // In ms.
+constexpr double newestDrainWeight = 0.2;
+constexpr std::size_t firstDrainsPerHarmLimit = 4;
+constexpr std::size_t drainsPerReturned = 8;
+constexpr std::size_t namesInReason = 5;
+
+struct PoolPlan {
+    std::string_view m_pool;
+    std::int64_t m_allowed = 0;
+    std::vector<std::string_view> m_taken; // Failed, draining or about to drain.
+    std::vector<std::string_view> m_members;
+    std::vector<std::string_view> m_due;
+    DomainCover m_cover;
+    CoverLevel m_level = CoverLevel::None;
+    double m_rounds = 0; // Remaining drains for each that may run at once.
+};
+
+struct WavePlan {
+    const FleetState& m_fleet;
+    WavePlanState& m_state;
+    const WaveInput& m_input;
+    std::vector<WaveAction> m_actions;
+    std::size_t m_draining = 0;
+};
+
+auto instanceOf(const WavePlan& plan, std::string_view id) -> const InstanceRecord&
+{
+    return plan.m_fleet.m_pools.m_instances.find(id)->second;
+}
+
+auto healthOf(const WavePlan& plan, std::string_view id) -> InstanceHealth
+{
+    const auto found = plan.m_input.m_health.find(id);
+    return found == plan.m_input.m_health.end() ? InstanceHealth {} : found->second;
+}
+
+auto add(WavePlan& plan, WaveActionKind kind, std::string_view wave, std::string_view instance, bool healthy,
+    std::string reason) -> void
+{
+    if (kind != WaveActionKind::Reboot)
+        plan.m_state.m_onItsWay.emplace(instance.empty() ? wave : instance);
+    plan.m_actions.push_back(
+        { kind, std::string(wave), std::string(instance), plan.m_state.m_epoch, healthy, std::move(reason) });
+}
+
+// Marks an instance when what is heard of it differs from the fold for long enough.
+auto planMark(WavePlan& plan, const std::string& id, const InstanceRecord& instance) -> void
+{
+    const auto healthy = healthOf(plan, id).m_healthy;
+    if (!instance.m_drainingFor.empty() || healthy == instance.m_available) {
+        plan.m_state.m_differsSince.erase(id);
+        return;
+    }
+    const auto since = plan.m_state.m_differsSince.try_emplace(id, plan.m_input.m_now).first->second;
+    if (plan.m_input.m_now - since < (healthy ? wellAfter : failedAfter))
+        return;
+    add(plan, WaveActionKind::MarkInstance, "", id, healthy, healthy ? "heard again" : "not live on the list");
+}
+
+auto learnDrain(WavePlanState& state, WallMillis took) -> void
+{
+    const auto time = static_cast<double>(took);
+    state.m_meanDrainMs
+        = state.m_meanDrainMs == 0 ? time : (1 - newestDrainWeight) * state.m_meanDrainMs + newestDrainWeight * time;
+}
+
+auto planReboot(WavePlan& plan, const std::string& id, const InstanceRecord& instance) -> void
+{
+    if (plan.m_fleet.m_jobs.m_runningByWorker.contains(id))
+        return;
+    const auto [sent, isNew] = plan.m_state.m_rebootSentAt.try_emplace(id, plan.m_input.m_now);
+    if (!isNew && plan.m_input.m_now - sent->second < rebootAgainAfter)
+        return;
+    sent->second = plan.m_input.m_now;
+    add(plan, WaveActionKind::Reboot, instance.m_drainingFor, id, false, "drained");
+}
+
+auto planDraining(WavePlan& plan, const std::string& id, const InstanceRecord& instance) -> void
+{
+    const auto limit = effectiveValue(plan.m_fleet.m_configuration, "wave.drain_s", "", plan.m_input.m_now).m_value;
+    const auto took = plan.m_input.m_now - instance.m_drainingSince;
+    const auto health = healthOf(plan, id);
+    if (health.m_healthy && health.m_rebooted) {
+        learnDrain(plan.m_state, took);
+        plan.m_state.m_rebootSentAt.erase(id);
+        add(plan, WaveActionKind::EndDrain, instance.m_drainingFor, id, true, "rebooted and healthy");
+    } else if (took > limit * millisPerSecond) {
+        plan.m_state.m_rebootSentAt.erase(id);
+        add(plan, WaveActionKind::EndDrain, instance.m_drainingFor, id, false, "not back in time");
+    } else if (!health.m_rebooted) {
+        planReboot(plan, id, instance);
+    }
+}
+
+auto planInstances(WavePlan& plan) -> void
+{
+    for (const auto& [id, instance] : plan.m_fleet.m_pools.m_instances) {
+        const auto onItsWay = plan.m_state.m_onItsWay.contains(id);
+        plan.m_draining += onItsWay || !instance.m_drainingFor.empty() ? 1 : 0;
+        if (onItsWay)
+            continue;
+        if (instance.m_drainingFor.empty())
+            planMark(plan, id, instance);
+        else
+            planDraining(plan, id, instance);
+    }
+}
+
+// Pauses a wave that lost too many instances since it was started or resumed.
+auto pauseIfHarmful(WavePlan& plan, const std::string& id, const WaveRecord& wave) -> bool
+{
+    const auto limit = effectiveValue(plan.m_fleet.m_configuration, "wave.harm_limit", "", plan.m_input.m_now).m_value;
+    const auto lost = harmOf(plan.m_fleet, wave);
+    if (static_cast<std::int64_t>(lost.size()) - wave.m_acceptedHarm < limit)
+        return false;
+    std::string reason = std::to_string(lost.size()) + " instances failed in or after their maintenance:";
+    for (std::size_t i = 0; i < std::min(lost.size(), namesInReason); ++i)
+        reason += " " + std::string(lost[i]);
+    add(plan, WaveActionKind::PauseWave, id, "", false, std::move(reason));
+    return true;
+}
+
+auto isTaken(const WavePlan& plan, const std::string& id, const InstanceRecord& instance) -> bool
+{
+    return isUnavailable(instance) || !healthOf(plan, id).m_healthy || plan.m_state.m_onItsWay.contains(id);
+}
+
+auto domainOf(const InstanceRecord& instance, CoverLevel level) -> std::string_view
+{
+    return level == CoverLevel::Zone ? instance.m_zone : instance.m_rack;
+}
+
+auto buildCover(const WavePlan& plan, const PoolPlan& pool, CoverLevel level) -> DomainCover
+{
+    DomainCover cover;
+    cover.m_allowed = pool.m_allowed;
+    if (level != CoverLevel::None) {
+        for (const auto id : pool.m_members)
+            ++cover.m_domains[domainOf(instanceOf(plan, id), level)].m_size;
+    }
+    for (const auto id : pool.m_taken)
+        take(cover, domainOf(instanceOf(plan, id), level));
+    return cover;
+}
+
+// Drains that fit at once beside the failure of one domain.
+auto widthUnder(const DomainCover& cover) -> std::int64_t
+{
+    std::int64_t largest = 0;
+    for (const auto& [domain, count] : cover.m_domains)
+        largest = std::max(largest, count.m_size);
+    return cover.m_allowed - largest;
+}
+
+auto endsInTime(const WavePlan& plan, const WaveRecord& wave, std::size_t due, std::int64_t width) -> bool
+{
+    if (wave.m_finishBy == 0)
+        return true;
+    const auto drain = expectedDrain(plan.m_fleet, plan.m_state, plan.m_input.m_now);
+    const auto rounds = (static_cast<std::int64_t>(due) + width - 1) / width;
+    return plan.m_input.m_now + rounds * drain <= wave.m_finishBy;
+}
+
+// Takes the widest cover asked for that the budget allows and that lets the wave end in time.
+auto chooseCover(const WavePlan& plan, const WaveRecord& wave, PoolPlan& pool) -> void
+{
+    const auto asked = effectiveValue(plan.m_fleet.m_configuration, "wave.cover", pool.m_pool, plan.m_input.m_now);
+    for (auto level = asked.m_value; level >= 0; --level) {
+        pool.m_level = static_cast<CoverLevel>(level);
+        pool.m_cover = buildCover(plan, pool, pool.m_level);
+        const auto width = widthUnder(pool.m_cover);
+        pool.m_rounds = static_cast<double>(pool.m_due.size()) / static_cast<double>(std::max<std::int64_t>(1, width));
+        if (width >= 1 && endsInTime(plan, wave, pool.m_due.size(), width))
+            return;
+    }
+}
+
+// Instances whose domain drains already go first, then by rack, then those with the fewest jobs.
+auto sortDue(const WavePlan& plan, PoolPlan& pool) -> void
+{
+    const auto rank = [&](std::string_view id) {
+        const auto& instance = instanceOf(plan, id);
+        const auto domain = pool.m_cover.m_domains.find(domainOf(instance, pool.m_level));
+        const auto taken = domain == pool.m_cover.m_domains.end() ? 0 : domain->second.m_taken;
+        const auto jobs = plan.m_fleet.m_jobs.m_runningByWorker.find(id);
+        const auto running = jobs == plan.m_fleet.m_jobs.m_runningByWorker.end() ? 0 : jobs->second.size();
+        return std::tuple(-taken, std::string_view(instance.m_zone), std::string_view(instance.m_rack), running, id);
+    };
+    std::sort(pool.m_due.begin(), pool.m_due.end(), [&](auto a, auto b) { return rank(a) < rank(b); });
+}
+
+auto collectPools(const WavePlan& plan, const WaveRecord& wave) -> std::vector<PoolPlan>
+{
+    std::map<std::string_view, PoolPlan> pools;
+    for (const auto& [id, instance] : plan.m_fleet.m_pools.m_instances) {
+        if (!covers(wave, instance.m_pool))
+            continue;
+        auto& pool = pools[instance.m_pool];
+        pool.m_pool = instance.m_pool;
+        pool.m_members.push_back(id);
+        if (isTaken(plan, id, instance))
+            pool.m_taken.push_back(id);
+        else if (!wave.m_done.contains(id))
+            pool.m_due.push_back(id);
+    }
+    const auto now = plan.m_input.m_now;
+    const auto drain = effectiveValue(plan.m_fleet.m_configuration, "wave.drain_s", "", now).m_value * millisPerSecond;
+    std::vector<PoolPlan> result;
+    for (auto& [name, pool] : pools) {
+        const auto taken = static_cast<std::int64_t>(pool.m_taken.size());
+        const PoolCounts counts { static_cast<std::int64_t>(pool.m_members.size()), taken };
+        const auto left = std::min(
+            budgetLeft(plan.m_fleet, name, counts, now), budgetLeft(plan.m_fleet, name, counts, now + drain));
+        pool.m_allowed = taken + left;
+        if (left < 1 || pool.m_due.empty())
+            continue;
+        chooseCover(plan, wave, pool);
+        sortDue(plan, pool);
+        result.push_back(std::move(pool));
+    }
+    std::sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
+        return std::pair(-a.m_rounds, a.m_pool) < std::pair(-b.m_rounds, b.m_pool);
+    });
+    return result;
+}
+
+// Drains at once over the fleet: the configured width, or what finish_by needs; few until some came back well.
+auto fleetWidth(const WavePlan& plan, const WaveRecord& wave, std::span<const PoolPlan> pools) -> std::size_t
+{
+    const auto& configuration = plan.m_fleet.m_configuration;
+    const auto now = plan.m_input.m_now;
+    auto width = static_cast<std::size_t>(effectiveValue(configuration, "wave.width", "", now).m_value);
+    std::size_t due = 0;
+    for (const auto& pool : pools)
+        due += pool.m_due.size();
+    if (wave.m_finishBy != 0) {
+        const auto drain = expectedDrain(plan.m_fleet, plan.m_state, now);
+        const auto rounds = std::max<WallMillis>(1, (wave.m_finishBy - now) / drain);
+        width = std::max(width, (due + static_cast<std::size_t>(rounds) - 1) / static_cast<std::size_t>(rounds));
+    }
+    const auto harm = static_cast<std::size_t>(effectiveValue(configuration, "wave.harm_limit", "", now).m_value);
+    return std::min(width, harm * firstDrainsPerHarmLimit + wave.m_done.size() * drainsPerReturned);
+}
+
+auto beginOne(WavePlan& plan, const std::string& wave, PoolPlan& pool) -> bool
+{
+    for (auto it = pool.m_due.begin(); it != pool.m_due.end(); ++it) {
+        const auto id = *it;
+        const auto domain = domainOf(instanceOf(plan, id), pool.m_level);
+        if (!mayTake(pool.m_cover, domain))
+            continue;
+        take(pool.m_cover, domain);
+        pool.m_due.erase(it);
+        add(plan, WaveActionKind::BeginDrain, wave, id, false,
+            "pool " + std::string(pool.m_pool) + " may miss " + std::to_string(pool.m_allowed));
+        ++plan.m_draining;
+        return true;
+    }
+    return false;
+}
+
+auto beginDrains(WavePlan& plan, const std::string& id, const WaveRecord& wave) -> void
+{
+    auto pools = collectPools(plan, wave);
+    const auto width = fleetWidth(plan, wave, pools);
+    for (auto progress = true; progress && plan.m_draining < width;) {
+        progress = false;
+        for (auto& pool : pools) {
+            if (plan.m_draining < width && beginOne(plan, id, pool))
+                progress = true;
+        }
+    }
+}
+
+auto wavesByEnd(const MaintenanceState& maintenance) -> std::vector<std::pair<WallMillis, std::string_view>>
+{
+    std::vector<std::pair<WallMillis, std::string_view>> order;
+    for (const auto& [id, wave] : maintenance.m_waves)
+        order.emplace_back(wave.m_finishBy == 0 ? std::numeric_limits<WallMillis>::max() : wave.m_finishBy, id);
+    std::sort(order.begin(), order.end());
+    return order;
+}
+
+} // namespace
+
+auto planWave(const FleetState& fleet, WavePlanState& state, const WaveInput& input) -> std::vector<WaveAction>
+{
+    if (!input.m_mayAct)
+        return {};
+    WavePlan plan { fleet, state, input, {}, 0 };
+    planInstances(plan);
+    for (const auto& [end, id] : wavesByEnd(fleet.m_maintenance)) {
+        const auto& [name, wave] = *fleet.m_maintenance.m_waves.find(id);
+        if (wave.m_paused || state.m_onItsWay.contains(name) || pauseIfHarmful(plan, name, wave))
+            continue;
+        beginDrains(plan, name, wave);
+    }
+    return std::move(plan.m_actions);
+}
+
+auto onWaveRecorded(WavePlanState& state, const WaveAction& action) -> void
+{
+    state.m_onItsWay.erase(action.m_instance.empty() ? action.m_wave : action.m_instance);
+}
+
+} // namespace hemlockvane
