--- a/app/Main.cpp
+++ b/app/Main.cpp
@@ -16,6 +16,9 @@
 
 constexpr Command commands[] = {
     { "check-settings", runCheckSettings },
+    { "serve", runServe },
+    { "ctl", runCtl },
+    { "submit", runSubmit },
 };
 
 auto runCommand(int argc, char** argv) -> int
