--- /dev/null
+++ b/include/hemlockvane/detail/control/ClaimWait.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "hemlockvane/claims/ClaimReply.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace hemlockvane::detail {
+
+/// @brief A request that waits for its claim, and then what came of it.
+struct ClaimWait {
+    std::uint64_t m_ticket = 0;
+    std::shared_ptr<boost::asio::steady_timer> m_signal; ///< Cancelled when the wait is over.
+    bool m_mayDispatch = false;
+    std::optional<ClaimReply> m_reply;
+};
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/control/CommitWaiter.h
+++ b/include/hemlockvane/detail/control/CommitWaiter.h
@@ -10,8 +10,8 @@
 
 /// @brief A coroutine that waits for the outcome of an operation.
 struct CommitWaiter {
-    explicit CommitWaiter(boost::asio::any_io_executor executor)
-        : m_signal(std::move(executor), boost::asio::steady_timer::time_point::max())
+    explicit CommitWaiter(const boost::asio::any_io_executor& executor)
+        : m_signal(executor, boost::asio::steady_timer::time_point::max())
     {
     }
 
--- a/include/hemlockvane/detail/traffic/QueueRequest.h
+++ b/include/hemlockvane/detail/traffic/QueueRequest.h
@@ -19,7 +19,8 @@
     Caller m_caller;
     Instant m_deadline;
     bool m_isUrgent = false;
-    bool m_isRepeatable = false; ///< By its method; such a request needs no claim and may be sent again.
+    bool m_isRepeatable = false; ///< By its method and lack of a key: it may be sent again.
+    bool m_needsClaim = false; ///< It has a key and may run at most once.
 };
 
 /// @brief Reads queue, path, deadline, priority and idempotency key of a request.
--- a/include/hemlockvane/detail/traffic/TrafficShell.h
+++ b/include/hemlockvane/detail/traffic/TrafficShell.h
@@ -16,14 +16,16 @@
 
 namespace hemlockvane::detail {
 
+struct ClaimsDriver;
 struct ControlCore;
 class Metrics;
 
 /// @brief State of the traffic thread.
 struct TrafficShell {
-    TrafficShell(ControlCore& core, Metrics& metrics);
+    TrafficShell(ControlCore& core, ClaimsDriver& claims, Metrics& metrics);
 
     ControlCore& m_core; ///< Its view is read here; all else is asked of the control thread.
+    ClaimsDriver& m_claims; ///< Used on the control thread only.
     Metrics& m_metrics;
     boost::asio::io_context m_context { 1 };
     ExecutorConnections m_connections;
--- a/src/detail/http/ErrorResponse.cpp
+++ b/src/detail/http/ErrorResponse.cpp
@@ -4,27 +4,36 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace {
 
-constexpr const char* retryAfterSeconds = "1";
+constexpr std::chrono::seconds usualRetryAfter { 1 };
 
 } // namespace
 
 auto errorResponse(const LastReason& reason) -> HttpResponse
+{
+    return errorResponse(reason, errorAnswer(reason.m_kind).m_claimsNotRun, {});
+}
+
+auto errorResponse(const LastReason& reason, bool notRun, std::chrono::milliseconds retryAfter) -> HttpResponse
 {
     const auto& answer = errorAnswer(reason.m_kind);
+    const auto isRetrySensible = answer.m_retrySensible || retryAfter.count() > 0;
     const boost::json::object body {
         { "error", answer.m_name },
         { "number", static_cast<unsigned>(reason.m_kind) },
-        { "not_run", answer.m_claimsNotRun },
-        { "retry", answer.m_retrySensible },
+        { "not_run", notRun },
+        { "retry", isRetrySensible },
         { "reason", reason.m_text },
     };
     HttpResponse response { answer.m_httpStatus, { { "Content-Type", "application/json" } }, {} };
-    if (answer.m_retrySensible)
-        response.m_headers.push_back({ "Retry-After", retryAfterSeconds });
+    const auto seconds = std::max(usualRetryAfter, std::chrono::ceil<std::chrono::seconds>(retryAfter));
+    if (isRetrySensible)
+        response.m_headers.push_back({ "Retry-After", std::to_string(seconds.count()) });
     response.m_body = boost::json::serialize(body) + "\n";
     return response;
 }
--- a/src/detail/peers/PeerSockets.cpp
+++ b/src/detail/peers/PeerSockets.cpp
@@ -32,8 +32,13 @@
     {
     }
 
+    ~Impl() { close(); }
+    Impl(const Impl&) = delete;
+    auto operator=(const Impl&) -> Impl& = delete;
+
     auto waitReadable() -> void;
     auto drain() -> void;
+    auto close() noexcept -> void;
 
     zmq::context_t m_zmq;
     zmq::socket_t m_receiver;
@@ -135,17 +140,20 @@
 
 auto PeerSockets::byteCount() const -> std::uint64_t { return m_impl->m_bytes; }
 
-auto PeerSockets::close() -> void
+auto PeerSockets::Impl::close() noexcept -> void
 {
-    if (m_impl->m_isClosed)
+    if (m_isClosed)
         return;
-    m_impl->m_isClosed = true;
-    if (m_impl->m_descriptor.is_open()) {
-        m_impl->m_descriptor.cancel();
-        m_impl->m_descriptor.release();
+    m_isClosed = true;
+    boost::system::error_code error;
+    if (m_descriptor.is_open()) {
+        m_descriptor.cancel(error);
+        m_descriptor.release();
     }
-    m_impl->m_senders.clear();
-    m_impl->m_receiver.close();
+    m_senders.clear();
+    m_receiver.close();
 }
 
+auto PeerSockets::close() -> void { m_impl->close(); }
+
 } // namespace hemlockvane::detail
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/api/OperatorsApi.h"
 #include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/ClaimsDriver.h"
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
@@ -43,7 +44,8 @@
 struct Entry {
     explicit Entry(const ServeSettings& settings)
         : m_core(settings, newInstanceId(settings), m_metrics)
-        , m_shell(m_core, m_metrics)
+        , m_claims(m_core)
+        , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
               m_core.m_context, {}, [this](HttpRequest request) { return m_operators.handle(std::move(request)); })
@@ -55,6 +57,7 @@
 
     Metrics m_metrics;
     ControlCore m_core;
+    ClaimsDriver m_claims;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -122,6 +125,7 @@
     asio::co_spawn(core.m_context, watchInstances(core), asio::detached);
     asio::co_spawn(core.m_context, runMembership(core), asio::detached);
     asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
+    asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
 }
 
 } // namespace
--- a/src/detail/traffic/QueueRequest.cpp
+++ b/src/detail/traffic/QueueRequest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <span>
 
 namespace hemlockvane::detail {
 
@@ -18,6 +19,13 @@
     "Content-Length", "Host", "Upgrade", "TE", "Proxy-Connection" };
 constexpr std::array<std::string_view, 5> repeatableMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS" };
 
+constexpr std::array<std::string_view, 3> safeMethods { "GET", "HEAD", "OPTIONS" };
+
+auto contains(std::span<const std::string_view> names, std::string_view name) -> bool
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 auto isKeptBack(const HttpHeader& header) -> bool
 {
     return std::any_of(keptBack.begin(), keptBack.end(),
@@ -69,8 +77,8 @@
     result.m_deadline = now + *timeout;
     result.m_isUrgent = *isUrgent;
     result.m_idempotencyKey = std::string(findHeader(request.m_headers, "Idempotency-Key"));
-    result.m_isRepeatable
-        = std::find(repeatableMethods.begin(), repeatableMethods.end(), request.m_method) != repeatableMethods.end();
+    result.m_needsClaim = !result.m_idempotencyKey.empty() && !contains(safeMethods, request.m_method);
+    result.m_isRepeatable = !result.m_needsClaim && contains(repeatableMethods, request.m_method);
     const auto rest = std::string(request.m_target.substr(requestsPrefix.size() + queue.size()));
     std::erase_if(request.m_headers, isKeptBack);
     request.m_target = rest.starts_with('/') ? rest : "/" + rest;
--- a/src/detail/traffic/RequestPath.cpp
+++ b/src/detail/traffic/RequestPath.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/traffic/Authenticate.h"
+#include "hemlockvane/detail/traffic/ClaimedRequest.h"
 #include "hemlockvane/detail/traffic/QueueRequest.h"
 #include "hemlockvane/detail/traffic/TrafficShell.h"
 
@@ -96,6 +97,30 @@
     co_return std::nullopt;
 }
 
+// Once the bytes may have left, only a request that may be repeated is told to try again.
+auto refuse(const QueueRequest& request, LastReason reason) -> HttpResponse
+{
+    if (reason.m_kind == ErrorKind::AnswerLost && !request.m_isRepeatable)
+        reason.m_kind = ErrorKind::OutcomeUnknown;
+    logOf("routing").warn("{} of team '{}' refused: {}", request.m_queue, request.m_caller.m_team, reason.m_text);
+    return errorResponse(reason);
+}
+
+auto handleClaimed(TrafficShell& shell, const QueueRequest& request) -> asio::awaitable<HttpResponse>
+{
+    const auto claim = co_await claimRequest(shell, request);
+    if (claim.m_reply)
+        co_return replyResponse(*claim.m_reply);
+    LastReason reason;
+    auto response = co_await sendToService(shell, request, reason);
+    if (response)
+        response = toResponse(std::move(*response));
+    const auto inDoubt = reason.m_kind == ErrorKind::AnswerLost;
+    const auto failure = inDoubt ? ClaimResult::InDoubt : ClaimResult::NotRun;
+    reportOutcome(shell, claim.m_ticket, response ? ClaimResult::Answered : failure, response);
+    co_return response ? std::move(*response) : refuse(request, reason);
+}
+
 } // namespace
 
 auto handleRequest(TrafficShell& shell, HttpRequest message) -> asio::awaitable<HttpResponse>
@@ -112,13 +137,12 @@
     if (!request)
         co_return errorResponse(reason);
     request->m_caller = std::move(*caller);
+    if (request->m_needsClaim)
+        co_return co_await handleClaimed(shell, *request);
     auto response = co_await sendToService(shell, *request, reason);
     if (response)
         co_return toResponse(std::move(*response));
-    if (reason.m_kind == ErrorKind::AnswerLost && !request->m_isRepeatable)
-        reason.m_kind = ErrorKind::OutcomeUnknown;
-    logOf("routing").warn("{} of team '{}' refused: {}", request->m_queue, request->m_caller.m_team, reason.m_text);
-    co_return errorResponse(reason);
+    co_return refuse(*request, reason);
 }
 
 } // namespace hemlockvane::detail
--- a/src/detail/traffic/TrafficShell.cpp
+++ b/src/detail/traffic/TrafficShell.cpp
@@ -41,8 +41,9 @@
 
 } // namespace
 
-TrafficShell::TrafficShell(ControlCore& core, Metrics& metrics)
+TrafficShell::TrafficShell(ControlCore& core, ClaimsDriver& claims, Metrics& metrics)
     : m_core(core)
+    , m_claims(claims)
     , m_metrics(metrics)
     , m_connections(m_context.get_executor())
 {
