Place jobs on workers under leases

Cause of a crash on submit, found on the way: GCC 12 destroys a closure twice that is a temporary of a co_await expression; closures are named now. Ruled out by the backtrace: the message type and the handover between threads.

--- a/include/hemlockvane/detail/control/ControlCore.h
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -49,6 +49,9 @@
     std::function<void()> m_stop = [] {}; ///< Begins a planned stop of the process.
     VouchState m_vouch;
     PlannerState m_planner;
+    Instant m_lastRemoval = Instant::min(); ///< When the last unplanned removal of an entry was read back.
+    Offset m_lastRemovalOffset = 0;
+    Offset m_seenMembership = 0; ///< Version of the membership that the sockets follow.
     std::optional<Instant> m_lastEndRead; ///< When the last read that reached the log's end was sent.
     std::map<std::uint64_t, Instant> m_beatsSent; ///< By sequence.
     std::map<std::string, PeerStatus, std::less<>> m_peerReports; ///< Last beat of each peer.
@@ -73,6 +76,11 @@
 /// @brief Sends a message to a peer, marked with this process' id.
 auto sendToPeer(ControlCore& core, std::string_view instance, wire::Envelope& envelope) -> void;
 
+/// @brief Epoch of a duty that this instance holds and may act under now: it is vouched for, and every entry removed
+/// before has certainly stopped.
+/// @result empty when it may not
+auto dutyEpoch(const ControlCore& core, std::string_view duty) -> std::optional<Offset>;
+
 /// @brief A new operation id, unique over all processes.
 auto newOperationId(ControlCore& core) -> std::string;
 
--- /dev/null
+++ b/include/hemlockvane/detail/control/PlacementDriver.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "hemlockvane/placement/PlacementState.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <set>
+#include <string>
+
+namespace hemlockvane::detail {
+
+struct ControlCore;
+
+/// @brief Runs the placement slice on the control thread while this instance holds its duty.
+struct PlacementDriver {
+    explicit PlacementDriver(ControlCore& core)
+        : m_core(core)
+    {
+    }
+
+    ControlCore& m_core;
+    PlacementState m_state;
+    std::set<std::string, std::less<>> m_asked; ///< Workers whose report is on its way.
+};
+
+/// @brief Asks workers for reports and plans placements while the duty is held; ends when the process stops.
+auto runPlacement(PlacementDriver& driver) -> boost::asio::awaitable<void>;
+
+} // namespace hemlockvane::detail
--- a/src/detail/api/JobsApi.cpp
+++ b/src/detail/api/JobsApi.cpp
@@ -135,7 +135,8 @@
         co_return errorResponse({ ErrorKind::BadRequest, "a job needs a queue and an id of at most 200 bytes" });
     const auto attempts = effectiveValue(*view.m_configuration, "jobs.attempts", queue, wallNow()).m_value;
     auto change = toSubmit(body, caller, attempts);
-    co_return co_await onControl(shell, [&core = shell.m_core, change]() { return submitOnControl(core, change); });
+    auto run = [&core = shell.m_core, change]() { return submitOnControl(core, change); };
+    co_return co_await onControl(shell, std::move(run));
 }
 
 } // namespace
@@ -158,11 +159,13 @@
     auto& core = shell.m_core;
     if (request.m_method == "POST" && path.size() == 3 && path[2] == "cancel") {
         const auto ids = textsOf(*body, "jobs");
-        co_return co_await onControl(shell, [&core, ids, who = *caller]() { return cancelOnControl(core, ids, who); });
+        auto run = [&core, ids, who = *caller]() { return cancelOnControl(core, ids, who); };
+        co_return co_await onControl(shell, std::move(run));
+    }
+    if (request.m_method == "GET" && path.size() == 3) {
+        auto run = [&core, id = path[2], who = *caller]() { return statusOnControl(core, id, who); };
+        co_return co_await onControl(shell, std::move(run));
     }
-    if (request.m_method == "GET" && path.size() == 3)
-        co_return co_await onControl(
-            shell, [&core, id = path[2], who = *caller]() { return statusOnControl(core, id, who); });
     co_return errorResponse({ ErrorKind::NotFound, "there is no " + request.m_method + " " + request.m_target });
 }
 
--- a/src/detail/control/ControlCore.cpp
+++ b/src/detail/control/ControlCore.cpp
@@ -71,6 +71,18 @@
         core.m_metrics.count("peer_messages_dropped_total");
 }
 
+auto dutyEpoch(const ControlCore& core, std::string_view duty) -> std::optional<Offset>
+{
+    const auto now = monotonicNow();
+    const auto found = core.m_state.m_membership.m_duties.find(duty);
+    if (found == core.m_state.m_membership.m_duties.end() || found->second.m_holder != core.m_instance)
+        return std::nullopt;
+    const auto isAfterRemoval = core.m_lastRemoval != Instant::min();
+    if (!mayAct(core.m_vouch, now) || (isAfterRemoval && !takeoverSettled(core.m_vouch, core.m_lastRemoval, now)))
+        return std::nullopt;
+    return found->second.m_epoch;
+}
+
 auto newOperationId(ControlCore& core) -> std::string
 {
     return core.m_instance + "/" + std::to_string(++core.m_operationCount);
--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -118,6 +118,26 @@
     }
 }
 
+// Remembers when the last removal was read back: a taken duty waits until the removed entry has certainly stopped.
+auto noteRemovals(ControlCore& core) -> void
+{
+    for (const auto& [id, entry] : core.m_state.m_membership.m_entries) {
+        if (entry.m_planned || entry.m_removedAt <= core.m_lastRemovalOffset)
+            continue;
+        core.m_lastRemovalOffset = entry.m_removedAt;
+        core.m_lastRemoval = monotonicNow();
+    }
+}
+
+auto onMembershipFolded(ControlCore& core) -> void
+{
+    if (core.m_seenMembership == core.m_state.m_membership.m_version)
+        return;
+    core.m_seenMembership = core.m_state.m_membership.m_version;
+    connectMembers(core);
+    noteRemovals(core);
+}
+
 auto fillBeat(ControlCore& core, wire::Beat& beat) -> void
 {
     beat.set_folded_end(core.m_state.m_nextOffset);
@@ -248,7 +268,7 @@
 
 auto attachMembership(ControlCore& core) -> void
 {
-    core.m_onFolded.emplace_back([&core]() { connectMembers(core); });
+    core.m_onFolded.emplace_back([&core]() { onMembershipFolded(core); });
     core.m_onMessage.emplace_back([&core](const wire::Envelope& envelope) { onMessage(core, envelope); });
 }
 
--- /dev/null
+++ b/src/detail/control/PlacementDriver.cpp
@@ -0,0 +1,215 @@
+#include "hemlockvane/detail/control/PlacementDriver.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/Commit.h"
+#include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/platform/WorkerClient.h"
+#include "hemlockvane/membership/Duties.h"
+#include "hemlockvane/placement/PlanPlacement.h"
+#include "hemlockvane/placement/TrackTasks.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration planInterval { 250 };
+constexpr Duration workerTimeout { 1000 };
+constexpr std::uint32_t unlimitedPermits = 1000000;
+
+auto addressOf(const ControlCore& core, std::string_view worker) -> std::string
+{
+    for (const auto& instance : core.m_listed) {
+        if (instance.m_kind == "worker" && instance.m_id == worker)
+            return instance.m_address;
+    }
+    return {};
+}
+
+auto carryOutAll(PlacementDriver& driver, const std::vector<PlacementAction>& actions) -> void;
+
+auto toOperation(const PlacementAction& action) -> wire::Operation
+{
+    wire::Operation operation;
+    const auto fill = [&](auto& change) {
+        change.mutable_fence()->set_duty(std::string(placementDuty));
+        change.mutable_fence()->set_epoch(action.m_fenceEpoch);
+        change.set_job(action.m_job);
+        change.set_attempt(action.m_attempt);
+    };
+    if (action.m_kind == PlacementActionKind::PlaceJob) {
+        fill(*operation.mutable_place_job());
+        operation.mutable_place_job()->set_worker(action.m_worker);
+        return operation;
+    }
+    auto& change = *operation.mutable_end_attempt();
+    fill(change);
+    change.set_outcome(static_cast<wire::JobOutcome>(action.m_outcome));
+    change.set_reason(action.m_reason);
+    change.set_parked(action.m_parked);
+    return operation;
+}
+
+// Appends until the outcome is certain: a record that may be in the log must not be planned again.
+auto commitForSure(ControlCore& core, wire::Operation operation) -> asio::awaitable<OperationResult>
+{
+    operation.set_id(newOperationId(core));
+    auto result = co_await commit(core, operation);
+    while (result.m_error == ErrorKind::OutcomeUnknown && !core.m_isStopped)
+        result = co_await commit(core, operation);
+    co_return result;
+}
+
+auto recordAction(PlacementDriver& driver, PlacementAction action) -> asio::awaitable<void>
+{
+    auto& core = driver.m_core;
+    const auto result = co_await commitForSure(core, toOperation(action));
+    if (result.m_error != ErrorKind::None) {
+        logOf("placement").warn("job {} not recorded: {}", action.m_job, result.m_reason);
+        onNotRecorded(driver.m_state, action.m_job);
+        co_return;
+    }
+    if (action.m_kind == PlacementActionKind::PlaceJob)
+        carryOutAll(driver, onPlaced(core.m_state, driver.m_state, action.m_job, monotonicNow()));
+    else
+        onEnded(core.m_state, driver.m_state, action.m_job, action.m_worker, action.m_outcome, monotonicNow());
+}
+
+auto startBody(const ControlCore& core, const PlacementAction& action) -> json::object
+{
+    const auto found = core.m_state.m_jobs.m_jobs.find(action.m_job);
+    if (found == core.m_state.m_jobs.m_jobs.end())
+        return {};
+    const auto& job = found->second;
+    return { { "job", action.m_job }, { "attempt", action.m_attempt }, { "lease_epoch", action.m_leaseEpoch },
+        { "lease_until", action.m_leaseUntil }, { "command", job.m_command }, { "cores", job.m_cores },
+        { "memory_mb", job.m_memoryMb } };
+}
+
+auto verbOf(PlacementActionKind kind) -> std::string_view
+{
+    switch (kind) {
+    case PlacementActionKind::ThrottleTask:
+        return "throttle";
+    case PlacementActionKind::ReleaseTask:
+        return "release";
+    case PlacementActionKind::CheckpointTask:
+        return "checkpoint";
+    case PlacementActionKind::StopTask:
+        return "stop";
+    case PlacementActionKind::AcknowledgeEnd:
+        return "acknowledge";
+    case PlacementActionKind::PlaceJob:
+    case PlacementActionKind::EndAttempt:
+    case PlacementActionKind::RenewLease:
+    case PlacementActionKind::StartTask:
+        break;
+    }
+    return "";
+}
+
+auto commandOf(const ControlCore& core, const PlacementAction& action) -> std::pair<std::string, json::object>
+{
+    if (action.m_kind == PlacementActionKind::RenewLease)
+        return { "/v1/lease", { { "lease_until", action.m_leaseUntil } } };
+    if (action.m_kind == PlacementActionKind::StartTask)
+        return { "/v1/tasks", startBody(core, action) };
+    return { "/v1/tasks/" + action.m_job + "/" + std::string(verbOf(action.m_kind)),
+        { { "lease_epoch", action.m_leaseEpoch } } };
+}
+
+auto sendAction(PlacementDriver& driver, PlacementAction action) -> asio::awaitable<void>
+{
+    auto& core = driver.m_core;
+    if (!dutyEpoch(core, placementDuty))
+        co_return;
+    const auto address = addressOf(core, action.m_worker);
+    auto [path, body] = commandOf(core, action);
+    LastReason reason;
+    if (!co_await commandWorker(address, std::move(path), std::move(body), workerTimeout, reason))
+        logOf("placement").warn("worker {}: {}", action.m_worker, reason.m_text);
+}
+
+auto carryOut(PlacementDriver& driver, const PlacementAction& action) -> void
+{
+    const auto isRecord
+        = action.m_kind == PlacementActionKind::PlaceJob || action.m_kind == PlacementActionKind::EndAttempt;
+    if (action.m_kind != PlacementActionKind::RenewLease)
+        logOf("placement")
+            .info("{} job {} attempt {} on {}: {}",
+                action.m_kind == PlacementActionKind::PlaceJob ? "place" : (isRecord ? "end" : "tell"), action.m_job,
+                action.m_attempt, action.m_worker, action.m_reason);
+    auto& context = driver.m_core.m_context;
+    if (isRecord)
+        asio::co_spawn(context, recordAction(driver, action), asio::detached);
+    else
+        asio::co_spawn(context, sendAction(driver, action), asio::detached);
+}
+
+auto carryOutAll(PlacementDriver& driver, const std::vector<PlacementAction>& actions) -> void
+{
+    for (const auto& action : actions)
+        carryOut(driver, action);
+}
+
+auto askWorker(PlacementDriver& driver, std::string worker, std::string address) -> asio::awaitable<void>
+{
+    LastReason reason;
+    const auto epoch = driver.m_state.m_epoch;
+    const auto report = co_await readWorkerReport(worker, std::move(address), workerTimeout, reason);
+    driver.m_asked.erase(worker);
+    if (report && dutyEpoch(driver.m_core, placementDuty) == epoch)
+        carryOutAll(driver, onReport(driver.m_core.m_state, driver.m_state, *report, monotonicNow()));
+}
+
+auto askWorkers(PlacementDriver& driver) -> void
+{
+    for (const auto& instance : driver.m_core.m_listed) {
+        if (instance.m_kind != "worker" || !driver.m_asked.insert(instance.m_id).second)
+            continue;
+        asio::co_spawn(driver.m_core.m_context, askWorker(driver, instance.m_id, instance.m_address), asio::detached);
+    }
+}
+
+auto planOnce(PlacementDriver& driver) -> void
+{
+    auto& core = driver.m_core;
+    PlacementInput input;
+    input.m_now = monotonicNow();
+    input.m_wallNow = wallNow();
+    input.m_mayPlace = core.m_isLogReachable;
+    for (const auto& id : core.m_state.m_jobs.m_queued)
+        input.m_permits[core.m_state.m_jobs.m_jobs.find(id)->second.m_team] = unlimitedPermits;
+    carryOutAll(driver, planPlacement(core.m_state, driver.m_state, input));
+}
+
+} // namespace
+
+auto runPlacement(PlacementDriver& driver) -> asio::awaitable<void>
+{
+    auto& core = driver.m_core;
+    while (!core.m_isStopped) {
+        co_await sleepFor(planInterval);
+        const auto epoch = dutyEpoch(core, placementDuty);
+        if (!epoch)
+            continue;
+        if (driver.m_state.m_epoch != *epoch) {
+            driver.m_state = {};
+            beginPlacement(driver.m_state, *epoch, monotonicNow());
+            logOf("placement").info("duty begins, epoch {}", *epoch);
+        }
+        askWorkers(driver);
+        planOnce(driver);
+    }
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
+#include "hemlockvane/detail/control/PlacementDriver.h"
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/HttpServer.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -45,6 +46,7 @@
     explicit Entry(const ServeSettings& settings)
         : m_core(settings, newInstanceId(settings), m_metrics)
         , m_claims(m_core)
+        , m_placement(m_core)
         , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
@@ -58,6 +60,7 @@
     Metrics m_metrics;
     ControlCore m_core;
     ClaimsDriver m_claims;
+    PlacementDriver m_placement;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -126,6 +129,7 @@
     asio::co_spawn(core.m_context, runMembership(core), asio::detached);
     asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
     asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
+    asio::co_spawn(core.m_context, runPlacement(entry.m_placement), asio::detached);
 }
 
 } // namespace
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <map>
@@ -49,6 +50,7 @@
 
 struct Worker {
     std::string m_name;
+    std::uint64_t m_incarnation = 1; // Counts the starts: a reboot forgets every task.
     Milliseconds m_usageLag { 0 };
     std::int64_t m_usagePercent = 100; // Real use of what a task declares.
 
@@ -100,6 +102,20 @@
             { "lease_epoch", task.m_leaseEpoch } });
 }
 
+auto clockMs() -> std::int64_t
+{
+    return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
+}
+
+// End of a lease: on this worker's own clock, or so long from now.
+auto leaseEnd(const boost::json::object& request) -> Clock::time_point
+{
+    const auto until = numberOf(request, "lease_until");
+    if (until != 0)
+        return Clock::time_point(Milliseconds(until));
+    return Clock::now() + Milliseconds(numberOf(request, "lease_ms", builtInLeaseMs));
+}
+
 auto newTask(const Worker& worker, const boost::json::object& request) -> Task
 {
     const auto now = Clock::now();
@@ -112,7 +128,7 @@
     task.m_willFail = worker.m_faults.m_failsAll || textOf(request, "command") == "fail";
     task.m_startedAt = now;
     task.m_endsAt = now + (task.m_willFail ? Milliseconds(failAfterMs) : runTime(request));
-    task.m_leasedUntil = now + Milliseconds(numberOf(request, "lease_ms", builtInLeaseMs));
+    task.m_leasedUntil = leaseEnd(request);
     return task;
 }
 
@@ -130,6 +146,8 @@
         return refusal(503, "refused");
     if (worker.m_isDraining)
         return refusal(503, "draining");
+    if (task.m_leasedUntil <= Clock::now())
+        return refusal(409, "the lease has ended");
     ++worker.m_executionsByJob[task.m_job];
     auto& stored = worker.m_tasks[task.m_job] = std::move(task);
     return startAnswer(worker, stored);
@@ -149,6 +167,12 @@
     return std::chrono::duration_cast<Milliseconds>(Clock::now() - task.m_startedAt).count();
 }
 
+auto checkpoint(Task& task) -> void
+{
+    task.m_checkpointMs = workDoneMs(task);
+    end(task, "checkpointed", "checkpointed by request");
+}
+
 auto command(Task& task, std::string_view verb, const boost::json::object& request) -> StandinAnswer
 {
     const auto epoch = numberOf(request, "lease_epoch", task.m_leaseEpoch);
@@ -157,11 +181,13 @@
     if (task.m_state != "running")
         return refusal(409, "the task is " + task.m_state);
     if (verb == "renew")
-        task.m_leasedUntil = Clock::now() + Milliseconds(numberOf(request, "lease_ms", builtInLeaseMs));
+        task.m_leasedUntil = leaseEnd(request);
     else if (verb == "throttle")
         throttle(task);
+    else if (verb == "release")
+        task.m_isThrottled = false;
     else if (verb == "checkpoint")
-        task.m_checkpointMs = workDoneMs(task);
+        checkpoint(task);
     else if (verb == "stop")
         end(task, "stopped", "stopped by request");
     else
@@ -192,16 +218,33 @@
     for (const auto& [job, count] : worker.m_executionsByJob)
         executions[job] = count;
     return jsonAnswer(200,
-        { { "worker", worker.m_name }, { "draining", worker.m_isDraining }, { "tasks", std::move(tasks) },
+        { { "worker", worker.m_name }, { "incarnation", std::to_string(worker.m_incarnation) },
+            { "clock_ms", clockMs() }, { "draining", worker.m_isDraining }, { "tasks", std::move(tasks) },
             { "executions", std::move(executions) }, { "leases_lapsed", worker.m_leasesLapsed } });
 }
 
+// Renews every task's lease at once.
+auto renewAll(Worker& worker, const boost::json::object& request) -> StandinAnswer
+{
+    for (auto& [job, task] : worker.m_tasks)
+        task.m_leasedUntil = std::max(task.m_leasedUntil, leaseEnd(request));
+    return jsonAnswer(200, { { "accepted", true } });
+}
+
+// Forgets an ended task of the epoch named.
+auto acknowledge(Worker& worker, const std::string& job, const boost::json::object& request) -> StandinAnswer
+{
+    const auto found = worker.m_tasks.find(job);
+    if (found != worker.m_tasks.end() && found->second.m_state != "running"
+        && found->second.m_leaseEpoch == numberOf(request, "lease_epoch"))
+        worker.m_tasks.erase(found);
+    return jsonAnswer(200, { { "accepted", true } });
+}
+
 auto reboot(Worker& worker, const boost::json::object& request) -> StandinAnswer
 {
-    for (auto& [job, task] : worker.m_tasks) {
-        if (task.m_state == "running")
-            end(task, "stopped", "the worker rebooted");
-    }
+    worker.m_tasks.clear();
+    ++worker.m_incarnation;
     worker.m_isDraining = false;
     worker.m_downUntil = Clock::now() + Milliseconds(numberOf(request, "ms"));
     return jsonAnswer(200, { { "accepted", true } });
@@ -225,6 +268,8 @@
 {
     const auto slash = path.rfind('/');
     const auto task = worker.m_tasks.find(std::string(path.substr(0, slash)));
+    if (slash != std::string_view::npos && path.substr(slash + 1) == "acknowledge")
+        return acknowledge(worker, std::string(path.substr(0, slash)), request);
     if (slash == std::string_view::npos || task == worker.m_tasks.end())
         return refusal(404, "no such task");
     return command(task->second, path.substr(slash + 1), request);
@@ -246,6 +291,8 @@
         return request.m_method == "POST" ? start(worker, *body) : listTasks(worker);
     if (request.m_method != "POST")
         return refusal(404, "no such path");
+    if (path == "/v1/lease")
+        return renewAll(worker, *body);
     if (path == "/v1/reboot")
         return reboot(worker, *body);
     if (path == "/v1/drain") {
