Do not refuse a team because the holder has not counted it yet

Cause: with a greedy team, a queue that held shares from the slot holder took a team without a share as entitled to almost nothing, expected an endless wait and refused its requests at once; refused requests are no demand, so the holder never counted the team. The expected wait now counts on the team's weight at least. The test failed before the change.

--- a/bench/ShareBench.cpp
+++ b/bench/ShareBench.cpp
@@ -28,6 +28,7 @@
     TCLAP::ValueArg<int> seconds("t", "seconds", "virtual seconds", false, 50, "seconds", commandLine);
     TCLAP::ValueArg<int> delay("d", "delay", "delay between entries", false, 1, "ms", commandLine);
     TCLAP::SwitchArg baselines("b", "no-baselines", "leave the baselines out", commandLine);
+    TCLAP::ValueArg<std::string> only("w", "workload", "run only this workload", false, "", "name", commandLine);
     commandLine.parse(argc, argv);
     std::printf("| workload | policy | mean distance %% | 95th %% | largest %% | sampled mean %% | busy %% | unserved "
                 "ms | quick wait p50 ms "
@@ -37,6 +38,8 @@
         makeWorkload("Maraval, greedy team, 1 s", 4, 100, 1000), makeWorkload("Roata", 3, 0, 0),
         makeWorkload("Roata, greedy team, 50 ms", 3, 100, 50) };
     for (auto workload : workloads) {
+        if (only.isSet() && only.getValue() != workload.m_name)
+            continue;
         workload.m_seconds = seconds.getValue();
         const auto* name = workload.m_name.c_str();
         const auto run
--- a/bench/ShareFleet.cpp
+++ b/bench/ShareFleet.cpp
@@ -107,7 +107,7 @@
         m_names.push_back("e" + std::to_string(e));
         m_zones[m_names.back()] = "z" + std::to_string(e % m_workload.m_zones);
         for (int x = 0; x < m_workload.m_executors; ++x)
-            m_connections[m_names.back()]["x" + std::to_string(x)] = 64U / static_cast<unsigned>(m_workload.m_entries);
+            m_connections[m_names.back()]["x" + std::to_string(x)] = m_workload.m_slots;
         for (int s = 0; s < m_workload.m_services; ++s) {
             auto& queue = entry.m_queues.emplace_back();
             entry.m_used.push_back(0);
--- a/src/shares/RequestQueue.cpp
+++ b/src/shares/RequestQueue.cpp
@@ -64,13 +64,23 @@
     return team.m_entitled - team.m_running + team.m_credit / toSeconds(queue.m_limits.m_creditTime) + urgent;
 }
 
+// Slots that a team can count on: the holder counts its demand only after it waited here, so its weight counts too.
+auto expectedSlots(const RequestQueue& queue, const TeamQueue& team) -> double
+{
+    auto weights = 0.0;
+    for (const auto& [name, other] : queue.m_teams)
+        weights += &other == &team || demandOf(other) > 0 ? other.m_weight : 0;
+    return std::max(team.m_entitled, queue.m_slots * team.m_weight / weights);
+}
+
 // Time until a request that comes after `ahead` others of its team is dispatched; 0 while run times are not known.
-auto expectedWait(const TeamQueue& team, std::size_t ahead) -> double
+auto expectedWait(const RequestQueue& queue, const TeamQueue& team, std::size_t ahead) -> double
 {
-    if (team.m_meanRun <= 0 || team.m_entitled <= 0)
+    const auto slots = expectedSlots(queue, team);
+    if (team.m_meanRun <= 0 || slots <= 0)
         return 0;
     const auto running = static_cast<double>(team.m_running + ahead + 1);
-    return std::max(0.0, running - team.m_entitled) * team.m_meanRun / team.m_entitled;
+    return std::max(0.0, running - slots) * team.m_meanRun / slots;
 }
 
 auto popNext(TeamQueue& team) -> QueuedRequest
@@ -93,7 +103,7 @@
     const auto ticket = from.back().m_ticket;
     from.pop_back();
     --queue.m_waiting;
-    return { ticket, ErrorKind::QueueFull, toDuration(expectedWait(team, waitingIn(team))) };
+    return { ticket, ErrorKind::QueueFull, toDuration(expectedWait(queue, team, waitingIn(team))) };
 }
 
 auto shedFrom(RequestQueue& queue, TeamQueue& team, std::deque<QueuedRequest>& requests, std::size_t ahead, Instant now,
@@ -101,7 +111,7 @@
 {
     std::deque<QueuedRequest> kept;
     for (auto& request : requests) {
-        const auto wait = toDuration(expectedWait(team, ahead + kept.size()));
+        const auto wait = toDuration(expectedWait(queue, team, ahead + kept.size()));
         if (request.m_deadline <= now)
             shed.push_back({ request.m_ticket, ErrorKind::DeadlinePassed, wait });
         else if (now + wait + toDuration(team.m_meanRun) > request.m_deadline)
@@ -136,7 +146,7 @@
     update(queue, now);
     auto& team = queue.m_teams[request.m_team];
     const auto ahead = request.m_urgent ? team.m_urgent.size() : waitingIn(team);
-    const auto wait = toDuration(expectedWait(team, ahead));
+    const auto wait = toDuration(expectedWait(queue, team, ahead));
     if (request.m_deadline <= now)
         return { { request.m_ticket, ErrorKind::DeadlinePassed, wait } };
     if (now + wait + toDuration(team.m_meanRun) > request.m_deadline)
--- a/tests/core/shares/RequestQueueTest.cpp
+++ b/tests/core/shares/RequestQueueTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(dispatchNext_teamAtLimit_isPassedOver);
     CPPUNIT_TEST(enqueue_full_shedsTeamThatWaitsMost);
     CPPUNIT_TEST(enqueue_deadlineCannotBeKept_isRefusedAtOnce);
+    CPPUNIT_TEST(enqueue_teamNotCountedByHolder_isNotRefused);
     CPPUNIT_TEST(shedLate_deadlinePassed_isTakenOut);
     CPPUNIT_TEST(cancel_waiting_isNeverDispatched);
     CPPUNIT_TEST_SUITE_END();
@@ -97,6 +98,20 @@
         CPPUNIT_ASSERT(enqueue(queue, { 501, "a", false, m_now + Duration { 5000 } }, m_now).empty());
     }
 
+    // A team whose requests are refused has no demand that the holder could count.
+    auto enqueue_teamNotCountedByHolder_isNotRefused() -> void
+    {
+        auto queue = queueWith(8);
+        fill(queue, "greedy", 100);
+        enqueue(queue, { 500, "slow", false, m_later }, m_now);
+        dispatchNext(
+            queue, [](auto team) { return team == "slow"; }, m_now);
+        finish(queue, "slow", Duration { 500 }, m_now);
+        setSlots(queue, 8, std::vector<TeamShare> { { "greedy", 8000 } }, m_now);
+        CPPUNIT_ASSERT(enqueue(queue, { 501, "slow", false, m_now + Duration { 5000 } }, m_now).empty());
+        CPPUNIT_ASSERT(enqueue(queue, { 502, "slow", false, m_now + Duration { 5000 } }, m_now).empty());
+    }
+
     auto shedLate_deadlinePassed_isTakenOut() -> void
     {
         auto queue = queueWith(1);
