--- /dev/null
+++ b/include/hemlockvane/routing/SubsetMember.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief An entry or an executor, for the computation of connection subsets.
+struct SubsetMember {
+    std::string m_id;
+    std::string m_zone;
+};
+
+} // namespace hemlockvane
