--- a/bench/ShareBench.cpp
+++ b/bench/ShareBench.cpp
@@ -3,6 +3,7 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
+#include <exception>
 
 using namespace hemlockvane::bench;
 
@@ -19,9 +20,7 @@
     std::fflush(stdout);
 }
 
-} // namespace
-
-auto main(int argc, char** argv) -> int
+auto run(int argc, char** argv) -> void
 {
     TCLAP::CmdLine commandLine("Measures share distance and busy slots in virtual time", ' ', "1");
     TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "first seed", false, 1, "number", commandLine);
@@ -44,11 +43,23 @@
         const auto* name = workload.m_name.c_str();
         const auto run
             = [&](SharePolicy policy) { return runShares(workload, policy, seed.getValue(), delay.getValue()); };
-        printRow(name, "escrow", run(SharePolicy::Escrow));
+        printRow(name, "escrow", measure(SharePolicy::Escrow));
         if (baselines.getValue())
             continue;
-        printRow(name, "static split", run(SharePolicy::StaticSplit));
-        printRow(name, "first come", run(SharePolicy::FirstComeFirstServed));
+        printRow(name, "static split", measure(SharePolicy::StaticSplit));
+        printRow(name, "first come", measure(SharePolicy::FirstComeFirstServed));
+    }
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    try {
+        run(argc, argv);
+        return 0;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "ShareBench: %s\n", error.what());
+        return 1;
     }
-    return 0;
 }
--- a/bench/ShareFleet.cpp
+++ b/bench/ShareFleet.cpp
@@ -238,7 +238,7 @@
 
     auto resourceOf(int s, int x) const -> const std::string&
     {
-        return m_resources[static_cast<std::size_t>(s * m_workload.m_executors + x)];
+        return m_resources[static_cast<std::size_t>(s) * m_executors[0].size() + static_cast<std::size_t>(x)];
     }
 
     auto exchange() -> void
