--- a/include/hemlockvane/placement/TeamShare.h
+++ b/include/hemlockvane/placement/TeamEntitlement.h
@@ -6,7 +6,7 @@
 namespace hemlockvane {
 
 /// @brief One team's part in the fleet's capacity, in millicores.
-struct TeamShare {
+struct TeamEntitlement {
     std::string_view m_team;
     std::int64_t m_weight = 1;
     std::int64_t m_running = 0; ///< Including what is being placed.
--- a/include/hemlockvane/placement/TeamShares.h
+++ b/include/hemlockvane/placement/TeamShares.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockvane/placement/TeamShare.h"
+#include "hemlockvane/placement/TeamEntitlement.h"
 
 #include <cstdint>
 #include <span>
@@ -10,6 +10,6 @@
 /// @brief Fills in each team's entitlement: weighted max-min of the capacity by demand.
 /// @param capacity in millicores
 /// @complexity teams times their logarithm
-auto divideByShare(std::span<TeamShare> teams, std::int64_t capacity) -> void;
+auto divideByShare(std::span<TeamEntitlement> teams, std::int64_t capacity) -> void;
 
 } // namespace hemlockvane
--- a/src/placement/PressTasks.cpp
+++ b/src/placement/PressTasks.cpp
@@ -74,9 +74,9 @@
         worstId, PressureRequest { PressureLevel::Throttled, lastStepFor(*worst), "its worker is over its memory" });
 }
 
-auto sharesOf(const PlacementPlan& plan) -> std::vector<TeamShare>
+auto sharesOf(const PlacementPlan& plan) -> std::vector<TeamEntitlement>
 {
-    std::map<std::string_view, TeamShare> teams;
+    std::map<std::string_view, TeamEntitlement> teams;
     std::int64_t capacity = 0;
     for (const auto& worker : plan.m_room.m_workers) {
         capacity += worker.m_open ? worker.m_capacity.m_milliCores : 0;
@@ -91,7 +91,7 @@
         const auto& job = plan.m_fleet.m_jobs.m_jobs.find(id)->second;
         teams[job.m_team].m_demand += expectedSize(plan.m_state, job).m_milliCores;
     }
-    std::vector<TeamShare> shares;
+    std::vector<TeamEntitlement> shares;
     for (auto& [name, share] : teams) {
         share.m_team = name;
         share.m_weight
@@ -129,7 +129,7 @@
     return tasks;
 }
 
-auto pressTeam(PlacementPlan& plan, const TeamShare& share, std::int64_t& missing, std::size_t& added) -> void
+auto pressTeam(PlacementPlan& plan, const TeamEntitlement& share, std::int64_t& missing, std::size_t& added) -> void
 {
     auto excess = share.m_running - share.m_entitled;
     for (const auto& task : tasksOf(plan, share.m_team)) {
--- a/src/placement/TeamShares.cpp
+++ b/src/placement/TeamShares.cpp
@@ -5,9 +5,9 @@
 
 namespace hemlockvane {
 
-auto divideByShare(std::span<TeamShare> teams, std::int64_t capacity) -> void
+auto divideByShare(std::span<TeamEntitlement> teams, std::int64_t capacity) -> void
 {
-    std::vector<TeamShare*> order;
+    std::vector<TeamEntitlement*> order;
     std::int64_t weights = 0;
     for (auto& team : teams) {
         order.push_back(&team);
