Send requests through queues, fair shares, escrowed limits and slots, and routing

Cause: every entry sent to any executor as it liked, so limits, slots and shares did not hold fleet-wide. Now a request takes a slot of an executor and a permit of its team, both escrowed; queues are bounded and shed before dispatch; a retry needs the budget; a refusal says not run only when no attempt can have left a byte.

--- a/include/hemlockvane/detail/http/HttpConnection.h
+++ b/include/hemlockvane/detail/http/HttpConnection.h
@@ -39,6 +39,9 @@
     /// @brief True while the connection can be used for another exchange.
     [[nodiscard]] auto isOpen() const -> bool;
 
+    /// @brief True when the peer closed the connection or sent bytes that belong to no request.
+    [[nodiscard]] auto isStale() -> bool;
+
     auto close() -> void;
 
 private:
--- a/include/hemlockvane/detail/http/HttpRequest.h
+++ b/include/hemlockvane/detail/http/HttpRequest.h
@@ -16,6 +16,9 @@
     std::string m_body;
 };
 
+/// @brief True when two names of header fields are the same; case does not count.
+auto isSameField(std::string_view left, std::string_view right) -> bool;
+
 /// @brief Value of a header field; names compare without case.
 /// @result empty when the field is missing
 auto findHeader(const std::vector<HttpHeader>& headers, std::string_view name) -> std::string_view;
--- a/include/hemlockvane/detail/traffic/Authenticate.h
+++ b/include/hemlockvane/detail/traffic/Authenticate.h
@@ -16,4 +16,9 @@
 auto authenticate(const TrafficView& view, const HttpRequest& request, std::string_view queue, Instant now,
     LastReason& reason) -> std::optional<Caller>;
 
+/// @brief Asked right before the first byte of a request leaves: its caller's key is still good and time is left.
+/// @param reason receives NotVouched, WithdrawnKey or DeadlinePassed
+auto mayStillSend(const TrafficView& view, const Caller& caller, Instant deadline, Instant now, LastReason& reason)
+    -> bool;
+
 } // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/traffic/EscrowTraffic.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+namespace hemlockvane::wire {
+class Envelope;
+} // namespace hemlockvane::wire
+
+namespace hemlockvane::detail {
+
+struct TrafficShell;
+
+/// @brief Takes a message of an escrow holder: grants and report requests. Runs on the traffic thread.
+auto takeEscrowMessage(TrafficShell& shell, const wire::Envelope& envelope) -> void;
+
+/// @brief Runs queues and permits on the traffic thread's clock; ends when the process stops.
+auto runLanes(TrafficShell& shell) -> boost::asio::awaitable<void>;
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/traffic/Lanes.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/time/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+struct QueueRequest;
+struct ServiceLane;
+struct TrafficShell;
+
+/// @brief The lane of a service.
+/// @result null when no executor of the service is known
+auto findLane(TrafficShell& shell, std::string_view service) -> ServiceLane*;
+
+/// @brief Waits in the service's queue until the request has a slot at an executor and a permit of its team.
+/// @param tried executors that it was sent to before
+/// @param reason receives QueueFull, DeadlinePassed or NoCapacity; the request is certainly not run
+/// @param retryAfter receives when the caller may come back
+/// @result id of the executor
+auto acquireSlot(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, std::vector<std::string> tried,
+    LastReason& reason, Duration& retryAfter) -> boost::asio::awaitable<std::optional<std::string>>;
+
+/// @brief Gives a slot and the team's permit back after an attempt.
+auto releaseSlot(
+    TrafficShell& shell, ServiceLane& lane, std::string_view team, std::string_view executor, Duration ranFor) -> void;
+
+/// @brief Brings queues, executors and weights in line with the view; called every few milliseconds.
+auto followView(TrafficShell& shell) -> void;
+
+/// @brief Dispatches what waits and has room, and sheds what is too late.
+auto pumpLanes(TrafficShell& shell) -> void;
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/traffic/QueueRequest.h
+++ b/include/hemlockvane/detail/traffic/QueueRequest.h
@@ -11,6 +11,9 @@
 
 namespace hemlockvane::detail {
 
+/// @brief Longest time that a caller may give a request.
+inline constexpr Duration longestRequestDeadline { 120000 };
+
 /// @brief A caller's request on its way through this entry.
 struct QueueRequest {
     HttpRequest m_message; ///< As the executor gets it.
--- /dev/null
+++ b/include/hemlockvane/detail/traffic/SlotWait.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "hemlockvane/errors/ErrorKind.h"
+#include "hemlockvane/time/Time.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief A request in a service's queue, and what came of its wait.
+struct SlotWait {
+    explicit SlotWait(const boost::asio::any_io_executor& executor)
+        : m_signal(executor, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    boost::asio::steady_timer m_signal; ///< Cancelled when the wait is over.
+    bool m_isRepeatable = false;
+    std::vector<std::string> m_tried; ///< Executors that the request was sent to before.
+    std::optional<std::string> m_executor; ///< Where its slot is.
+    ErrorKind m_shedKind = ErrorKind::None; ///< It left the queue without a slot.
+    Duration m_retryAfter { 0 };
+};
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/traffic/TrafficShell.h
+++ b/include/hemlockvane/detail/traffic/TrafficShell.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "hemlockvane/detail/control/CapacityFollower.h"
 #include "hemlockvane/detail/control/TrafficView.h"
 #include "hemlockvane/detail/http/HttpRequest.h"
 #include "hemlockvane/detail/http/HttpResponse.h"
 #include "hemlockvane/detail/traffic/ExecutorConnections.h"
+#include "hemlockvane/detail/traffic/ServiceLane.h"
+#include "hemlockvane/limits/CapacityHistory.h"
+#include "hemlockvane/limits/EscrowMember.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,6 +16,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace hemlockvane::detail {
@@ -29,7 +34,16 @@
     Metrics& m_metrics;
     boost::asio::io_context m_context { 1 };
     ExecutorConnections m_connections;
-    std::map<std::string, std::size_t, std::less<>> m_inFlight; ///< Requests by executor address.
+    EscrowMember m_escrow;
+    CapacityHistory m_capacities; ///< For reports to a new holder.
+    CapacityFollower m_capacityFollower;
+    std::map<std::string, ServiceLane, std::less<>> m_lanes; ///< By service.
+    std::uint64_t m_lastTicket = 0; ///< Of a request in a queue.
+    std::set<std::string, std::less<>> m_knownTeams; ///< Teams that had demand here.
+    std::map<std::string, std::uint32_t, std::less<>> m_jobsWanted; ///< Jobs to be placed by this entry, by team.
+    std::shared_ptr<const std::vector<ListedInstance>> m_followedList;
+    std::shared_ptr<const MembershipState> m_followedMembership;
+    Instant m_followConfigurationAt;
     std::atomic<std::size_t> m_requests = 0; ///< Being handled now.
 };
 
--- a/src/configuration/SettingSpec.cpp
+++ b/src/configuration/SettingSpec.cpp
@@ -14,7 +14,7 @@
     SettingSpec { "pool.budget", ScopeKind::Pool, 1, 0, 100000, "instances", "instances that may be unavailable" },
     SettingSpec { "pool.demand", ScopeKind::Pool, 0, 0, 100000, "instances", "instances that the pool's load needs" },
     SettingSpec { "pool.spare", ScopeKind::Pool, 0, 0, 1, "flag", "1: the pool is drawn on first and runs no jobs" },
-    SettingSpec { "queue.deadline_ms", ScopeKind::Queue, 10000, 10, 600000, "ms", "deadline of a request without one" },
+    SettingSpec { "queue.deadline_ms", ScopeKind::Queue, 10000, 10, 120000, "ms", "deadline of a request without one" },
     SettingSpec { "queue.depth", ScopeKind::Queue, 256, 1, 100000, "requests", "requests waiting at one entry" },
     SettingSpec { "queue.open", ScopeKind::Queue, 0, 0, 1, "flag", "1: work is taken without a key" },
     SettingSpec { "service.slots", ScopeKind::Service, 8, 1, 1024, "requests", "concurrent requests an executor" },
--- /dev/null
+++ b/src/detail/control/CapacityFollower.cpp
@@ -0,0 +1,67 @@
+#include "hemlockvane/detail/control/CapacityFollower.h"
+
+#include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/limits/EscrowResource.h"
+
+namespace hemlockvane::detail {
+
+namespace {
+
+constexpr Duration expiryInterval { 1000 };
+
+using Capacities = std::map<std::string, std::uint32_t, std::less<>>;
+
+auto valueOf(const TrafficView& view, std::string_view setting, std::string_view scope, WallMillis now) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(effectiveValue(*view.m_configuration, setting, scope, now).m_value);
+}
+
+// Teams without a key share the limit of the empty name: they reach open queues only.
+auto currentCapacities(const TrafficView& view, WallMillis now) -> Capacities
+{
+    Capacities capacities;
+    capacities[teamLimitResource("")] = valueOf(view, "team.limit", "", now);
+    for (const auto& [id, key] : view.m_keys->m_keys)
+        capacities[teamLimitResource(key.m_team)] = valueOf(view, "team.limit", key.m_team, now);
+    if (!view.m_listed)
+        return capacities;
+    for (const auto& instance : *view.m_listed) {
+        if (instance.m_kind == "executor")
+            capacities[executorSlotsResource(instance.m_service, instance.m_id)]
+                = instance.m_isLeaving ? 0 : valueOf(view, "service.slots", instance.m_service, now);
+    }
+    return capacities;
+}
+
+auto hasChanged(const CapacityFollower& follower, const TrafficView& view, Instant now) -> bool
+{
+    return follower.m_listed != view.m_listed || follower.m_configuration != view.m_configuration
+        || follower.m_keys != view.m_keys || now >= follower.m_nextAt;
+}
+
+} // namespace
+
+auto capacityChanges(CapacityFollower& follower, const TrafficView& view, Instant now, WallMillis wallNow) -> Capacities
+{
+    Capacities changes;
+    if (!hasChanged(follower, view, now))
+        return changes;
+    follower.m_listed = view.m_listed;
+    follower.m_configuration = view.m_configuration;
+    follower.m_keys = view.m_keys;
+    follower.m_nextAt = now + expiryInterval;
+    auto current = currentCapacities(view, wallNow);
+    for (const auto& [resource, capacity] : follower.m_capacities) {
+        if (!current.contains(resource))
+            changes[resource] = 0;
+    }
+    for (const auto& [resource, capacity] : current) {
+        const auto known = follower.m_capacities.find(resource);
+        if (known == follower.m_capacities.end() || known->second != capacity)
+            changes[resource] = capacity;
+    }
+    follower.m_capacities = std::move(current);
+    return changes;
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/http/HttpConnection.cpp
+++ b/src/detail/http/HttpConnection.cpp
@@ -113,6 +113,18 @@
 
 auto HttpConnection::isOpen() const -> bool { return m_impl->m_isOpen; }
 
+auto HttpConnection::isStale() -> bool
+{
+    if (!m_impl->m_isOpen)
+        return true;
+    auto& socket = m_impl->m_stream.socket();
+    beast::error_code error;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+}
+
 auto HttpConnection::close() -> void
 {
     m_impl->m_isOpen = false;
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -4,14 +4,18 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/ClaimsDriver.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/EscrowDriver.h"
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
 #include "hemlockvane/detail/control/PlacementDriver.h"
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/HttpServer.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/traffic/EscrowTraffic.h"
 #include "hemlockvane/detail/traffic/TrafficShell.h"
 
+#include "hemlockvane/peers.pb.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -47,6 +51,7 @@
         : m_core(settings, newInstanceId(settings), m_metrics)
         , m_claims(m_core)
         , m_placement(m_core)
+        , m_escrow(m_core)
         , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
@@ -61,6 +66,7 @@
     ControlCore m_core;
     ClaimsDriver m_claims;
     PlacementDriver m_placement;
+    EscrowDriver m_escrow;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -130,6 +136,11 @@
     asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
     asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
     asio::co_spawn(core.m_context, runPlacement(entry.m_placement), asio::detached);
+    entry.m_escrow.m_toMember = [&shell = entry.m_shell](const wire::Envelope& envelope) {
+        asio::post(shell.m_context, [&shell, envelope]() { takeEscrowMessage(shell, envelope); });
+    };
+    asio::co_spawn(core.m_context, runEscrow(entry.m_escrow), asio::detached);
+    asio::co_spawn(entry.m_shell.m_context, runLanes(entry.m_shell), asio::detached);
 }
 
 } // namespace
--- a/src/detail/traffic/ExecutorConnections.cpp
+++ b/src/detail/traffic/ExecutorConnections.cpp
@@ -16,11 +16,13 @@
 auto ExecutorConnections::takeIdle(std::string_view address) -> std::optional<HttpConnection>
 {
     const auto found = m_idle.find(address);
-    if (found == m_idle.end() || found->second.empty())
-        return std::nullopt;
-    auto connection = std::move(found->second.back());
-    found->second.pop_back();
-    return connection;
+    while (found != m_idle.end() && !found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (!connection.isStale())
+            return connection;
+    }
+    return std::nullopt;
 }
 
 auto ExecutorConnections::makeNew() -> HttpConnection { return HttpConnection(m_executor); }
--- a/src/detail/traffic/QueueRequest.cpp
+++ b/src/detail/traffic/QueueRequest.cpp
@@ -1,7 +1,5 @@
 #include "hemlockvane/detail/traffic/QueueRequest.h"
 
-#include <boost/beast/core/string.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -12,7 +10,6 @@
 namespace {
 
 constexpr std::string_view requestsPrefix = "/v1/requests/";
-constexpr Duration longestDeadline { 600000 };
 
 // Headers between two neighbours only, and the caller's secret, are not passed on.
 constexpr std::array<std::string_view, 9> keptBack { "Authorization", "Connection", "Keep-Alive", "Transfer-Encoding",
@@ -28,8 +25,8 @@
 
 auto isKeptBack(const HttpHeader& header) -> bool
 {
-    return std::any_of(keptBack.begin(), keptBack.end(),
-        [&](std::string_view name) { return boost::beast::iequals(header.m_name, name); });
+    return std::any_of(
+        keptBack.begin(), keptBack.end(), [&](std::string_view name) { return isSameField(header.m_name, name); });
 }
 
 auto readDeadline(const HttpRequest& request, Duration fallback, LastReason& reason) -> std::optional<Duration>
@@ -40,8 +37,8 @@
     Duration::rep millis = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), millis);
     const auto isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-    if (!isWhole || millis <= 0 || Duration(millis) > longestDeadline)
-        return fail(reason, ErrorKind::BadRequest, "X-Request-Timeout-Ms takes 1 to 600000 milliseconds");
+    if (!isWhole || millis <= 0 || Duration(millis) > longestRequestDeadline)
+        return fail(reason, ErrorKind::BadRequest, "X-Request-Timeout-Ms takes 1 to 120000 milliseconds");
     return Duration(millis);
 }
 
--- /dev/null
+++ b/src/detail/traffic/RunRequest.cpp
@@ -0,0 +1,182 @@
+#include "hemlockvane/detail/traffic/RunRequest.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/traffic/Authenticate.h"
+#include "hemlockvane/detail/traffic/Lanes.h"
+#include "hemlockvane/detail/traffic/QueueRequest.h"
+#include "hemlockvane/detail/traffic/TrafficShell.h"
+#include "hemlockvane/routing/AttemptFacts.h"
+#include "hemlockvane/routing/ChooseExecutor.h"
+#include "hemlockvane/routing/RetryDecision.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration connectTimeout { 1000 };
+constexpr Duration shortestAttempt { 1000 };
+constexpr int usualRunFactor = 5;
+constexpr std::size_t maximumAnswerBytes = 16UL * 1024 * 1024;
+constexpr unsigned firstServerError = 500;
+
+// One attempt: where it went and how it ended.
+struct Attempt {
+    std::string m_executor;
+    std::optional<HttpResponse> m_response;
+    LastReason m_reason;
+    bool m_wasSent = false;
+    Instant m_startedAt;
+};
+
+auto openConnection(TrafficShell& shell, const std::string& address, LastReason& reason)
+    -> asio::awaitable<std::optional<HttpConnection>>
+{
+    if (auto idle = shell.m_connections.takeIdle(address))
+        co_return std::move(idle);
+    auto connection = shell.m_connections.makeNew();
+    if (!co_await connection.connect(address, connectTimeout, reason))
+        co_return std::nullopt;
+    co_return std::move(connection);
+}
+
+auto usualRun(const ServiceLane& lane, std::string_view team) -> Duration
+{
+    const auto found = lane.m_routing.m_usualRun.find(team);
+    const auto seconds = found == lane.m_routing.m_usualRun.end() ? 0.0 : found->second;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+// A request that may be repeated does not wait on one connection for all its time: it may have gone silent.
+auto attemptTime(const ServiceLane& lane, const QueueRequest& request) -> Duration
+{
+    const auto left = request.m_deadline - monotonicNow();
+    if (!request.m_isRepeatable)
+        return left;
+    const auto patience = std::max(shortestAttempt, usualRunFactor * usualRun(lane, request.m_caller.m_team));
+    return std::min(left, patience);
+}
+
+// A new connection tells whether the executor is at fault or only the connections that it was reached by.
+auto probe(TrafficShell& shell, std::string service, std::string executor, std::string address) -> asio::awaitable<void>
+{
+    LastReason reason;
+    auto connection = shell.m_connections.makeNew();
+    const auto isReachable = co_await connection.connect(address, connectTimeout, reason);
+    auto* lane = findLane(shell, service);
+    if (lane == nullptr)
+        co_return;
+    logOf("routing").warn(
+        "probe of {}: {}", executor, isReachable ? "reachable, old connections closed" : reason.m_text);
+    if (isReachable)
+        recordNeutral(lane->m_routing, executor);
+    else
+        recordFailure(lane->m_routing, executor, monotonicNow());
+}
+
+auto isMeantForExecutor(const Attempt& attempt) -> bool
+{
+    return attempt.m_wasSent || attempt.m_reason.m_kind == ErrorKind::NoCapacity;
+}
+
+// Tells routing how the executor did.
+auto learn(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, const Attempt& attempt) -> void
+{
+    const auto now = monotonicNow();
+    if (!isMeantForExecutor(attempt)) {
+        recordNeutral(lane.m_routing, attempt.m_executor);
+        return;
+    }
+    if (attempt.m_response && attempt.m_response->m_status < firstServerError) {
+        recordAnswer(lane.m_routing, attempt.m_executor, request.m_caller.m_team, now - attempt.m_startedAt, now);
+        return;
+    }
+    if (attempt.m_response || !attempt.m_wasSent) {
+        recordFailure(lane.m_routing, attempt.m_executor, now);
+        return;
+    }
+    const auto address = lane.m_addresses[attempt.m_executor];
+    shell.m_connections.dropIdle(address);
+    asio::co_spawn(shell.m_context, probe(shell, lane.m_service, attempt.m_executor, address), asio::detached);
+}
+
+auto send(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, Attempt& attempt)
+    -> asio::awaitable<void>
+{
+    const auto address = lane.m_addresses[attempt.m_executor];
+    auto connection = co_await openConnection(shell, address, attempt.m_reason);
+    if (!connection)
+        co_return;
+    // Nothing suspends between this check and the first byte.
+    if (!mayStillSend(*currentView(shell), request.m_caller, request.m_deadline, monotonicNow(), attempt.m_reason)) {
+        shell.m_connections.giveBack(address, std::move(*connection));
+        co_return;
+    }
+    logOf("routing").info("{} {} {} of team '{}' to {}", request.m_queue, request.m_message.m_method,
+        request.m_message.m_target, request.m_caller.m_team, attempt.m_executor);
+    attempt.m_wasSent = true;
+    const auto time = attemptTime(lane, request);
+    attempt.m_response = co_await connection->exchange(request.m_message, time, maximumAnswerBytes, attempt.m_reason);
+    shell.m_connections.giveBack(address, std::move(*connection));
+}
+
+auto endOf(const Attempt& attempt) -> AttemptEnd { return attempt.m_wasSent ? AttemptEnd::Lost : AttemptEnd::NotSent; }
+
+// Decides on another attempt; if there is none, the outcome has its final reason.
+auto mayTryAgain(ServiceLane& lane, const QueueRequest& request, const Attempt& attempt, std::uint32_t attempts,
+    RequestOutcome& outcome) -> bool
+{
+    outcome.m_reason = attempt.m_reason;
+    const auto isRefusedHere = !isMeantForExecutor(attempt);
+    if (isRefusedHere)
+        return false;
+    const AttemptFacts facts { endOf(attempt), request.m_isRepeatable, attempts, request.m_deadline,
+        usualRun(lane, request.m_caller.m_team) };
+    const auto decision = decideRetry(facts, lane.m_budget, monotonicNow());
+    outcome.m_reason.m_kind = decision.m_answer;
+    return decision.m_retry;
+}
+
+} // namespace
+
+auto runRequest(TrafficShell& shell, const QueueRequest& request) -> asio::awaitable<RequestOutcome>
+{
+    RequestOutcome outcome;
+    std::vector<std::string> tried;
+    auto* lane = findLane(shell, request.m_queue);
+    if (lane == nullptr) {
+        fail(outcome.m_reason, ErrorKind::NoCapacity, "no executor of service " + request.m_queue + " is known");
+        co_return outcome;
+    }
+    earnRetry(lane->m_budget);
+    while (true) {
+        const auto executor
+            = co_await acquireSlot(shell, *lane, request, tried, outcome.m_reason, outcome.m_retryAfter);
+        if (!executor)
+            co_return outcome;
+        Attempt attempt { *executor, std::nullopt, {}, false, monotonicNow() };
+        co_await send(shell, *lane, request, attempt);
+        learn(shell, *lane, request, attempt);
+        releaseSlot(shell, *lane, request.m_caller.m_team, *executor, monotonicNow() - attempt.m_startedAt);
+        tried.push_back(*executor);
+        outcome.m_mayHaveRun = outcome.m_mayHaveRun || attempt.m_wasSent;
+        if (attempt.m_response) {
+            outcome.m_response = std::move(attempt.m_response);
+            co_return outcome;
+        }
+        const auto attempts = static_cast<std::uint32_t>(tried.size());
+        if (!mayTryAgain(*lane, request, attempt, attempts, outcome))
+            co_return outcome;
+        shell.m_metrics.count("request_retries_total");
+    }
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/traffic/TrafficShell.cpp
+++ b/src/detail/traffic/TrafficShell.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/api/JsonResponse.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/EscrowDriver.h"
 #include "hemlockvane/detail/http/ErrorResponse.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/traffic/QueueRequest.h"
@@ -47,6 +48,7 @@
     , m_metrics(metrics)
     , m_connections(m_context.get_executor())
 {
+    m_escrow.m_timing = escrowTiming(core.m_settings);
 }
 
 auto currentView(const TrafficShell& shell) -> std::shared_ptr<const TrafficView> { return shell.m_core.m_view.load(); }
