--- a/bench/ShareBench.cpp
+++ b/bench/ShareBench.cpp
@@ -41,7 +41,7 @@
             continue;
         workload.m_seconds = seconds.getValue();
         const auto* name = workload.m_name.c_str();
-        const auto run
+        const auto measure
             = [&](SharePolicy policy) { return runShares(workload, policy, seed.getValue(), delay.getValue()); };
         printRow(name, "escrow", measure(SharePolicy::Escrow));
         if (baselines.getValue())
