Count a log's server error other than 503 as a lost answer

A gateway's 502 or 504, or a 500 after the write, leaves open whether the record is in the log. It was taken for a refusal, so the caller was told "not run" without a basis.

--- a/include/hemlockvane/detail/platform/LogClient.h
+++ b/include/hemlockvane/detail/platform/LogClient.h
@@ -24,8 +24,8 @@
     LogClient(boost::asio::any_io_executor executor, std::string address);
 
     /// @brief Appends one record.
-    /// @param reason receives NoCapacity when nothing was sent, AnswerLost when it may have taken effect,
-    ///     LogUnavailable when the service refused
+    /// @param reason receives NoCapacity when nothing was sent, AnswerLost when it may have taken effect (a server
+    ///     error other than 503 among them), LogUnavailable when the service refused
     /// @result the record's offset
     auto append(std::string record, std::chrono::milliseconds timeout, LastReason& reason)
         -> boost::asio::awaitable<std::optional<Offset>>;
--- a/src/detail/platform/LogClient.cpp
+++ b/src/detail/platform/LogClient.cpp
@@ -13,8 +13,13 @@
 constexpr std::size_t maximumBatchBytes = 64UL * 1024 * 1024;
 constexpr unsigned maximumBatchRecords = 2000;
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusServerError = 500;
+constexpr unsigned statusUnavailable = 503;
 constexpr std::int64_t missingOffset = -1;
 
+// Other server errors, a gateway's among them, leave open whether the request took effect.
+auto isRefusal(unsigned status) -> bool { return status < statusServerError || status == statusUnavailable; }
+
 auto readOffset(const std::string& body, LastReason& reason) -> std::optional<Offset>
 {
     const auto object = parseObject(body);
@@ -42,7 +47,8 @@
     if (!response)
         co_return std::nullopt;
     if (response->m_status != statusOk) {
-        fail(reason, ErrorKind::LogUnavailable, "the log answered " + std::to_string(response->m_status));
+        fail(reason, isRefusal(response->m_status) ? ErrorKind::LogUnavailable : ErrorKind::AnswerLost,
+            "the log answered " + std::to_string(response->m_status));
         co_return std::nullopt;
     }
     co_return response;
