Tell peers in a beat what vouching needs

A beat said that the log was reachable as soon as any read was answered. It also carries the latest end that the sender knows of, not only the one that it folded, so that knowing of a newer epoch holds back the peers' vouches too; such a beat carries no state hash.

--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/platform/InstanceListClient.h"
+#include "hemlockvane/log/SnapshotPlan.h"
 #include "hemlockvane/membership/Duties.h"
 #include "hemlockvane/membership/MembershipPlan.h"
 #include "hemlockvane/membership/Vouch.h"
@@ -140,12 +141,14 @@
 
 auto fillBeat(ControlCore& core, wire::Beat& beat) -> void
 {
-    beat.set_folded_end(core.m_state.m_nextOffset);
-    beat.set_state_hash(core.m_state.m_chainHash);
-    beat.set_log_reachable(core.m_isLogReachable);
+    const auto now = monotonicNow();
+    const auto knowsMore = core.m_vouch.m_knownEnd > core.m_state.m_nextOffset;
+    beat.set_folded_end(std::max(core.m_vouch.m_knownEnd, core.m_state.m_nextOffset));
+    beat.set_state_hash(knowsMore ? 0 : core.m_state.m_chainHash);
+    beat.set_log_reachable(readsLog(core.m_vouch, now));
     beat.set_configuration_version(core.m_state.m_configuration.m_version);
-    if (core.m_lastEndRead)
-        beat.set_log_read_age_ms(static_cast<std::uint32_t>((monotonicNow() - *core.m_lastEndRead).count()));
+    if (const auto age = logReadAge(core.m_vouch, now))
+        beat.set_log_read_age_ms(static_cast<std::uint32_t>(age->count()));
 }
 
 auto answerBeat(ControlCore& core, const wire::Envelope& envelope) -> void
@@ -173,7 +176,7 @@
 auto checkDivergence(const ControlCore& core, const wire::Envelope& envelope) -> void
 {
     const auto& beat = envelope.beat();
-    if (beat.folded_end() == core.m_state.m_nextOffset && beat.state_hash() != core.m_state.m_chainHash)
+    if (hasDiverged(core.m_state.m_nextOffset, core.m_state.m_chainHash, beat.folded_end(), beat.state_hash()))
         logOf("log").error("state differs from {} at offset {}", envelope.sender(), beat.folded_end());
 }
 
