--- a/include/hemlockvane/detail/control/ControlCore.h
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -9,6 +9,7 @@
 #include "hemlockvane/detail/settings/ServeSettings.h"
 #include "hemlockvane/log/AppenderState.h"
 #include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/log/RecordCache.h"
 #include "hemlockvane/membership/PlannerState.h"
 #include "hemlockvane/membership/VouchState.h"
 
@@ -40,6 +41,8 @@
     LogClient m_log;
     PeerSockets m_peers;
     FleetState m_state;
+    RecordCache m_recent; ///< For peers that do not read the log.
+    Offset m_oldestOffset = 0; ///< Oldest record that the log keeps, as last read.
     AppenderState m_appender;
     boost::asio::steady_timer m_appendWake;
     std::multimap<std::string, std::shared_ptr<CommitWaiter>> m_waiters; ///< By operation id.
--- /dev/null
+++ b/include/hemlockvane/log/RecordCache.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "hemlockvane/log/FoldContext.h"
+
+#include <cstddef>
+#include <deque>
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief The latest folded records, kept for peers that cannot read the log.
+struct RecordCache {
+    std::size_t m_maximumBytes = 4UL * 1024 * 1024;
+    std::deque<std::string> m_records;
+    Offset m_firstOffset = 0; ///< Of the oldest record.
+    std::size_t m_bytes = 0;
+};
+
+} // namespace hemlockvane
--- a/src/detail/control/LogTail.cpp
+++ b/src/detail/control/LogTail.cpp
@@ -3,8 +3,11 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/Commit.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/SnapshotDriver.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/log/Appender.h"
+#include "hemlockvane/log/Bootstrap.h"
+#include "hemlockvane/log/CachedRecords.h"
 #include "hemlockvane/log/Fold.h"
 #include "hemlockvane/membership/Vouch.h"
 
@@ -29,11 +32,13 @@
 auto foldBatch(ControlCore& core, const wire::LogBatch& batch) -> void
 {
     for (const auto& record : batch.records()) {
+        const auto offset = core.m_state.m_nextOffset;
         const auto results = foldRecord(core.m_state, record);
         const auto outcomes = onFolded(core.m_appender, results, core.m_state.m_operations);
         deliver(core, outcomes);
         if (core.m_state.m_halted)
             return;
+        cacheRecord(core.m_recent, offset, record);
     }
 }
 
@@ -48,6 +53,13 @@
         logOf("log").warn("log is not reachable: {}", reason.m_text);
 }
 
+auto notifyFolded(ControlCore& core) -> void
+{
+    for (const auto& handler : core.m_onFolded)
+        handler();
+    publishView(core);
+}
+
 // One read; false after a failure.
 auto readOnce(ControlCore& core) -> asio::awaitable<bool>
 {
@@ -58,6 +70,9 @@
     noteReachable(core, batch.has_value(), reason);
     if (!batch)
         co_return false;
+    core.m_oldestOffset = batch->oldest_offset();
+    if (hasFallenBehind(core.m_state.m_nextOffset, core.m_oldestOffset))
+        co_return co_await restoreFromLog(core);
     if (batch->first_offset() == core.m_state.m_nextOffset)
         foldBatch(core, *batch);
     onFoldedEnd(core.m_vouch, core.m_state.m_nextOffset);
@@ -67,9 +82,7 @@
         onLogEnd(core.m_appender, sentAt);
         core.m_lastEndRead = sentAt;
     }
-    for (const auto& handler : core.m_onFolded)
-        handler();
-    publishView(core);
+    notifyFolded(core);
     co_return true;
 }
 
@@ -80,6 +93,13 @@
 
 } // namespace
 
+auto foldRecords(ControlCore& core, const wire::LogBatch& batch) -> void
+{
+    foldBatch(core, batch);
+    onFoldedEnd(core.m_vouch, core.m_state.m_nextOffset);
+    notifyFolded(core);
+}
+
 auto tailLog(ControlCore& core) -> asio::awaitable<void>
 {
     while (!core.m_isStopped) {
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -7,6 +7,8 @@
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
 #include "hemlockvane/detail/control/PlacementDriver.h"
+#include "hemlockvane/detail/control/SnapshotDriver.h"
+#include "hemlockvane/detail/control/TailExchange.h"
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/HttpServer.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -123,11 +125,13 @@
             core.m_stop();
     });
     attachMembership(core);
+    attachTailExchange(core);
     asio::co_spawn(core.m_context, tailLog(core), asio::detached);
     asio::co_spawn(core.m_context, pumpAppends(core), asio::detached);
     asio::co_spawn(core.m_context, watchInstances(core), asio::detached);
     asio::co_spawn(core.m_context, runMembership(core), asio::detached);
     asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
+    asio::co_spawn(core.m_context, runSnapshots(core), asio::detached);
     asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
     asio::co_spawn(core.m_context, runPlacement(entry.m_placement), asio::detached);
 }
