--- a/include/hemlockvane/detail/control/PlacementDriver.h
+++ b/include/hemlockvane/detail/control/PlacementDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/detail/control/JobPermits.h"
 #include "hemlockvane/placement/PlacementState.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -20,6 +21,8 @@
 
     ControlCore& m_core;
     PlacementState m_state;
+    JobPermits m_permits;
+    bool m_isActive = false; ///< The duty was held at the last plan.
     std::set<std::string, std::less<>> m_asked; ///< Workers whose report is on its way.
 };
 
--- a/include/hemlockvane/detail/traffic/EscrowTraffic.h
+++ b/include/hemlockvane/detail/traffic/EscrowTraffic.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "hemlockvane/detail/control/JobPermits.h"
+
 #include <boost/asio/awaitable.hpp>
 
 namespace hemlockvane::wire {
@@ -16,4 +18,7 @@
 /// @brief Runs queues and permits on the traffic thread's clock; ends when the process stops.
 auto runLanes(TrafficShell& shell) -> boost::asio::awaitable<void>;
 
+/// @brief The control thread's way to permits for jobs, safe to call there.
+auto makeJobPermits(TrafficShell& shell) -> JobPermits;
+
 } // namespace hemlockvane::detail
--- a/src/detail/control/PlacementDriver.cpp
+++ b/src/detail/control/PlacementDriver.cpp
@@ -15,6 +15,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -24,7 +26,7 @@
 
 constexpr Duration planInterval { 250 };
 constexpr Duration workerTimeout { 1000 };
-constexpr std::uint32_t unlimitedPermits = 1000000;
+constexpr std::uint32_t permitsAtOnce = 256; // Asked for a team at one time.
 
 auto addressOf(const ControlCore& core, std::string_view worker) -> std::string
 {
@@ -69,10 +71,21 @@
     co_return result;
 }
 
+auto teamOf(const ControlCore& core, std::string_view job) -> std::string
+{
+    const auto found = core.m_state.m_jobs.m_jobs.find(job);
+    return found == core.m_state.m_jobs.m_jobs.end() ? std::string() : found->second.m_team;
+}
+
 auto recordAction(PlacementDriver& driver, PlacementAction action) -> asio::awaitable<void>
 {
     auto& core = driver.m_core;
-    const auto result = co_await commitForSure(core, toOperation(action));
+    const auto team = teamOf(core, action.m_job);
+    const auto operation = toOperation(action);
+    const auto result = co_await commitForSure(core, operation);
+    const auto isAccepted = result.m_error == ErrorKind::None;
+    if (action.m_kind == PlacementActionKind::PlaceJob)
+        driver.m_permits.m_giveBack(team, isAccepted ? result.m_offset : 0);
     if (result.m_error != ErrorKind::None) {
         logOf("placement").warn("job {} not recorded: {}", action.m_job, result.m_reason);
         onNotRecorded(driver.m_state, action.m_job);
@@ -180,16 +193,54 @@
     }
 }
 
-auto planOnce(PlacementDriver& driver) -> void
+auto waitingByTeam(const ControlCore& core) -> TeamCounts
+{
+    TeamCounts waiting;
+    for (const auto& id : core.m_state.m_jobs.m_queued) {
+        auto& count = waiting[teamOf(core, id)];
+        count = std::min(count + 1, permitsAtOnce);
+    }
+    return waiting;
+}
+
+auto giveBackUnused(PlacementDriver& driver, TeamCounts permits, const std::vector<PlacementAction>& actions) -> void
+{
+    for (const auto& action : actions) {
+        if (action.m_kind == PlacementActionKind::PlaceJob)
+            --permits[teamOf(driver.m_core, action.m_job)];
+    }
+    for (const auto& [team, count] : permits) {
+        for (std::uint32_t i = 0; i < count; ++i)
+            driver.m_permits.m_giveBack(team, 0);
+    }
+}
+
+auto planOnce(PlacementDriver& driver) -> asio::awaitable<void>
 {
     auto& core = driver.m_core;
+    const auto epoch = driver.m_state.m_epoch;
+    auto waiting = waitingByTeam(core);
     PlacementInput input;
-    input.m_now = monotonicNow();
-    input.m_wallNow = wallNow();
-    input.m_mayPlace = core.m_isLogReachable;
-    for (const auto& id : core.m_state.m_jobs.m_queued)
-        input.m_permits[core.m_state.m_jobs.m_jobs.find(id)->second.m_team] = unlimitedPermits;
-    carryOutAll(driver, planPlacement(core.m_state, driver.m_state, input));
+    input.m_permits = co_await driver.m_permits.m_take(std::move(waiting));
+    std::vector<PlacementAction> actions;
+    if (dutyEpoch(core, placementDuty) == epoch) {
+        input.m_now = monotonicNow();
+        input.m_wallNow = wallNow();
+        input.m_mayPlace = core.m_isLogReachable;
+        actions = planPlacement(core.m_state, driver.m_state, input);
+    }
+    giveBackUnused(driver, input.m_permits, actions);
+    carryOutAll(driver, actions);
+}
+
+// Without the duty this entry wants no permits for jobs.
+auto tellNothingWaits(PlacementDriver& driver) -> asio::awaitable<void>
+{
+    if (!driver.m_isActive)
+        co_return;
+    driver.m_isActive = false;
+    TeamCounts none;
+    co_await driver.m_permits.m_take(std::move(none));
 }
 
 } // namespace
@@ -200,15 +251,18 @@
     while (!core.m_isStopped) {
         co_await sleepFor(planInterval);
         const auto epoch = dutyEpoch(core, placementDuty);
-        if (!epoch)
+        if (!epoch) {
+            co_await tellNothingWaits(driver);
             continue;
+        }
+        driver.m_isActive = true;
         if (driver.m_state.m_epoch != *epoch) {
             driver.m_state = {};
             beginPlacement(driver.m_state, *epoch, monotonicNow());
             logOf("placement").info("duty begins, epoch {}", *epoch);
         }
         askWorkers(driver);
-        planOnce(driver);
+        co_await planOnce(driver);
     }
 }
 
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -139,6 +139,7 @@
     asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
     asio::co_spawn(core.m_context, runSnapshots(core), asio::detached);
     asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
+    entry.m_placement.m_permits = makeJobPermits(entry.m_shell);
     asio::co_spawn(core.m_context, runPlacement(entry.m_placement), asio::detached);
     entry.m_escrow.m_toMember = [&shell = entry.m_shell](const wire::Envelope& envelope) {
         asio::post(shell.m_context, [&shell, envelope]() { takeEscrowMessage(shell, envelope); });
--- a/src/detail/traffic/EscrowTraffic.cpp
+++ b/src/detail/traffic/EscrowTraffic.cpp
@@ -9,6 +9,10 @@
 
 #include "hemlockvane/peers.pb.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -73,8 +77,42 @@
         setCapacity(shell.m_capacities, resource, capacity, now, window);
 }
 
+auto takeJobPermits(TrafficShell& shell, TeamCounts waiting) -> asio::awaitable<TeamCounts>
+{
+    TeamCounts taken;
+    shell.m_jobsWanted = waiting;
+    for (const auto& [team, count] : waiting) {
+        auto& permits = taken[team];
+        while (permits < count && tryAcquire(shell.m_escrow, teamLimitResource(team), monotonicNow()))
+            ++permits;
+    }
+    co_return taken;
+}
+
+auto giveBackJobPermit(TrafficShell& shell, std::string_view team, Offset recordedAt) -> void
+{
+    const auto resource = teamLimitResource(team);
+    if (recordedAt == 0)
+        release(shell.m_escrow, resource, monotonicNow());
+    else
+        releaseToRecord(shell.m_escrow, resource, recordedAt - 1);
+}
+
 } // namespace
 
+auto makeJobPermits(TrafficShell& shell) -> JobPermits
+{
+    JobPermits permits;
+    permits.m_take = [&shell](TeamCounts waiting) -> asio::awaitable<TeamCounts> {
+        auto take = [&shell, counts = std::move(waiting)]() { return takeJobPermits(shell, counts); };
+        co_return co_await asio::co_spawn(shell.m_context, std::move(take), asio::use_awaitable);
+    };
+    permits.m_giveBack = [&shell](const std::string& team, Offset recordedAt) {
+        asio::post(shell.m_context, [&shell, team, recordedAt]() { giveBackJobPermit(shell, team, recordedAt); });
+    };
+    return permits;
+}
+
 auto takeEscrowMessage(TrafficShell& shell, const wire::Envelope& envelope) -> void
 {
     const auto now = monotonicNow();
