--- a/demo/fleet.bash
+++ b/demo/fleet.bash
@@ -97,7 +97,7 @@
 ctl() {
     local entry=$1 code=0
     shift
-    "$BIN/hemlockvane" ctl --address "${OPERATORS_OF[$entry]}" --author demo "$@" 2>&1 || code=$?
+    "$BIN/hemlockvane" ctl --address "${OPERATORS_OF[$entry]}" --author "${AUTHOR:-demo}" "$@" 2>&1 || code=$?
     echo "exit $code"
 }
 
@@ -138,3 +138,57 @@
     random=$(od -An -N10 -tx1 /dev/urandom | tr -d ' \n')
     echo "${now:0:8}-${now:8:4}-7${random:0:3}-8${random:3:3}-${random:6:12}"
 }
+
+# startFleet: platform, services, two workers and three entries; grants team counter the key in TEAM_KEY.
+startFleet() {
+    startPlatform
+    startServices "$@"
+    startWorker worker-1 batch z1 z1-r1
+    startWorker worker-2 batch z2 z2-r1
+    startEntries
+    TEAM_KEY=counter-secret
+    ctl entry-z1 grant counter-key counter --secret "$TEAM_KEY" >/dev/null
+    ctl entry-z1 add-instance worker-1 batch z1 z1-r1 32 128000 >/dev/null
+    ctl entry-z1 add-instance worker-2 batch z2 z2-r1 32 128000 >/dev/null
+    for zone in "${ZONES[@]}"; do
+        waitFor 10 keyWorks "entry-$zone" || echo "the team's key does not work at entry-$zone" >&2
+    done
+}
+
+keyWorks() { [ "$(submit "$1" --method GET request orders /price | tail -1)" = 'exit 0' ]; }
+
+# setFaults NAME JSON: switches a stand-in's faults.
+setFaults() { call POST "${ADDRESS_OF[$1]}" /faults "$2" >/dev/null; }
+
+# untilDecided ENTRIES ARGUMENTS...: repeats a submit while it is refused as certainly not run; prints the last answer.
+untilDecided() {
+    local until=$((SECONDS + 40)) answer
+    while true; do
+        answer=$(submit "$@")
+        case $answer in *'(not run'*) ;; *) break ;; esac
+        [ "$SECONDS" -lt "$until" ] || break
+        sleep 0.3
+    done
+    printf '%s\n' "$answer"
+}
+
+# startTraffic NUMBER ENTRIES ARGUMENTS...: that many loops of the same submit; stopTraffic ends them and counts.
+startTraffic() {
+    local number=$1 index
+    shift
+    rm -f "$LOGS/stop-traffic" "$LOGS"/traffic-*.out
+    for ((index = 0; index < number; index++)); do
+        (while [ ! -e "$LOGS/stop-traffic" ]; do submit "$@"; done >"$LOGS/traffic-$index.out") &
+        TRAFFIC_PIDS+=($!)
+    done
+}
+
+TRAFFIC_PIDS=()
+stopTraffic() {
+    touch "$LOGS/stop-traffic"
+    wait "${TRAFFIC_PIDS[@]}"
+    TRAFFIC_PIDS=()
+    TRAFFIC_TOTAL=$(cat "$LOGS"/traffic-*.out | grep -c '^exit ')
+    TRAFFIC_FAILED=$(cat "$LOGS"/traffic-*.out | grep '^exit ' | grep -vc '^exit 0$')
+    TRAFFIC_ERRORS=$(cat "$LOGS"/traffic-*.out | grep -E '^refused|^no entry' | sort | uniq -c | sort -rn | head -3)
+}
