--- a/src/detail/control/LogTail.cpp
+++ b/src/detail/control/LogTail.cpp
@@ -3,8 +3,11 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/Commit.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/SnapshotDriver.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/log/Appender.h"
+#include "hemlockvane/log/Bootstrap.h"
+#include "hemlockvane/log/CachedRecords.h"
 #include "hemlockvane/log/Fold.h"
 #include "hemlockvane/membership/Vouch.h"
 
@@ -13,6 +16,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -22,6 +27,7 @@
 constexpr Duration readWait { 1000 };
 constexpr Duration readTimeout { 2500 };
 constexpr Duration readRetryDelay { 200 };
+constexpr double fleetAppendsPerSecond = 300;
 constexpr Duration appendTimeout { 2000 };
 constexpr Duration pumpInterval { 20 };
 constexpr Duration idlePumpInterval { 200 };
@@ -29,11 +35,13 @@
 auto foldBatch(ControlCore& core, const wire::LogBatch& batch) -> void
 {
     for (const auto& record : batch.records()) {
+        const auto offset = core.m_state.m_nextOffset;
         const auto results = foldRecord(core.m_state, record);
         const auto outcomes = onFolded(core.m_appender, results, core.m_state.m_operations);
         deliver(core, outcomes);
         if (core.m_state.m_halted)
             return;
+        cacheRecord(core.m_recent, offset, record);
     }
 }
 
@@ -48,6 +56,23 @@
         logOf("log").warn("log is not reachable: {}", reason.m_text);
 }
 
+// Every entry appends its part of the fleet's budget.
+auto shareBudget(ControlCore& core) -> void
+{
+    const auto& entries = core.m_state.m_membership.m_entries;
+    const auto members = std::count_if(
+        entries.begin(), entries.end(), [](const auto& entry) { return entry.second.m_removedAt == 0; });
+    shareAppends(core.m_appender, fleetAppendsPerSecond, static_cast<std::size_t>(members));
+}
+
+auto notifyFolded(ControlCore& core) -> void
+{
+    shareBudget(core);
+    for (const auto& handler : core.m_onFolded)
+        handler();
+    publishView(core);
+}
+
 // One read; false after a failure.
 auto readOnce(ControlCore& core) -> asio::awaitable<bool>
 {
@@ -58,6 +83,9 @@
     noteReachable(core, batch.has_value(), reason);
     if (!batch)
         co_return false;
+    core.m_oldestOffset = batch->oldest_offset();
+    if (hasFallenBehind(core.m_state.m_nextOffset, core.m_oldestOffset))
+        co_return co_await restoreFromLog(core);
     if (batch->first_offset() == core.m_state.m_nextOffset)
         foldBatch(core, *batch);
     onFoldedEnd(core.m_vouch, core.m_state.m_nextOffset);
@@ -67,9 +95,7 @@
         onLogEnd(core.m_appender, sentAt);
         core.m_lastEndRead = sentAt;
     }
-    for (const auto& handler : core.m_onFolded)
-        handler();
-    publishView(core);
+    notifyFolded(core);
     co_return true;
 }
 
@@ -80,6 +106,13 @@
 
 } // namespace
 
+auto foldRecords(ControlCore& core, const wire::LogBatch& batch) -> void
+{
+    foldBatch(core, batch);
+    onFoldedEnd(core.m_vouch, core.m_state.m_nextOffset);
+    notifyFolded(core);
+}
+
 auto tailLog(ControlCore& core) -> asio::awaitable<void>
 {
     while (!core.m_isStopped) {
