--- a/app/Ctl.cpp
+++ b/app/Ctl.cpp
@@ -80,11 +80,11 @@
 {
     const auto isError = response.m_status >= firstErrorStatus;
     const auto body = detail::parseObject(response.m_body);
-    LastReason refusal;
+    const auto refusal = detail::readRefusal(response);
     if (options.m_isJson || !body)
         std::fputs(response.m_body.c_str(), stdout);
-    else if (detail::readRefusal(response, refusal))
-        std::fputs(showRefusal(refusal).c_str(), stderr);
+    else if (refusal)
+        std::fputs(showRefusal(*refusal).c_str(), stderr);
     else
         std::fputs(showForPeople(*body).c_str(), stdout);
     return isError ? ExitRefused : ExitAccepted;
--- a/app/Show.cpp
+++ b/app/Show.cpp
@@ -126,13 +126,12 @@
     return text;
 }
 
-auto showRefusal(const LastReason& reason) -> std::string
+auto showRefusal(const detail::Refusal& refusal) -> std::string
 {
-    const auto& answer = errorAnswer(reason.m_kind);
-    auto text = "refused: " + std::string(answer.m_name);
-    text += answer.m_claimsNotRun ? " (not run" : " (may have run";
-    text += answer.m_retrySensible ? ", a retry may succeed): " : ", a retry does not help): ";
-    return text + reason.m_text + "\n";
+    auto text = "refused: " + std::string(errorAnswer(refusal.m_reason.m_kind).m_name);
+    text += refusal.m_claimsNotRun ? " (not run" : " (may have run";
+    text += refusal.m_retrySensible ? ", a retry may succeed): " : ", a retry does not help): ";
+    return text + refusal.m_reason.m_text + "\n";
 }
 
 } // namespace hemlockvane::app
--- a/app/Show.h
+++ b/app/Show.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockvane/errors/LastReason.h"
+#include "hemlockvane/detail/client/Refusal.h"
 
 #include <boost/json/object.hpp>
 
@@ -12,6 +12,6 @@
 auto showForPeople(const boost::json::object& answer) -> std::string;
 
 /// @brief A refusal for people: kind, whether the request was not run, whether a retry is sensible, reason.
-auto showRefusal(const LastReason& reason) -> std::string;
+auto showRefusal(const detail::Refusal& refusal) -> std::string;
 
 } // namespace hemlockvane::app
--- a/app/Submit.cpp
+++ b/app/Submit.cpp
@@ -117,10 +117,9 @@
             stderr, "no entry answered (%s): %s\n", isLost ? "may have run" : "not run", reason.m_text.c_str());
         return ExitNotReachable;
     }
-    LastReason refusal;
     std::fputs(response->m_body.c_str(), stdout);
-    if (detail::readRefusal(*response, refusal))
-        std::fputs(showRefusal(refusal).c_str(), stderr);
+    if (const auto refusal = detail::readRefusal(*response))
+        std::fputs(showRefusal(*refusal).c_str(), stderr);
     return response->m_status < firstErrorStatus ? ExitAccepted : ExitRefused;
 }
 
--- a/demo/fleet.bash
+++ b/demo/fleet.bash
@@ -160,12 +160,12 @@
 # setFaults NAME JSON: switches a stand-in's faults.
 setFaults() { call POST "${ADDRESS_OF[$1]}" /faults "$2" >/dev/null; }
 
-# untilDecided ENTRIES ARGUMENTS...: repeats a submit while it is refused as certainly not run; prints the last answer.
+# untilDecided ENTRIES ARGUMENTS...: repeats a submit while it is refused with the advice to retry; prints the last answer.
 untilDecided() {
     local until=$((SECONDS + 40)) answer
     while true; do
         answer=$(submit "$@")
-        case $answer in *'(not run'*) ;; *) break ;; esac
+        case $answer in *'a retry may succeed'* | *'no entry answered'*) ;; *) break ;; esac
         [ "$SECONDS" -lt "$until" ] || break
         sleep 0.3
     done
--- a/include/hemlockvane/detail/client/EntryClient.h
+++ b/include/hemlockvane/detail/client/EntryClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/detail/client/Refusal.h"
 #include "hemlockvane/detail/http/HttpRequest.h"
 #include "hemlockvane/detail/http/HttpResponse.h"
 #include "hemlockvane/errors/LastReason.h"
@@ -12,15 +13,16 @@
 
 namespace hemlockvane::detail {
 
-/// @brief Reads the refusal that an entry answered with; see docs/errors.md.
-/// @param reason receives the kind and the text of the answer
-/// @result false when the answer is no refusal of an entry
-auto readRefusal(const HttpResponse& response, LastReason& reason) -> bool;
+/// @brief Reads the refusal that an entry answered with.
+/// @result empty when the answer is no refusal of an entry
+auto readRefusal(const HttpResponse& response) -> std::optional<Refusal>;
+
+/// @brief The refusal that stands for a failure to get a whole answer.
+auto refusalOf(const LastReason& reason) -> Refusal;
 
 /// @brief Whether the same request may be sent to another entry.
-/// @param reason refusal or lost connection that the request met
 /// @param isIdempotent the request may be repeated, or carries a key under which it runs once
-auto mayTryNextEntry(const LastReason& reason, bool isIdempotent) -> bool;
+auto mayTryNextEntry(const Refusal& refusal, bool isIdempotent) -> bool;
 
 /// @brief Sends a request to one entry and waits for the answer. Blocks.
 /// @param reason receives NoCapacity when nothing was sent, AnswerLost otherwise
--- a/src/detail/client/EntryClient.cpp
+++ b/src/detail/client/EntryClient.cpp
@@ -14,26 +14,32 @@
 
 namespace asio = boost::asio;
 
-auto readRefusal(const HttpResponse& response, LastReason& reason) -> bool
+auto readRefusal(const HttpResponse& response) -> std::optional<Refusal>
 {
     const auto body = parseObject(response.m_body);
     const auto number = body ? numberOf(*body, "number", 0) : 0;
     if (number <= 0 || number >= static_cast<std::int64_t>(errorKindCount))
-        return false;
+        return std::nullopt;
     const auto kind = static_cast<ErrorKind>(number);
     if (errorAnswer(kind).m_name != textOf(*body, "error"))
-        return false;
-    reason = { kind, textOf(*body, "reason") };
-    return true;
+        return std::nullopt;
+    return Refusal { { kind, textOf(*body, "reason") }, flagOf(*body, "not_run", false),
+        flagOf(*body, "retry", false) };
 }
 
-auto mayTryNextEntry(const LastReason& reason, bool isIdempotent) -> bool
+auto refusalOf(const LastReason& reason) -> Refusal
 {
     const auto& answer = errorAnswer(reason.m_kind);
+    return { reason, answer.m_claimsNotRun, answer.m_retrySensible };
+}
+
+auto mayTryNextEntry(const Refusal& refusal, bool isIdempotent) -> bool
+{
     // Every entry would say the same: the team's upper limit and the deadline are not this entry's own.
-    if (reason.m_kind == ErrorKind::OverLimit || reason.m_kind == ErrorKind::DeadlinePassed)
+    const auto kind = refusal.m_reason.m_kind;
+    if (kind == ErrorKind::OverLimit || kind == ErrorKind::DeadlinePassed)
         return false;
-    return answer.m_retrySensible && (answer.m_claimsNotRun || isIdempotent);
+    return refusal.m_retrySensible && (refusal.m_claimsNotRun || isIdempotent);
 }
 
 auto callEntry(std::string_view address, const HttpRequest& request, std::chrono::milliseconds timeout,
@@ -55,23 +61,26 @@
 auto callEntries(std::span<const std::string> addresses, const HttpRequest& request, bool isIdempotent,
     std::chrono::milliseconds timeout, LastReason& reason) -> std::optional<HttpResponse>
 {
-    std::optional<HttpResponse> refusal;
+    std::optional<HttpResponse> refused;
+    Refusal latest;
     auto mayHaveRun = false;
     for (const auto& address : addresses) {
-        LastReason latest;
-        auto answer = callEntry(address, request, timeout, latest);
-        if (answer && !readRefusal(*answer, latest))
+        LastReason lost;
+        auto answer = callEntry(address, request, timeout, lost);
+        const auto refusal = answer ? readRefusal(*answer) : refusalOf(lost);
+        if (!refusal)
             return answer;
         if (answer)
-            refusal = std::move(answer);
-        mayHaveRun = mayHaveRun || !errorAnswer(latest.m_kind).m_claimsNotRun;
-        reason = latest;
+            refused = std::move(answer);
+        latest = *refusal;
+        mayHaveRun = mayHaveRun || !latest.m_claimsNotRun;
         if (!mayTryNextEntry(latest, isIdempotent))
             break;
     }
-    if (!refusal || !mayHaveRun || !errorAnswer(reason.m_kind).m_claimsNotRun)
-        return refusal;
-    fail(reason, ErrorKind::OutcomeUnknown, "an earlier attempt lost its answer, then: " + std::string(reason.m_text));
+    reason = latest.m_reason;
+    if (!refused || !mayHaveRun || !latest.m_claimsNotRun)
+        return refused;
+    fail(reason, ErrorKind::OutcomeUnknown, "an earlier attempt may have run, then: " + latest.m_reason.m_text);
     return errorResponse(reason);
 }
 
--- a/tests/shell/client/EntryClientTest.cpp
+++ b/tests/shell/client/EntryClientTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(overLimit_isFinal);
     CPPUNIT_TEST(lostAnswer_withoutKey_mayNotTryNext);
     CPPUNIT_TEST(lostAnswerThenRefusal_isOutcomeUnknown);
+    CPPUNIT_TEST(refusal_withItsOwnNotRun_goesBeforeTheTable);
     CPPUNIT_TEST(noEntryReachable_isNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,8 +92,9 @@
 
     auto lostAnswer_withoutKey_mayNotTryNext() -> void
     {
-        CPPUNIT_ASSERT(!mayTryNextEntry({ ErrorKind::AnswerLost, "" }, false));
-        CPPUNIT_ASSERT(mayTryNextEntry({ ErrorKind::AnswerLost, "" }, true));
+        const auto lost = refusalOf({ ErrorKind::AnswerLost, "" });
+        CPPUNIT_ASSERT(!mayTryNextEntry(lost, false));
+        CPPUNIT_ASSERT(mayTryNextEntry(lost, true));
     }
 
     auto lostAnswerThenRefusal_isOutcomeUnknown() -> void
@@ -104,6 +106,14 @@
         CPPUNIT_ASSERT(m_reason.m_kind == ErrorKind::OutcomeUnknown);
     }
 
+    auto refusal_withItsOwnNotRun_goesBeforeTheTable() -> void
+    {
+        const HttpResponse response { 503, {}, R"({"error":"draining","number":9,"not_run":false,"retry":true})" };
+        const auto refusal = readRefusal(response);
+        CPPUNIT_ASSERT(refusal && !refusal->m_claimsNotRun);
+        CPPUNIT_ASSERT(!mayTryNextEntry(*refusal, false));
+    }
+
     auto noEntryReachable_isNoAnswer() -> void
     {
         CPPUNIT_ASSERT(!call({ closedAddress }, true));
