Bound what a team pays back for slots it had too many

Cause: when others' demand returns, a team's running requests exceed its new share until they end; the debt of up to 2 slot seconds at each of 9 entries was paid back in the next full seconds, in which the team got as little as 1.2 of 7.3 slots. The credit now counts at most 1.5 slots, over the time of a run.

--- a/src/shares/RequestQueue.cpp
+++ b/src/shares/RequestQueue.cpp
@@ -14,7 +14,8 @@
 constexpr double meanRunGain = 0.1;
 // A team without a share from the holder competes with this part of its weight until the holder counts it.
 constexpr double unsharedWeight = 0.01;
-constexpr double maximumCredit = 2; // Slot seconds.
+// Bounds what is made up for: slots that a team is put ahead or behind by.
+constexpr double maximumCredit = 1.5;
 
 auto toSeconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 
@@ -43,6 +44,12 @@
         team.m_entitled = shares[i++];
 }
 
+// Slot seconds of credit that put a team ahead by one slot: its runs decide how fast it can be made up for.
+auto creditScale(const RequestQueue& queue, const TeamQueue& team) -> double
+{
+    return std::max(toSeconds(queue.m_limits.m_creditTime), team.m_meanRun);
+}
+
 // Brings credits up to now; a team without demand keeps none.
 auto update(RequestQueue& queue, Instant now) -> void
 {
@@ -50,7 +57,8 @@
     queue.m_updatedAt = now;
     for (auto& [name, team] : queue.m_teams) {
         const auto missing = (team.m_entitled - team.m_running) * seconds;
-        team.m_credit = std::clamp(team.m_credit + missing, -maximumCredit, maximumCredit);
+        const auto most = maximumCredit * creditScale(queue, team);
+        team.m_credit = std::clamp(team.m_credit + missing, -most, most);
         if (waitingIn(team) == 0)
             team.m_credit = std::min(team.m_credit, 0.0);
     }
@@ -61,7 +69,7 @@
 auto rankOf(const RequestQueue& queue, const TeamQueue& team) -> double
 {
     const auto urgent = team.m_urgent.empty() ? 0.0 : std::max(1.0, team.m_entitled * queue.m_limits.m_urgentBonus);
-    return team.m_entitled - team.m_running + team.m_credit / toSeconds(queue.m_limits.m_creditTime) + urgent;
+    return team.m_entitled - team.m_running + team.m_credit / creditScale(queue, team) + urgent;
 }
 
 // Slots that a team can count on: the holder counts its demand only after it waited here, so its weight counts too.
