--- a/include/hemlockvane/limits/EscrowTiming.h
+++ b/include/hemlockvane/limits/EscrowTiming.h
@@ -10,7 +10,9 @@
     /// and the longest request deadline together.
     Duration m_settle { 615000 };
     Duration m_resend { 200 }; ///< Unanswered messages are sent again.
-    Duration m_batch { 5 }; ///< Least time between two demands for one resource.
+    Duration m_batch {
+        20
+    }; ///< Least time between two demands for one resource, unless permits are returned or missing.
     Duration m_rebalance { 20 }; ///< Least time between two computations of one resource's targets.
     Duration m_idleKeep { 500 }; ///< A permit that nobody else wants is kept idle so long.
 };
--- a/include/hemlockvane/limits/MemberPermits.h
+++ b/include/hemlockvane/limits/MemberPermits.h
@@ -29,6 +29,8 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_acknowledged = 0;
     bool m_changed = false;
+    std::uint32_t m_returnedSent = 0;
+    bool m_shortSent = false; ///< The last demand wanted more than was in hand.
     Instant m_sentAt;
     std::optional<Instant> m_surplusSince;
 };
--- a/src/limits/EscrowMember.cpp
+++ b/src/limits/EscrowMember.cpp
@@ -63,11 +63,18 @@
         giveBack(permits, keep);
 }
 
+// Others may wait for returned permits, and requests here for the first permits that are missing.
+auto isUrgent(const MemberPermits& permits) -> bool
+{
+    const auto isShort = permits.m_wanted > permitsHeld(permits);
+    return permits.m_sequence == 0 || permits.m_returned > permits.m_returnedSent || (isShort && !permits.m_shortSent);
+}
+
 auto isDue(const MemberPermits& permits, const EscrowTiming& timing, Instant now) -> bool
 {
     const auto age = now - permits.m_sentAt;
     if (permits.m_changed)
-        return permits.m_sequence == 0 || age >= timing.m_batch;
+        return isUrgent(permits) || age >= timing.m_batch;
     const auto unanswered = permits.m_sequence > permits.m_acknowledged || permits.m_wanted > permitsHeld(permits);
     return unanswered && age >= timing.m_resend;
 }
@@ -76,6 +83,8 @@
 {
     permits.m_changed = false;
     permits.m_sentAt = now;
+    permits.m_returnedSent = permits.m_returned;
+    permits.m_shortSent = permits.m_wanted > permitsHeld(permits);
     ++permits.m_sequence;
     wire::EscrowDemand demand;
     demand.mutable_fence()->set_duty(permits.m_duty);
@@ -109,6 +118,7 @@
     permits.m_base = permitsHeld(permits);
     permits.m_grantedSeen = 0;
     permits.m_returned = 0;
+    permits.m_returnedSent = 0;
     permits.m_target = permits.m_base;
     permits.m_recall = 0;
     permits.m_grantSequence = 0;
