--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/ClaimsDriver.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/EscrowDriver.h"
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
 #include "hemlockvane/detail/control/PlacementDriver.h"
@@ -12,8 +13,11 @@
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/HttpServer.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/traffic/EscrowTraffic.h"
 #include "hemlockvane/detail/traffic/TrafficShell.h"
 
+#include "hemlockvane/peers.pb.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -49,6 +53,7 @@
         : m_core(settings, newInstanceId(settings), m_metrics)
         , m_claims(m_core)
         , m_placement(m_core)
+        , m_escrow(m_core)
         , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
@@ -63,6 +68,7 @@
     ControlCore m_core;
     ClaimsDriver m_claims;
     PlacementDriver m_placement;
+    EscrowDriver m_escrow;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -134,6 +140,11 @@
     asio::co_spawn(core.m_context, runSnapshots(core), asio::detached);
     asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
     asio::co_spawn(core.m_context, runPlacement(entry.m_placement), asio::detached);
+    entry.m_escrow.m_toMember = [&shell = entry.m_shell](const wire::Envelope& envelope) {
+        asio::post(shell.m_context, [&shell, envelope]() { takeEscrowMessage(shell, envelope); });
+    };
+    asio::co_spawn(core.m_context, runEscrow(entry.m_escrow), asio::detached);
+    asio::co_spawn(entry.m_shell.m_context, runLanes(entry.m_shell), asio::detached);
 }
 
 } // namespace
