Flood key withdrawals between peers and run maintenance waves

Before: a withdrawal waited for the log, and a wave that was started drained nothing. After: a withdrawal is in force at this entry at once and at its peers with the next beat, recorded when the log can be reached, and the answer says how far it came; the holder of the maintenance duty drains, reboots and ends instances as planned.

--- a/include/hemlockvane/detail/control/ControlCore.h
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -7,6 +7,7 @@
 #include "hemlockvane/detail/peers/PeerSockets.h"
 #include "hemlockvane/detail/platform/LogClient.h"
 #include "hemlockvane/detail/settings/ServeSettings.h"
+#include "hemlockvane/keys/WithdrawalFlood.h"
 #include "hemlockvane/log/AppenderState.h"
 #include "hemlockvane/log/FleetState.h"
 #include "hemlockvane/log/RecordCache.h"
@@ -44,6 +45,7 @@
     RecordCache m_recent; ///< For peers that do not read the log.
     Offset m_oldestOffset = 0; ///< Oldest record that the log keeps, as last read.
     AppenderState m_appender;
+    WithdrawalFlood m_flood; ///< Key withdrawals in force and not folded everywhere.
     boost::asio::steady_timer m_appendWake;
     std::multimap<std::string, std::shared_ptr<CommitWaiter>> m_waiters; ///< By operation id.
     bool m_isLogReachable = false;
@@ -56,6 +58,7 @@
     Offset m_lastRemovalOffset = 0;
     Offset m_seenMembership = 0; ///< Version of the membership that the sockets follow.
     std::optional<Instant> m_lastEndRead; ///< When the last read that reached the log's end was sent.
+    std::uint64_t m_lastBeat = 0; ///< Sequence.
     std::map<std::uint64_t, Instant> m_beatsSent; ///< By sequence.
     std::map<std::string, PeerStatus, std::less<>> m_peerReports; ///< Last beat of each peer.
     std::string m_trafficAddress;
--- /dev/null
+++ b/include/hemlockvane/detail/control/MaintenanceDriver.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "hemlockvane/maintenance/WavePlanState.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace hemlockvane::detail {
+
+struct ControlCore;
+
+/// @brief Runs maintenance waves on the control thread while this instance holds their duty.
+struct MaintenanceDriver {
+    explicit MaintenanceDriver(ControlCore& core)
+        : m_core(core)
+    {
+    }
+
+    ControlCore& m_core;
+    WavePlanState m_state;
+    std::map<std::string, std::string, std::less<>> m_before; ///< Incarnation of a draining worker when first asked.
+    std::map<std::string, std::string, std::less<>> m_current; ///< Incarnation of a draining worker as last heard.
+    std::set<std::string, std::less<>> m_asked; ///< Workers whose answer is on its way.
+};
+
+/// @brief Plans waves while the duty is held; ends when the process stops.
+auto runMaintenance(MaintenanceDriver& driver) -> boost::asio::awaitable<void>;
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/control/MembershipDriver.h
+++ b/include/hemlockvane/detail/control/MembershipDriver.h
@@ -14,6 +14,9 @@
 /// @brief Joins the fleet, then keeps members and duties in order; ends when the process stops.
 auto runMembership(ControlCore& core) -> boost::asio::awaitable<void>;
 
+/// @brief Sends a beat to every member now.
+auto sendBeat(ControlCore& core) -> void;
+
 /// @brief Sends a beat to every member again and again; ends when the process stops.
 auto sendBeats(ControlCore& core) -> boost::asio::awaitable<void>;
 
--- a/include/hemlockvane/detail/control/TrafficView.h
+++ b/include/hemlockvane/detail/control/TrafficView.h
@@ -3,11 +3,11 @@
 #include "hemlockvane/configuration/ConfigurationState.h"
 #include "hemlockvane/detail/platform/ListedInstance.h"
 #include "hemlockvane/keys/KeyState.h"
+#include "hemlockvane/keys/WithdrawalFlood.h"
 #include "hemlockvane/membership/MembershipState.h"
 #include "hemlockvane/time/Time.h"
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +19,7 @@
     std::shared_ptr<const ConfigurationState> m_configuration;
     std::shared_ptr<const MembershipState> m_membership;
     std::shared_ptr<const std::vector<ListedInstance>> m_listed; ///< The platform's instance list.
-    std::shared_ptr<const std::set<std::string>> m_floodedWithdrawals; ///< Key ids withdrawn but not yet recorded.
+    std::shared_ptr<const WithdrawalFlood> m_flood; ///< Key withdrawals in force before they are folded.
     Instant m_vouchedUntil; ///< Beyond it nothing may be done that a newer record could forbid.
     bool m_isDraining = false;
 };
--- a/include/hemlockvane/detail/crypto/Sha256.h
+++ b/include/hemlockvane/detail/crypto/Sha256.h
@@ -14,7 +14,4 @@
 /// @brief A new secret of 32 random bytes in hexadecimal text.
 auto makeSecret() -> std::string;
 
-/// @brief Compares two byte strings in a time that depends on their length only.
-auto equalInConstantTime(std::string_view left, std::string_view right) -> bool;
-
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/traffic/Authenticate.h
+++ b/include/hemlockvane/detail/traffic/Authenticate.h
@@ -12,7 +12,8 @@
 
 /// @brief Finds the caller of a request from its key; to be asked right before each act done for the caller.
 /// @param queue an open queue takes requests without a key
-/// @param reason receives NotVouched, UnknownKey or WithdrawnKey; each claims truthfully that nothing was run
+/// @param reason receives NotVouched, UnknownKey, WithdrawnKey or WrongTeam; each claims truthfully that nothing was
+/// run
 auto authenticate(const TrafficView& view, const HttpRequest& request, std::string_view queue, Instant now,
     LastReason& reason) -> std::optional<Caller>;
 
--- a/src/detail/api/JobsApi.cpp
+++ b/src/detail/api/JobsApi.cpp
@@ -116,7 +116,8 @@
     wire::Operation operation;
     auto& cancel = *operation.mutable_cancel_jobs();
     cancel.set_team(caller.m_team);
-    cancel.set_author(caller.m_keyId);
+    const auto key = core.m_state.m_keys.m_idByHash.find(caller.m_keyHash);
+    cancel.set_author(key == core.m_state.m_keys.m_idByHash.end() ? std::string() : key->second);
     for (auto& id : ids)
         cancel.add_jobs(std::move(id));
     co_return resultResponse(co_await commit(core, std::move(operation)));
--- a/src/detail/api/KeysApi.cpp
+++ b/src/detail/api/KeysApi.cpp
@@ -4,7 +4,9 @@
 #include "hemlockvane/detail/api/Router.h"
 #include "hemlockvane/detail/control/Commit.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/KeysDriver.h"
 #include "hemlockvane/detail/crypto/Sha256.h"
+#include "hemlockvane/detail/http/ErrorResponse.h"
 #include "hemlockvane/detail/text/JsonFields.h"
 
 #include "hemlockvane/records.pb.h"
@@ -40,7 +42,16 @@
     change.set_key_id(call.m_captures[0]);
     change.set_author(textOf(call.m_body, "author"));
     change.set_reason(textOf(call.m_body, "reason"));
-    co_return resultResponse(co_await commit(core, std::move(operation)));
+    LastReason reason;
+    const auto progress = co_await withdrawKeyNow(core, std::move(operation), reason);
+    if (!progress)
+        co_return errorResponse(reason);
+    json::array waiting;
+    for (const auto& member : progress->m_waiting)
+        waiting.push_back(json::value(member));
+    const auto members = progress->m_inForce.size() + progress->m_waiting.size();
+    co_return jsonResponse({ { "accepted", true }, { "recorded", progress->m_recorded },
+        { "in_force", progress->m_inForce.size() }, { "members", members }, { "waiting", std::move(waiting) } });
 }
 
 auto listKeys(ControlCore& core, ApiCall) -> asio::awaitable<HttpResponse>
--- a/src/detail/api/OperatorsApi.cpp
+++ b/src/detail/api/OperatorsApi.cpp
@@ -9,6 +9,7 @@
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/ErrorResponse.h"
+#include "hemlockvane/keys/CheckKey.h"
 
 namespace hemlockvane::detail {
 
--- a/src/detail/control/ControlCore.cpp
+++ b/src/detail/control/ControlCore.cpp
@@ -59,6 +59,8 @@
     if (core.m_isListChanged)
         view->m_listed = std::make_shared<const std::vector<ListedInstance>>(core.m_listed);
     core.m_isListChanged = false;
+    if (!view->m_flood || !core.m_flood.m_withdrawals.empty() || !view->m_flood->m_withdrawals.empty())
+        view->m_flood = std::make_shared<const WithdrawalFlood>(core.m_flood);
     view->m_vouchedUntil = vouchedUntil(core.m_vouch);
     view->m_isDraining = core.m_isStopping;
     core.m_view.store(std::move(view));
--- /dev/null
+++ b/src/detail/control/KeysDriver.cpp
@@ -0,0 +1,97 @@
+#include "hemlockvane/detail/control/KeysDriver.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/Commit.h"
+#include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/MembershipDriver.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/keys/FloodWithdrawal.h"
+
+#include "hemlockvane/peers.pb.h"
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration tickInterval { 50 };
+constexpr Duration progressWait { 3000 };
+constexpr Duration appendRetry { 2000 };
+
+auto foldedEnds(const ControlCore& core) -> std::map<std::string, Offset, std::less<>>
+{
+    std::map<std::string, Offset, std::less<>> ends;
+    for (const auto& [id, report] : core.m_peerReports)
+        ends[id] = report.m_foldedEnd;
+    ends[core.m_instance] = core.m_state.m_nextOffset;
+    return ends;
+}
+
+auto progressOf(const ControlCore& core, std::string_view keyId) -> WithdrawalProgress
+{
+    return withdrawalProgress(core.m_flood, core.m_state.m_membership, foldedEnds(core), keyId);
+}
+
+auto noteFolded(ControlCore& core) -> void
+{
+    for (const auto& [id, withdrawal] : core.m_flood.m_withdrawals) {
+        const auto found = core.m_state.m_keys.m_keys.find(id);
+        if (!withdrawal.m_recorded && found != core.m_state.m_keys.m_keys.end() && found->second.m_withdrawn)
+            noteRecorded(core.m_flood, id, core.m_state.m_nextOffset - 1);
+    }
+}
+
+auto takeFlooded(ControlCore& core, const wire::Envelope& envelope) -> void
+{
+    if (!envelope.has_beat() || envelope.beat().flooded().empty())
+        return;
+    std::vector<const wire::Operation*> operations;
+    for (const auto& operation : envelope.beat().flooded())
+        operations.push_back(&operation);
+    if (!mergeFlooded(core.m_flood, core.m_state.m_keys, operations, core.m_instance, envelope.sender()))
+        return;
+    logOf("keys").info("withdrawal told by {} is in force", envelope.sender());
+    publishView(core);
+    sendBeat(core);
+}
+
+} // namespace
+
+auto withdrawKeyNow(ControlCore& core, wire::Operation operation, LastReason& reason)
+    -> asio::awaitable<std::optional<WithdrawalProgress>>
+{
+    const auto keyId = operation.withdraw_key().key_id();
+    operation.set_id(newOperationId(core));
+    if (!withdrawNow(core.m_flood, core.m_state.m_keys, operation, core.m_instance, reason))
+        co_return std::nullopt;
+    logOf("keys").info("key {} withdrawn by {}", keyId, operation.withdraw_key().author());
+    publishView(core);
+    sendBeat(core);
+    const auto deadline = monotonicNow() + progressWait;
+    auto progress = progressOf(core, keyId);
+    while ((!progress.m_recorded || !progress.m_waiting.empty()) && monotonicNow() < deadline) {
+        co_await sleepFor(tickInterval);
+        progress = progressOf(core, keyId);
+    }
+    co_return progress;
+}
+
+auto runKeys(ControlCore& core) -> asio::awaitable<void>
+{
+    core.m_onFolded.emplace_back([&core]() { noteFolded(core); });
+    core.m_onMessage.emplace_back([&core](const wire::Envelope& envelope) { takeFlooded(core, envelope); });
+    while (!core.m_isStopped) {
+        co_await sleepFor(tickInterval);
+        if (core.m_flood.m_withdrawals.empty())
+            continue;
+        if (core.m_isLogReachable) {
+            for (auto& operation : appendsDue(core.m_flood, monotonicNow(), appendRetry))
+                post(core, std::move(operation));
+        }
+        clearFolded(core.m_flood, core.m_state.m_membership, foldedEnds(core));
+        publishView(core);
+    }
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/platform/InstanceListClient.h"
+#include "hemlockvane/keys/FloodWithdrawal.h"
 #include "hemlockvane/log/SnapshotPlan.h"
 #include "hemlockvane/membership/Duties.h"
 #include "hemlockvane/membership/MembershipPlan.h"
@@ -230,20 +231,25 @@
     }
 }
 
+auto sendBeat(ControlCore& core) -> void
+{
+    wire::Envelope envelope;
+    const auto sequence = ++core.m_lastBeat;
+    envelope.mutable_beat()->set_sequence(sequence);
+    fillBeat(core, *envelope.mutable_beat());
+    core.m_beatsSent[sequence] = monotonicNow();
+    if (core.m_beatsSent.size() > rememberedBeats)
+        core.m_beatsSent.erase(core.m_beatsSent.begin());
+    for (const auto& [id, entry] : core.m_state.m_membership.m_entries) {
+        if (entry.m_removedAt == 0 && id != core.m_instance)
+            sendToPeer(core, id, envelope);
+    }
+}
+
 auto sendBeats(ControlCore& core) -> asio::awaitable<void>
 {
-    std::uint64_t sequence = 0;
     while (!core.m_isStopped) {
-        wire::Envelope envelope;
-        envelope.mutable_beat()->set_sequence(++sequence);
-        fillBeat(core, *envelope.mutable_beat());
-        core.m_beatsSent[sequence] = monotonicNow();
-        if (core.m_beatsSent.size() > rememberedBeats)
-            core.m_beatsSent.erase(core.m_beatsSent.begin());
-        for (const auto& [id, entry] : core.m_state.m_membership.m_entries) {
-            if (entry.m_removedAt == 0 && id != core.m_instance)
-                sendToPeer(core, id, envelope);
-        }
+        sendBeat(core);
         co_await sleepFor(core.m_settings.m_beat);
     }
 }
--- a/src/detail/crypto/Sha256.cpp
+++ b/src/detail/crypto/Sha256.cpp
@@ -1,6 +1,5 @@
 #include "hemlockvane/detail/crypto/Sha256.h"
 
-#include <openssl/crypto.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 
@@ -42,9 +41,4 @@
     return toHex({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
 }
 
-auto equalInConstantTime(std::string_view left, std::string_view right) -> bool
-{
-    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
-}
-
 } // namespace hemlockvane::detail
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -5,7 +5,9 @@
 #include "hemlockvane/detail/control/ClaimsDriver.h"
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/control/EscrowDriver.h"
+#include "hemlockvane/detail/control/KeysDriver.h"
 #include "hemlockvane/detail/control/LogTail.h"
+#include "hemlockvane/detail/control/MaintenanceDriver.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
 #include "hemlockvane/detail/control/PlacementDriver.h"
 #include "hemlockvane/detail/control/SnapshotDriver.h"
@@ -54,6 +56,7 @@
         , m_claims(m_core)
         , m_placement(m_core)
         , m_escrow(m_core)
+        , m_maintenance(m_core)
         , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
@@ -69,6 +72,7 @@
     ClaimsDriver m_claims;
     PlacementDriver m_placement;
     EscrowDriver m_escrow;
+    MaintenanceDriver m_maintenance;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -145,6 +149,8 @@
         asio::post(shell.m_context, [&shell, envelope]() { takeEscrowMessage(shell, envelope); });
     };
     asio::co_spawn(core.m_context, runEscrow(entry.m_escrow), asio::detached);
+    asio::co_spawn(core.m_context, runMaintenance(entry.m_maintenance), asio::detached);
+    asio::co_spawn(core.m_context, runKeys(core), asio::detached);
     asio::co_spawn(entry.m_shell.m_context, runLanes(entry.m_shell), asio::detached);
 }
 
