--- a/include/hemlockvane/detail/control/ControlCore.h
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -9,6 +9,7 @@
 #include "hemlockvane/detail/settings/ServeSettings.h"
 #include "hemlockvane/log/AppenderState.h"
 #include "hemlockvane/log/FleetState.h"
+#include "hemlockvane/log/RecordCache.h"
 #include "hemlockvane/membership/PlannerState.h"
 #include "hemlockvane/membership/VouchState.h"
 
@@ -40,6 +41,8 @@
     LogClient m_log;
     PeerSockets m_peers;
     FleetState m_state;
+    RecordCache m_recent; ///< For peers that do not read the log.
+    Offset m_oldestOffset = 0; ///< Oldest record that the log keeps, as last read.
     AppenderState m_appender;
     boost::asio::steady_timer m_appendWake;
     std::multimap<std::string, std::shared_ptr<CommitWaiter>> m_waiters; ///< By operation id.
@@ -49,6 +52,9 @@
     std::function<void()> m_stop = [] {}; ///< Begins a planned stop of the process.
     VouchState m_vouch;
     PlannerState m_planner;
+    Instant m_lastRemoval = Instant::min(); ///< When the last unplanned removal of an entry was read back.
+    Offset m_lastRemovalOffset = 0;
+    Offset m_seenMembership = 0; ///< Version of the membership that the sockets follow.
     std::optional<Instant> m_lastEndRead; ///< When the last read that reached the log's end was sent.
     std::map<std::uint64_t, Instant> m_beatsSent; ///< By sequence.
     std::map<std::string, PeerStatus, std::less<>> m_peerReports; ///< Last beat of each peer.
@@ -73,6 +79,11 @@
 /// @brief Sends a message to a peer, marked with this process' id.
 auto sendToPeer(ControlCore& core, std::string_view instance, wire::Envelope& envelope) -> void;
 
+/// @brief Epoch of a duty that this instance holds and may act under now: it is vouched for, and every entry removed
+/// before has certainly stopped.
+/// @result empty when it may not
+auto dutyEpoch(const ControlCore& core, std::string_view duty) -> std::optional<Offset>;
+
 /// @brief A new operation id, unique over all processes.
 auto newOperationId(ControlCore& core) -> std::string;
 
