--- a/include/hemlockvane/claims/ClaimSettings.h
+++ b/include/hemlockvane/claims/ClaimSettings.h
@@ -19,6 +19,7 @@
     Duration m_recoveredDeadline = std::chrono::seconds(30); ///< Of an in-flight key that a new holder learnt of.
     std::size_t m_maximumRecords = 100'000; ///< Kept by one entry, held, dispatched and mirrored together.
     std::size_t m_maximumTickets = 10'000; ///< Requests of one entry that wait for their claim.
+    std::size_t m_maximumOutcomes = 20'000; ///< Not confirmed by holders; beyond it "not run" is told only once.
     std::size_t m_maximumAnswerBytes = 4096; ///< A larger answer is not kept for replays.
     std::size_t m_maximumAnswerTotal = std::size_t { 32 } << 20; ///< Bytes of all kept answers of one entry.
     std::size_t m_maximumWaiters = 16; ///< Concurrent retries of one key that wait for its answer.
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -91,7 +91,6 @@
     :: k > known[heir] && (d || !(reported & BIT(dispatcher[k])) || reportKnown[dispatcher[k]] == k) ->
         known[heir] = k;
         done[heir] = d
-    :: k == known[heir] && d -> done[heir] = true
     :: else
     fi
 }
--- a/src/claims/ClaimDispatcher.cpp
+++ b/src/claims/ClaimDispatcher.cpp
@@ -82,10 +82,12 @@
 auto oweOutcome(ClaimContext& context, const ClaimTicket& ticket, ClaimResult result) -> void
 {
     auto& state = context.m_state;
-    auto& due = state.m_outcomes[ticket.m_ticket];
-    due = ClaimOutcomeDue { ticket.m_key, result, ticket.m_slot, {}, {} };
+    ClaimOutcomeDue due { ticket.m_key, result, ticket.m_slot, {}, {} };
     due.m_forgetAt = context.m_time.m_now + state.m_settings.m_window;
     sendOutcome(context, ticket.m_ticket, due);
+    // A holder that never hears "not run" calls the key unknown after its deadline: a loss, but a safe one.
+    if (result != ClaimResult::NotRun || state.m_outcomes.size() < state.m_settings.m_maximumOutcomes)
+        state.m_outcomes.emplace(ticket.m_ticket, std::move(due));
 }
 
 // Why a grant may not be used although it was asked for; None: it may.
--- a/tests/core/claims/ClaimTest.cpp
+++ b/tests/core/claims/ClaimTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(holder_notVouched_neverSaysNotRun);
     CPPUNIT_TEST(dispatcher_notVouched_doesNotUseItsGrant);
     CPPUNIT_TEST(dispatcher_holderSilent_neverSaysNotRun);
+    CPPUNIT_TEST(dispatcher_holderSilentForLong_staysBounded);
     CPPUNIT_TEST(dispatcher_crashed_leavesUnknown);
     CPPUNIT_TEST(takeover_holderCrashed_keepsTheAnswer);
     CPPUNIT_TEST(takeover_zonesLostOneByOne_keepsTheAnswer);
@@ -192,6 +193,23 @@
         CPPUNIT_ASSERT(!replyTo(world, ticket)->m_notRun);
     }
 
+    auto dispatcher_holderSilentForLong_staysBounded() -> void
+    {
+        auto world = makeClaimWorld(m_zones);
+        auto& state = world.m_nodes[1].m_state;
+        state.m_settings.m_maximumTickets = 3;
+        state.m_settings.m_maximumOutcomes = 2;
+        std::uint64_t last = 0;
+        for (int i = 0; i < 4; ++i)
+            last = request(world, 1);
+        CPPUNIT_ASSERT(replyTo(world, last)->m_error == ErrorKind::QueueFull);
+        CPPUNIT_ASSERT(!replyTo(world, last)->m_notRun);
+        world.m_messages.clear();
+        passTime(world, std::chrono::hours(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, state.m_tickets.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, state.m_outcomes.size());
+    }
+
     auto dispatcher_crashed_leavesUnknown() -> void
     {
         auto world = makeClaimWorld(m_zones);
