Carry flooded withdrawals in beats again

Cause: a merge dropped the line. Before: with the log down only the entry that was asked refused the key; after: all three within 5 s (tests/processes/key-withdrawn-in-outage.test, 11 checks).

--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -150,6 +150,8 @@
     beat.set_configuration_version(core.m_state.m_configuration.m_version);
     if (const auto age = logReadAge(core.m_vouch, now))
         beat.set_log_read_age_ms(static_cast<std::uint32_t>(age->count()));
+    for (auto& operation : floodedOperations(core.m_flood))
+        *beat.add_flooded() = std::move(operation);
 }
 
 auto answerBeat(ControlCore& core, const wire::Envelope& envelope) -> void
