--- a/include/hemlockvane/limits/EscrowTiming.h
+++ b/include/hemlockvane/limits/EscrowTiming.h
@@ -6,8 +6,8 @@
 
 /// @brief Times of the escrow protocol.
 struct EscrowTiming {
-    /// From reading a removal back until nothing of the removed instance can run: the longest vouch, the clock drift
-    /// and the longest request deadline together.
+    /// From reading a removal back until nothing of the removed instance can run: the longest vouch, twice the instance
+    /// list's lag, the clock drift and the longest request deadline in force together.
     Duration m_settle { 615000 };
     Duration m_resend { 200 }; ///< Unanswered messages are sent again.
     Duration m_batch {
