--- a/include/hemlockvane/shares/SlotBalancer.h
+++ b/include/hemlockvane/shares/SlotBalancer.h
@@ -19,7 +19,6 @@
     Duration m_period { 20 }; ///< Least time between two plans.
     Instant m_plannedAt;
     std::map<std::string, double, std::less<>> m_credits; ///< Slots that an entry had too few, by instance.
-    std::map<std::string, double, std::less<>> m_teamCredits; ///< Slots that a team had too few, by team.
 };
 
 /// @brief Plans the service's slots and gives targets and shares to the escrow holder; does nothing between periods.
--- a/include/hemlockvane/shares/SlotPlan.h
+++ b/include/hemlockvane/shares/SlotPlan.h
@@ -20,7 +20,6 @@
     std::map<std::string, std::vector<TeamShare>, std::less<>> m_shares;
     /// Slots each entry is entitled to, in the order of the entries.
     std::vector<double> m_entitled;
-    std::map<std::string, double, std::less<>> m_teams; ///< Each team's fair share of all slots.
 };
 
 /// @brief Plans a service's slots: fair shares of the fleet's demand by team, divided among entries by where the
@@ -30,10 +29,8 @@
 /// availability zone first, and where most slots are free.
 /// @param weights by team; a team that is missing has weight 1
 /// @param credits one for each entry: slots that it had too few so far
-/// @param teamCredits slots that a team had too few so far, by team
 /// @complexity about slots times executors, plus n log n in teams
 auto planSlots(std::span<const SlotEntry> entries, std::span<const SlotExecutor> executors,
-    const std::map<std::string, double, std::less<>>& weights, std::span<const double> credits,
-    const std::map<std::string, double, std::less<>>& teamCredits = {}) -> SlotPlan;
+    const std::map<std::string, double, std::less<>>& weights, std::span<const double> credits) -> SlotPlan;
 
 } // namespace hemlockvane
--- a/src/limits/EscrowHolder.cpp
+++ b/src/limits/EscrowHolder.cpp
@@ -268,7 +268,7 @@
 {
     std::vector<TeamDemand> teams;
     for (const auto& line : demand.teams())
-        teams.push_back({ line.team(), line.wanted(), line.running() });
+        teams.push_back({ line.team(), line.wanted() });
     return teams;
 }
 
--- a/src/limits/EscrowMember.cpp
+++ b/src/limits/EscrowMember.cpp
@@ -100,7 +100,6 @@
         auto* line = demand.add_teams();
         line->set_team(team.m_team);
         line->set_wanted(team.m_wanted);
-        line->set_running(team.m_running);
     }
     return demand;
 }
--- a/src/shares/RequestQueue.cpp
+++ b/src/shares/RequestQueue.cpp
@@ -231,7 +231,7 @@
     std::vector<TeamDemand> demands;
     for (const auto& [name, team] : queue.m_teams) {
         if (const auto wanted = static_cast<std::uint32_t>(demandOf(team)); wanted > 0)
-            demands.push_back({ name, wanted, team.m_running });
+            demands.push_back({ name, wanted });
     }
     return demands;
 }
--- a/src/shares/SlotBalancer.cpp
+++ b/src/shares/SlotBalancer.cpp
@@ -15,9 +15,6 @@
 constexpr double maximumCredit = 2;
 // A missing slot counts as one unit of credit after this time.
 constexpr double creditSeconds = 0.5;
-// Bounds a team's credit: a part of its share and a slot.
-constexpr double teamCreditPart = 0.25;
-constexpr double teamCreditSlots = 1;
 
 auto heldBy(const EscrowHolder& holder, std::string_view service, std::span<const SlotExecutor> executors,
     std::string_view instance) -> std::map<std::string, std::uint32_t, std::less<>>
@@ -55,24 +52,6 @@
     balancer.m_credits = std::move(credits);
 }
 
-auto updateTeamCredits(SlotBalancer& balancer, std::span<const SlotEntry> entries, const SlotPlan& plan, Instant now)
-    -> void
-{
-    const auto seconds = std::min(1.0, std::chrono::duration<double>(now - balancer.m_plannedAt).count());
-    std::map<std::string, double, std::less<>> running;
-    for (const auto& entry : entries) {
-        for (const auto& demand : entry.m_teams)
-            running[demand.m_team] += demand.m_running;
-    }
-    std::map<std::string, double, std::less<>> credits;
-    for (const auto& [team, share] : plan.m_teams) {
-        const auto most = teamCreditPart * share + teamCreditSlots;
-        const auto missing = (share - running[team]) * seconds / creditSeconds;
-        credits[team] = std::clamp(balancer.m_teamCredits[team] + missing, -most, most);
-    }
-    balancer.m_teamCredits = std::move(credits);
-}
-
 } // namespace
 
 auto balanceSlots(SlotBalancer& balancer, EscrowHolder& holder, std::span<const SlotExecutor> executors,
@@ -98,9 +77,8 @@
             heldBy(holder, balancer.m_service, executors, instance), allowed->second });
         credits.push_back(balancer.m_credits[instance]);
     }
-    const auto plan = planSlots(entries, executors, weights, credits, balancer.m_teamCredits);
+    const auto plan = planSlots(entries, executors, weights, credits);
     updateCredits(balancer, entries, plan, now);
-    updateTeamCredits(balancer, entries, plan, now);
     balancer.m_plannedAt = now;
     for (const auto& [executor, targets] : plan.m_targets)
         setTargets(holder, executorSlotsResource(balancer.m_service, executor), targets);
--- a/src/shares/SlotPlan.cpp
+++ b/src/shares/SlotPlan.cpp
@@ -43,19 +43,6 @@
     return teams;
 }
 
-// Puts teams ahead or behind by their credits, within the capacity.
-auto addCredits(FleetDemands& teams, const std::map<std::string, double, std::less<>>& credits, double capacity) -> void
-{
-    auto sum = 0.0;
-    for (auto& [name, team] : teams) {
-        const auto found = credits.find(name);
-        team.m_share = std::max(0.0, team.m_share + (found == credits.end() ? 0 : found->second));
-        sum += team.m_share;
-    }
-    for (auto& [name, team] : teams)
-        team.m_share *= sum > capacity ? capacity / sum : 1;
-}
-
 // Divides each team's share among the entries in proportion to the demand that stands there.
 auto divideShares(std::span<const SlotEntry> entries, const FleetDemands& teams, SlotPlan& plan) -> void
 {
@@ -175,8 +162,7 @@
 } // namespace
 
 auto planSlots(std::span<const SlotEntry> entries, std::span<const SlotExecutor> executors,
-    const std::map<std::string, double, std::less<>>& weights, std::span<const double> credits,
-    const std::map<std::string, double, std::less<>>& teamCredits) -> SlotPlan
+    const std::map<std::string, double, std::less<>>& weights, std::span<const double> credits) -> SlotPlan
 {
     SlotPlan plan;
     if (entries.empty())
@@ -184,11 +170,7 @@
     auto capacity = 0.0;
     for (const auto& executor : executors)
         capacity += executor.m_slots;
-    auto teams = fleetShares(entries, weights, capacity);
-    for (const auto& [name, team] : teams)
-        plan.m_teams[std::string(name)] = team.m_share;
-    addCredits(teams, teamCredits, capacity);
-    divideShares(entries, teams, plan);
+    divideShares(entries, fleetShares(entries, weights, capacity), plan);
     spreadSpare(plan, capacity);
     const auto wanted = apportion(plan.m_entitled, credits);
     auto assignment = keepHeld(entries, executors, wanted);
