--- a/demo/fleet.bash
+++ b/demo/fleet.bash
@@ -86,7 +86,7 @@
 }
 
 entryIsHealthy() {
-    grep -q "membership: joined" "$LOGS/$1.log" && call GET "${TRAFFIC_OF[$1]}" /health | tail -1 | grep -q "^200$"
+    grep -q "membership: joined" "$LOGS/$1.log" && call GET "${TRAFFIC_OF[$1]}" /health | tail -1 | grep "^200$"
 }
 
 # startEntries: entry-z1, entry-z2, entry-z3.
