--- a/src/claims/ClaimDispatcher.cpp
+++ b/src/claims/ClaimDispatcher.cpp
@@ -24,12 +24,6 @@
     return &found->second;
 }
 
-auto fillFence(wire::Fence& fence, std::size_t slot, Offset epoch) -> void
-{
-    fence.set_duty(claimDuty(slot));
-    fence.set_epoch(epoch);
-}
-
 auto reply(ClaimContext& context, ClaimReply answer) -> void { context.m_actions.emplace_back(std::move(answer)); }
 
 auto askHolder(ClaimContext& context, ClaimTicket& ticket) -> void
@@ -82,10 +76,12 @@
 auto oweOutcome(ClaimContext& context, const ClaimTicket& ticket, ClaimResult result) -> void
 {
     auto& state = context.m_state;
-    auto& due = state.m_outcomes[ticket.m_ticket];
-    due = ClaimOutcomeDue { ticket.m_key, result, ticket.m_slot, {}, {} };
+    ClaimOutcomeDue due { ticket.m_key, result, ticket.m_slot, {}, {} };
     due.m_forgetAt = context.m_time.m_now + state.m_settings.m_window;
     sendOutcome(context, ticket.m_ticket, due);
+    // A holder that never hears "not run" calls the key unknown after its deadline: a loss, but a safe one.
+    if (result != ClaimResult::NotRun || state.m_outcomes.size() < state.m_settings.m_maximumOutcomes)
+        state.m_outcomes.emplace(ticket.m_ticket, std::move(due));
 }
 
 // Why a grant may not be used although it was asked for; None: it may.
--- a/tests/core/claims/ClaimTest.cpp
+++ b/tests/core/claims/ClaimTest.cpp
@@ -15,11 +15,13 @@
     CPPUNIT_TEST(claim_futureKey_isRefusedAsNotRun);
     CPPUNIT_TEST(claim_expiredKey_isUnknown);
     CPPUNIT_TEST(claim_largeAnswer_isToldAsLost);
+    CPPUNIT_TEST(claim_answersFull_oldestAnswerIsLost);
     CPPUNIT_TEST(claim_noRoom_isRefusedAsNotRun);
     CPPUNIT_TEST(claim_cancelledBeforeGrant_isNeverDispatched);
     CPPUNIT_TEST(holder_notVouched_neverSaysNotRun);
     CPPUNIT_TEST(dispatcher_notVouched_doesNotUseItsGrant);
     CPPUNIT_TEST(dispatcher_holderSilent_neverSaysNotRun);
+    CPPUNIT_TEST(dispatcher_holderSilentForLong_staysBounded);
     CPPUNIT_TEST(dispatcher_crashed_leavesUnknown);
     CPPUNIT_TEST(takeover_holderCrashed_keepsTheAnswer);
     CPPUNIT_TEST(takeover_zonesLostOneByOne_keepsTheAnswer);
@@ -126,7 +128,7 @@
         auto world = makeClaimWorld(m_zones);
         request(world, 1);
         deliverAll(world);
-        finish(world, 0, ClaimResult::Answered, std::string(5000, 'a'));
+        finish(world, 0, ClaimResult::Answered, std::string(70'000, 'a'));
         deliverAll(world);
         const auto again = request(world, 2);
         deliverAll(world);
@@ -134,6 +136,28 @@
         CPPUNIT_ASSERT_EQUAL(1, world.m_executed);
     }
 
+    auto claim_answersFull_oldestAnswerIsLost() -> void
+    {
+        auto world = makeClaimWorld(m_zones);
+        for (auto& node : world.m_nodes)
+            node.m_state.m_settings.m_maximumAnswerTotal = 10;
+        const auto old = makeRequestKey(world.m_time.m_wall, 1);
+        for (const WallMillis later : { 0, 1 }) {
+            world.m_key = makeRequestKey(world.m_time.m_wall + later, 1);
+            request(world, 1);
+            deliverAll(world);
+            finish(world, 0, ClaimResult::Answered);
+            deliverAll(world);
+        }
+        const auto newer = request(world, 2);
+        world.m_key = old;
+        const auto older = request(world, 2);
+        deliverAll(world);
+        CPPUNIT_ASSERT_EQUAL(std::string("answer"), replyTo(world, newer)->m_answer);
+        CPPUNIT_ASSERT(replyTo(world, older)->m_error == ErrorKind::AnswerLost);
+        CPPUNIT_ASSERT_EQUAL(2, world.m_executed);
+    }
+
     auto claim_noRoom_isRefusedAsNotRun() -> void
     {
         auto world = makeClaimWorld(m_zones);
@@ -192,6 +216,23 @@
         CPPUNIT_ASSERT(!replyTo(world, ticket)->m_notRun);
     }
 
+    auto dispatcher_holderSilentForLong_staysBounded() -> void
+    {
+        auto world = makeClaimWorld(m_zones);
+        auto& state = world.m_nodes[1].m_state;
+        state.m_settings.m_maximumTickets = 3;
+        state.m_settings.m_maximumOutcomes = 2;
+        std::uint64_t last = 0;
+        for (int i = 0; i < 4; ++i)
+            last = request(world, 1);
+        CPPUNIT_ASSERT(replyTo(world, last)->m_error == ErrorKind::QueueFull);
+        CPPUNIT_ASSERT(!replyTo(world, last)->m_notRun);
+        world.m_messages.clear();
+        passTime(world, std::chrono::hours(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, state.m_tickets.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, state.m_outcomes.size());
+    }
+
     auto dispatcher_crashed_leavesUnknown() -> void
     {
         auto world = makeClaimWorld(m_zones);
