--- a/src/detail/api/ConfigurationApi.cpp
+++ b/src/detail/api/ConfigurationApi.cpp
@@ -2,11 +2,13 @@
 
 #include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/configuration/SettingSpec.h"
+#include "hemlockvane/configuration/ValidateChange.h"
 #include "hemlockvane/detail/api/JsonResponse.h"
 #include "hemlockvane/detail/api/Router.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/Commit.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/http/ErrorResponse.h"
 #include "hemlockvane/detail/text/JsonFields.h"
 
 #include "hemlockvane/records.pb.h"
@@ -79,19 +81,27 @@
     return static_cast<Offset>(numberOf(call.m_body, "expected_version"));
 }
 
-// Values are accepted as text and as number.
-auto valueOf(const ApiCall& call) -> std::string
+// A value must be given, as text or as a number: an empty text stands for the built-in one.
+auto valueOf(const ApiCall& call, LastReason& reason) -> std::optional<std::string>
 {
     const auto* value = call.m_body.if_contains("value");
-    return value != nullptr && value->is_int64() ? std::to_string(value->as_int64()) : textOf(call.m_body, "value");
+    if (value != nullptr && value->is_int64())
+        return std::to_string(value->as_int64());
+    if (value != nullptr && value->is_string())
+        return std::string(value->as_string());
+    return fail(reason, ErrorKind::BadRequest, "value must be a text or a whole number");
 }
 
 auto setDefault(ControlCore& core, ApiCall call) -> asio::awaitable<HttpResponse>
 {
+    LastReason reason;
+    const auto value = valueOf(call, reason);
+    if (!value)
+        co_return errorResponse(reason);
     wire::Operation operation;
     auto& change = *operation.mutable_set_default();
     change.set_setting(call.m_captures[0]);
-    change.set_value(valueOf(call));
+    change.set_value(*value);
     change.set_author(textOf(call.m_body, "author"));
     change.set_expected_version(expectedVersion(call));
     co_return resultResponse(co_await commit(core, std::move(operation)));
@@ -99,11 +109,15 @@
 
 auto setException(ControlCore& core, ApiCall call) -> asio::awaitable<HttpResponse>
 {
+    LastReason reason;
+    const auto value = valueOf(call, reason);
+    if (!value)
+        co_return errorResponse(reason);
     wire::Operation operation;
     auto& change = *operation.mutable_set_exception();
     change.set_setting(call.m_captures[0]);
     change.set_scope(call.m_captures[1]);
-    change.set_value(valueOf(call));
+    change.set_value(*value);
     change.set_reason(textOf(call.m_body, "reason"));
     change.set_author(textOf(call.m_body, "author"));
     change.set_expires_at_ms(numberOf(call.m_body, "expires_at_ms"));
@@ -111,6 +125,47 @@
     co_return resultResponse(co_await commit(core, std::move(operation)));
 }
 
+// Exceptions of the setting: a changed default does not reach their scopes.
+auto keptScopes(const ControlCore& core, const std::string& setting) -> json::array
+{
+    json::array scopes;
+    const auto now = wallNow();
+    for (const auto& [name, item] : core.m_state.m_configuration.m_exceptions) {
+        const auto isExpired = item.m_expiresAt != 0 && item.m_expiresAt <= now;
+        if (name.first == setting && !item.m_removed && !isExpired)
+            scopes.push_back(
+                json::object { { "scope", name.second }, { "value", item.m_value }, { "reason", item.m_reason } });
+    }
+    return scopes;
+}
+
+auto validatePreview(const std::string& setting, const std::string& scope, const std::string& value, LastReason& reason)
+    -> bool
+{
+    constexpr std::string_view anyReason = "preview";
+    return scope.empty() ? validateDefault(setting, value, reason)
+                         : validateException(setting, scope, value, anyReason, reason);
+}
+
+// What a change would do, without making it.
+auto previewChange(ControlCore& core, ApiCall call) -> asio::awaitable<HttpResponse>
+{
+    LastReason reason;
+    const auto value = valueOf(call, reason);
+    const auto setting = textOf(call.m_body, "setting");
+    const auto scope = textOf(call.m_body, "scope");
+    if (!value || !validatePreview(setting, scope, *value, reason))
+        co_return errorResponse(reason);
+    const auto now = effectiveValue(core.m_state.m_configuration, setting, scope, wallNow());
+    const auto builtIn = std::to_string(findSetting(setting)->m_builtIn);
+    json::object answer { { "setting", setting }, { "scope", scope }, { "value_now", now.m_value },
+        { "source_now", nameOf(now.m_source) }, { "value_then", value->empty() ? builtIn : *value },
+        { "version", core.m_state.m_configuration.m_version } };
+    if (scope.empty())
+        answer["unchanged_scopes"] = keptScopes(core, setting);
+    co_return jsonResponse(answer);
+}
+
 auto removeException(ControlCore& core, ApiCall call) -> asio::awaitable<HttpResponse>
 {
     wire::Operation operation;
@@ -127,6 +182,8 @@
 auto addConfigurationRoutes(Router& router, ControlCore& core) -> void
 {
     router.add("GET", "/v1/configuration", [&core](ApiCall call) { return showConfiguration(core, std::move(call)); });
+    router.add(
+        "POST", "/v1/configuration/preview", [&core](ApiCall call) { return previewChange(core, std::move(call)); });
     router.add(
         "GET", "/v1/configuration/history", [&core](ApiCall call) { return showHistory(core, std::move(call)); });
     router.add(
