--- a/bench/LoadBench.cpp
+++ b/bench/LoadBench.cpp
@@ -73,7 +73,8 @@
 auto run(int argc, char** argv) -> int
 {
     TCLAP::CmdLine line("Load over HTTP connections to loopback addresses");
-    const TCLAP::MultiArg<std::string> targets("", "target", "address; connections go to them in turn", true, "IP:port", line);
+    const TCLAP::MultiArg<std::string> targets(
+        "", "target", "address; connections go to them in turn", true, "IP:port", line);
     const TCLAP::ValueArg<std::string> path("", "path", "target of the requests", false, "/", "PATH", line);
     const TCLAP::ValueArg<std::string> key("", "key", "bearer key", false, "", "KEY", line);
     const TCLAP::ValueArg<int> connections("", "connections", "connections", false, 1, "N", line);
