--- a/include/hemlockvane/detail/control/EscrowDriver.h
+++ b/include/hemlockvane/detail/control/EscrowDriver.h
@@ -27,6 +27,7 @@
     std::map<std::string, SlotBalancer, std::less<>> m_balancers; ///< By service.
     std::map<std::string, std::uint32_t, std::less<>> m_recorded; ///< Running jobs by team, as last told.
     Offset m_seenMembership = 0;
+    bool m_isBusy = false; ///< Messages came since the last step.
     Instant m_recountAt; ///< When running jobs are counted again.
     /// Takes a message for the member's side, on the traffic thread.
     std::function<void(const wire::Envelope&)> m_toMember;
--- a/src/detail/control/EscrowDriver.cpp
+++ b/src/detail/control/EscrowDriver.cpp
@@ -20,7 +20,8 @@
 
 namespace {
 
-constexpr Duration stepInterval { 5 };
+constexpr Duration busyInterval { 5 };
+constexpr Duration idleInterval { 25 };
 constexpr Duration recountInterval { 100 };
 
 using Connections = std::map<std::string, std::map<std::string, std::uint32_t, std::less<>>, std::less<>>;
@@ -162,6 +163,7 @@
 
 auto onMessage(EscrowDriver& driver, const wire::Envelope& envelope) -> void
 {
+    driver.m_isBusy = driver.m_isBusy || envelope.has_escrow_demands() || envelope.has_escrow_report();
     for (const auto& demand : envelope.escrow_demands().demands())
         receiveDemand(driver.m_holder, envelope.sender(), demand);
     if (envelope.has_escrow_report())
@@ -209,7 +211,8 @@
     core.m_onFolded.emplace_back([&driver]() { followMembers(driver); });
     core.m_onMessage.emplace_back([&driver](const wire::Envelope& envelope) { onMessage(driver, envelope); });
     while (!core.m_isStopped) {
-        co_await sleepFor(stepInterval);
+        co_await sleepFor(driver.m_isBusy ? busyInterval : idleInterval);
+        driver.m_isBusy = false;
         followCapacities(driver);
         countJobs(driver);
         const auto now = monotonicNow();
--- a/src/detail/traffic/EscrowTraffic.cpp
+++ b/src/detail/traffic/EscrowTraffic.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-constexpr Duration laneInterval { 5 };
+constexpr Duration busyInterval { 5 };
+constexpr Duration idleInterval { 25 };
 
 auto addTo(std::map<std::string, std::uint32_t>& wanted, const RequestQueue& queue) -> void
 {
@@ -98,6 +99,11 @@
         releaseToRecord(shell.m_escrow, resource, recordedAt - 1);
 }
 
+auto isBusy(const TrafficShell& shell) -> bool
+{
+    return shell.m_requests > 0 || !shell.m_jobsWanted.empty();
+}
+
 } // namespace
 
 auto makeJobPermits(TrafficShell& shell) -> JobPermits
@@ -131,7 +137,7 @@
 auto runLanes(TrafficShell& shell) -> asio::awaitable<void>
 {
     while (true) {
-        co_await sleepFor(laneInterval);
+        co_await sleepFor(isBusy(shell) ? busyInterval : idleInterval);
         followView(shell);
         const auto view = currentView(shell);
         adoptDuties(shell, *view);
