Never say 'not run' of a keyed request that is refused before its claim

A retry whose key was withdrawn meanwhile was answered not_run: true although its first attempt may have run: the refusal took the flag from the table of error kinds, which speaks of one attempt. Requests with an Idempotency-Key that are refused before the holder's word now carry not_run: false. A grant that nobody waits for any more is told to the holder as not run instead of staying in flight until its deadline, and a new holder waits for inherited outcomes as long as the longest request deadline, two minutes.

--- a/include/hemlockvane/claims/ClaimSettings.h
+++ b/include/hemlockvane/claims/ClaimSettings.h
@@ -16,7 +16,7 @@
     Duration m_retryInterval = std::chrono::milliseconds(50); ///< Between repetitions of an unanswered message.
     Duration m_announceInterval = std::chrono::seconds(2); ///< Between repetitions of ClaimCovered.
     Duration m_outcomeGrace = std::chrono::seconds(1); ///< Waited for an outcome beyond the request's deadline.
-    Duration m_recoveredDeadline = std::chrono::seconds(30); ///< Of an in-flight key that a new holder learnt of.
+    Duration m_recoveredDeadline = std::chrono::minutes(2); ///< Of an in-flight key that a new holder learnt of.
     std::size_t m_maximumRecords = 150'000; ///< Kept by one entry, held, dispatched and mirrored together.
     std::size_t m_maximumTickets = 10'000; ///< Requests of one entry that wait for their claim.
     std::size_t m_maximumOutcomes = 20'000; ///< Not confirmed by holders; beyond it "not run" is told only once.
--- a/src/detail/control/ClaimsDriver.cpp
+++ b/src/detail/control/ClaimsDriver.cpp
@@ -48,8 +48,10 @@
 auto carryOut(ClaimsDriver& driver, const DispatchClaimed& action) -> void
 {
     const auto found = driver.m_waits.find(action.m_ticket);
-    if (found == driver.m_waits.end())
+    if (found == driver.m_waits.end()) {
+        endClaim(driver, action.m_ticket, ClaimResult::NotRun, {});
         return;
+    }
     found->second->m_mayDispatch = true;
     found->second->m_signal->cancel();
 }
--- a/src/detail/traffic/RequestPath.cpp
+++ b/src/detail/traffic/RequestPath.cpp
@@ -74,9 +74,11 @@
 auto handleRequest(TrafficShell& shell, HttpRequest message) -> asio::awaitable<HttpResponse>
 {
     LastReason reason;
+    // An earlier attempt with the same key may have run before this one is refused.
+    const auto isKeyed = !findHeader(message.m_headers, "Idempotency-Key").empty();
     const auto request = readRequest(*currentView(shell), std::move(message), monotonicNow(), reason);
     if (!request)
-        co_return errorResponse(reason);
+        co_return isKeyed ? errorResponse(reason, false, {}) : errorResponse(reason);
     if (request->m_needsClaim)
         co_return co_await handleClaimed(shell, *request);
     auto outcome = co_await runRequest(shell, *request);
