--- /dev/null
+++ b/include/hemlockvane/pools/MoveAction.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace hemlockvane {
+
+/// @brief A MoveInstance record for the shell to append.
+struct MoveAction {
+    std::string m_instance;
+    std::string m_from;
+    std::string m_to;
+    std::string m_reason;
+};
+
+} // namespace hemlockvane
--- a/tests/core/maintenance/PlanWaveTest.cpp
+++ b/tests/core/maintenance/PlanWaveTest.cpp
@@ -85,7 +85,7 @@
 
     auto plan_tooSlowUnderCover_coverIsGivenUpForTime() -> void
     {
-        constexpr WallMillis drain = 1800 * 1000;
+        constexpr WallMillis drain = 1'800'000;
         m_fleet.setException("pool.budget", "orders", 4);
         m_fleet.startWave("wave", m_fleet.m_now + 4 * drain);
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), drains(plan()).size());
@@ -127,7 +127,7 @@
     {
         m_fleet.startWave("wave");
         record(plan());
-        advance(1800 * 1000 + 1);
+        advance(1'800'000 + 1);
         record(plan());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_fleet.m_state.m_maintenance.m_waves.at("wave").m_failed.size());
         CPPUNIT_ASSERT_EQUAL(1U, unavailableIn(m_fleet.m_state.m_pools, "orders"));
@@ -175,7 +175,7 @@
 
     auto plan_finishBySoon_widthGrows() -> void
     {
-        constexpr WallMillis drain = 1800 * 1000;
+        constexpr WallMillis drain = 1'800'000;
         m_fleet.setException("pool.budget", "orders", 6);
         m_fleet.setException("wave.cover", "orders", 0);
         m_fleet.setDefault("wave.width", 1);
