--- a/include/hemlockvane/configuration.h
+++ b/include/hemlockvane/configuration.h
@@ -7,6 +7,7 @@
 #include "hemlockvane/configuration/ConfigurationChange.h"
 #include "hemlockvane/configuration/ConfigurationItem.h"
 #include "hemlockvane/configuration/ConfigurationState.h"
+#include "hemlockvane/configuration/ConfigurationViews.h"
 #include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/configuration/SettingSpec.h"
 #include "hemlockvane/configuration/ValidateChange.h"
--- a/include/hemlockvane/maintenance.h
+++ b/include/hemlockvane/maintenance.h
@@ -4,6 +4,7 @@
 /// @brief The maintenance slice: its state, records and decisions, without sockets.
 
 #include "hemlockvane/maintenance/ApplyMaintenance.h"
+#include "hemlockvane/maintenance/DomainCover.h"
 #include "hemlockvane/maintenance/MaintenanceState.h"
 #include "hemlockvane/maintenance/PlanWave.h"
 #include "hemlockvane/maintenance/PoolBudget.h"
--- /dev/null
+++ b/src/configuration/ConfigurationViews.cpp
@@ -0,0 +1,134 @@
+#include "hemlockvane/configuration/ConfigurationViews.h"
+
+#include "hemlockvane/configuration/ApplyConfiguration.h"
+#include "hemlockvane/configuration/SettingSpec.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hemlockvane {
+
+namespace {
+
+auto isInForce(const ConfigurationItem& item, WallMillis now) -> bool
+{
+    return !item.m_removed && (item.m_expiresAt == 0 || now < item.m_expiresAt);
+}
+
+auto applyOne(FleetState& state, const wire::Operation& operation, const FoldContext& context, LastReason& reason)
+    -> std::optional<Applied>
+{
+    switch (operation.change_case()) {
+    case wire::Operation::kSetDefault:
+        return apply(state, operation.set_default(), context, reason);
+    case wire::Operation::kSetException:
+        return apply(state, operation.set_exception(), context, reason);
+    case wire::Operation::kRemoveException:
+        return apply(state, operation.remove_exception(), context, reason);
+    default:
+        return fail(reason, ErrorKind::BadRequest, "only changes of the configuration have a preview");
+    }
+}
+
+auto settingOf(const wire::Operation& operation) -> std::string
+{
+    switch (operation.change_case()) {
+    case wire::Operation::kSetDefault:
+        return operation.set_default().setting();
+    case wire::Operation::kSetException:
+        return operation.set_exception().setting();
+    default:
+        return operation.remove_exception().setting();
+    }
+}
+
+// What checks of a change look at: the configuration and the pools with their budgets.
+auto copyForCheck(const FleetState& state) -> FleetState
+{
+    FleetState copy;
+    copy.m_nextOffset = state.m_nextOffset;
+    copy.m_configuration = state.m_configuration;
+    copy.m_pools = state.m_pools;
+    return copy;
+}
+
+auto scopesOf(const ConfigurationState& before, const ConfigurationState& after, const std::string& setting)
+    -> std::set<std::string>
+{
+    std::set<std::string> scopes { "" };
+    for (const auto* state : { &before, &after }) {
+        for (const auto& [name, item] : state->m_exceptions) {
+            if (name.first == setting)
+                scopes.insert(name.second);
+        }
+    }
+    return scopes;
+}
+
+} // namespace
+
+auto effectiveTable(const ConfigurationState& state, std::string_view setting, WallMillis now)
+    -> std::vector<EffectiveRow>
+{
+    std::vector<EffectiveRow> rows;
+    for (const auto& spec : settingSpecs()) {
+        const auto name = std::string(spec.m_name);
+        if (!setting.empty() && spec.m_name != setting)
+            continue;
+        rows.push_back({ name, "", std::string(spec.m_unit), effectiveValue(state, name, "", now) });
+        for (auto it = state.m_exceptions.lower_bound({ name, "" });
+             it != state.m_exceptions.end() && it->first.first == name; ++it) {
+            if (isInForce(it->second, now))
+                rows.push_back({ name, it->first.second, std::string(spec.m_unit),
+                    effectiveValue(state, name, it->first.second, now) });
+        }
+    }
+    return rows;
+}
+
+auto historyView(const ConfigurationState& state, Offset before, std::size_t most) -> std::vector<ConfigurationChange>
+{
+    std::vector<ConfigurationChange> changes;
+    for (auto it = state.m_history.rbegin(); it != state.m_history.rend() && changes.size() < most; ++it) {
+        if (before == 0 || it->m_version < before)
+            changes.push_back(*it);
+    }
+    return changes;
+}
+
+auto expiringExceptions(const ConfigurationState& state, WallMillis now, WallMillis within) -> std::vector<ExceptionRow>
+{
+    std::vector<ExceptionRow> rows;
+    for (const auto& [name, item] : state.m_exceptions) {
+        const auto near = item.m_expiresAt >= now - within && item.m_expiresAt <= now + within;
+        if (!item.m_removed && item.m_expiresAt != 0 && near)
+            rows.push_back({ name.first, name.second, item });
+    }
+    std::stable_sort(rows.begin(), rows.end(),
+        [](const auto& a, const auto& b) { return a.m_item.m_expiresAt < b.m_item.m_expiresAt; });
+    return rows;
+}
+
+auto previewChange(const FleetState& state, const wire::Operation& operation, WallMillis now) -> ConfigurationPreview
+{
+    ConfigurationPreview preview;
+    auto copy = copyForCheck(state);
+    LastReason reason;
+    if (!applyOne(copy, operation, { state.m_nextOffset + 1, now, {} }, reason)) {
+        preview.m_error = reason.m_kind;
+        preview.m_reason = std::move(reason.m_text);
+        return preview;
+    }
+    const auto setting = settingOf(operation);
+    for (const auto& scope : scopesOf(state.m_configuration, copy.m_configuration, setting)) {
+        const auto before = effectiveValue(state.m_configuration, setting, scope, now).m_value;
+        const auto after = effectiveValue(copy.m_configuration, setting, scope, now).m_value;
+        if (before != after)
+            preview.m_changes.push_back({ setting, scope, before, after });
+    }
+    return preview;
+}
+
+} // namespace hemlockvane
