--- /dev/null
+++ b/bench/FleetWorld.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "hemlockvane/log.h"
+
+#include "hemlockvane/records.pb.h"
+
+#include <string>
+
+namespace hemlockvane::bench {
+
+/// @brief Sizes of one user's fleet.
+struct FleetShape {
+    std::string m_name;
+    std::uint32_t m_workers = 0;
+    std::uint32_t m_cores = 0;
+    std::uint32_t m_memoryMb = 0;
+    std::uint32_t m_pools = 0;
+    std::uint32_t m_zones = 0;
+    std::uint32_t m_rackSize = 4;
+};
+
+/// @brief A folded fleet in virtual time; every change goes through the fold.
+struct FleetWorld {
+    FleetState m_state;
+    WallMillis m_now = 1'000'000;
+    std::uint64_t m_nextId = 0;
+    Offset m_placementEpoch = 0;
+    Offset m_maintenanceEpoch = 0;
+
+    /// @brief Workers in racks and zones, the pools' workers dealt over the racks; pool 0 is the spare.
+    explicit FleetWorld(const FleetShape& shape);
+
+    auto fold(wire::Operation operation) -> OperationResult;
+    auto set(const std::string& setting, const std::string& scope, std::int64_t value) -> void;
+    auto mark(const std::string& instance, bool available) -> void;
+    auto now() const -> Instant { return Instant(Duration(m_now)); }
+};
+
+auto poolName(std::uint32_t index) -> std::string;
+auto makeFence(std::string_view duty, Offset epoch) -> wire::Fence;
+
+} // namespace hemlockvane::bench
