--- a/src/maintenance/WaveHarm.cpp
+++ b/src/maintenance/WaveHarm.cpp
@@ -72,6 +72,8 @@
         const auto touched = isTouched(wave, id);
         if (touched && !instance.m_available)
             lost.push_back(id);
+        if (!instance.m_drainingFor.empty())
+            continue; // Its state is not known before it is back.
         count(racks, instance.m_rack, touched, !instance.m_available);
         count(zones, instance.m_zone, touched, !instance.m_available);
     }
