--- a/src/pools/BufferNeed.cpp
+++ b/src/pools/BufferNeed.cpp
@@ -10,6 +10,18 @@
 
 using CountByDomain = std::map<std::string_view, std::int64_t>;
 
+// True when spare instances can be spread over the domains so that those outside any one domain make up for it.
+auto holdsBuffer(const CountByDomain& missing, std::int64_t buffer, std::int64_t waveWidth) -> bool
+{
+    std::int64_t room = 0;
+    for (const auto& [domain, count] : missing) {
+        if (count > buffer - waveWidth)
+            return false;
+        room += buffer - waveWidth - count;
+    }
+    return room >= buffer || missing.size() <= 1;
+}
+
 } // namespace
 
 auto isSpare(const ConfigurationState& configuration, std::string_view pool, WallMillis now) -> bool
@@ -17,38 +29,29 @@
     return effectiveValue(configuration, "pool.spare", pool, now).m_value != 0;
 }
 
-auto sharedBuffer(const FleetState& fleet, const DemandByPool& demand, bool coverZones, std::int64_t waveWidth,
-    WallMillis now) -> std::int64_t
+auto sharedBuffer(const FleetState& fleet, const DemandByPool& demand, bool coverZones, std::int64_t waveWidth)
+    -> std::int64_t
 {
     std::map<std::string_view, CountByDomain> byPool;
-    CountByDomain spare;
     std::map<std::string_view, std::int64_t> available;
-    std::map<std::string_view, bool> spareByPool;
+    CountByDomain missing; // Instances that the pools lack when the domain fails.
     for (const auto& [id, instance] : fleet.m_pools.m_instances) {
-        if (isUnavailable(instance))
-            continue;
         const auto domain = std::string_view(coverZones ? instance.m_zone : instance.m_rack);
-        const auto [known, isNew] = spareByPool.try_emplace(instance.m_pool, false);
-        if (isNew)
-            known->second = isSpare(fleet.m_configuration, instance.m_pool, now);
-        if (known->second) {
-            ++spare[domain];
+        missing.try_emplace(domain, 0);
+        if (isUnavailable(instance) || !demand.contains(instance.m_pool))
             continue;
-        }
         ++byPool[instance.m_pool][domain];
         ++available[instance.m_pool];
     }
-    CountByDomain missing = spare; // Spare instances of a failed domain can't help.
     for (const auto& [pool, counts] : byPool) {
-        const auto wanted = demand.find(pool);
-        const auto needed = wanted == demand.end() ? 0 : wanted->second;
+        const auto needed = demand.find(pool)->second;
         for (const auto& [domain, count] : counts)
             missing[domain] += std::max<std::int64_t>(0, needed - (available[pool] - count));
     }
-    std::int64_t worst = 0;
-    for (const auto& [domain, count] : missing)
-        worst = std::max(worst, count);
-    return worst + waveWidth;
+    auto buffer = waveWidth;
+    while (!holdsBuffer(missing, buffer, waveWidth))
+        ++buffer;
+    return buffer;
 }
 
 } // namespace hemlockvane
