Fill a pool only up to the demand that lasted

Cause: the demand of the last moment was filled, so noise on a lasting demand moved instances too. The lowest demand since the lack began is filled now.

--- a/include/hemlockvane/pools/PoolDemand.h
+++ b/include/hemlockvane/pools/PoolDemand.h
@@ -13,6 +13,7 @@
     std::int64_t m_peak = 0; ///< Highest that lasted, within the time that peaks are kept.
     WallMillis m_peakAt = 0;
     std::optional<WallMillis> m_shortSince;
+    std::int64_t m_lasting = 0; ///< Lowest since then.
 };
 
 } // namespace hemlockvane
--- a/src/pools/PlanMoves.cpp
+++ b/src/pools/PlanMoves.cpp
@@ -56,13 +56,16 @@
         demand.m_shortSince.reset();
     else if (!demand.m_shortSince)
         demand.m_shortSince = now;
+    const auto isNew = demand.m_shortSince == now;
+    demand.m_lasting = isNew ? view.m_demand : std::min(demand.m_lasting, view.m_demand);
     const auto lasted = !demand.m_shortSince || now - *demand.m_shortSince >= plan.m_state.m_limits.m_shortFor;
     const auto isOver = now - demand.m_peakAt > plan.m_state.m_limits.m_peakKept;
-    if (lasted && (view.m_demand >= demand.m_peak || isOver)) {
-        demand.m_peak = view.m_demand;
+    const auto lastingNow = demand.m_shortSince ? demand.m_lasting : view.m_demand;
+    if (lasted && (lastingNow >= demand.m_peak || isOver)) {
+        demand.m_peak = lastingNow;
         demand.m_peakAt = now;
     }
-    view.m_kept = std::max(demand.m_peak, view.m_demand);
+    view.m_kept = std::max(demand.m_peak, std::min(view.m_demand, view.m_available));
 }
 
 auto collectPools(MovePlan& plan) -> void
@@ -174,7 +177,8 @@
 auto fillShortPools(MovePlan& plan) -> void
 {
     for (auto* view : shortPools(plan)) {
-        while (view->m_available < view->m_demand && mayMove(plan)) {
+        const auto lasting = plan.m_state.m_demand.find(view->m_pool)->second.m_lasting;
+        while (view->m_available < lasting && mayMove(plan)) {
             auto* giver = chooseGiver(plan, true);
             if (giver == nullptr)
                 giver = chooseGiver(plan, false);
