--- a/include/hemlockvane/placement/FleetRoom.h
+++ b/include/hemlockvane/placement/FleetRoom.h
@@ -17,6 +17,8 @@
     std::vector<WorkerRoom> m_workers;
     std::map<std::string_view, std::size_t> m_index;
     std::map<std::string_view, std::vector<std::size_t>> m_byPool;
+    std::map<std::string_view, std::size_t> m_zones; ///< Index of each.
+    std::map<std::string_view, std::size_t> m_racks;
 };
 
 /// @brief Capacity of an instance.
--- a/include/hemlockvane/placement/WorkerRoom.h
+++ b/include/hemlockvane/placement/WorkerRoom.h
@@ -3,6 +3,7 @@
 #include "hemlockvane/placement/ResourceSize.h"
 #include "hemlockvane/pools/InstanceRecord.h"
 
+#include <cstddef>
 #include <string_view>
 #include <vector>
 
@@ -14,6 +15,8 @@
     const InstanceRecord* m_instance = nullptr;
     ResourceSize m_capacity;
     ResourceSize m_free; ///< Negative where the worker is over-used.
+    std::size_t m_zone = 0; ///< Index of its zone in the plan.
+    std::size_t m_rack = 0;
     bool m_open = false; ///< Takes new jobs.
     bool m_suspect = false; ///< Takes repeatable jobs only.
     std::vector<std::string_view> m_tasks; ///< Running and being placed.
--- a/src/placement/FleetRoom.cpp
+++ b/src/placement/FleetRoom.cpp
@@ -69,8 +69,14 @@
         const auto [spare, isNew] = isSpare.try_emplace(instance.m_pool, false);
         if (isNew)
             spare->second = effectiveValue(fleet.m_configuration, "pool.spare", instance.m_pool, wallNow).m_value != 0;
-        WorkerRoom worker { id, &instance, capacityOf(instance), capacityOf(instance), false, isSuspect(state, id),
-            {} };
+        WorkerRoom worker;
+        worker.m_id = id;
+        worker.m_instance = &instance;
+        worker.m_capacity = capacityOf(instance);
+        worker.m_free = worker.m_capacity;
+        worker.m_suspect = isSuspect(state, id);
+        worker.m_zone = room.m_zones.try_emplace(instance.m_zone, room.m_zones.size()).first->second;
+        worker.m_rack = room.m_racks.try_emplace(instance.m_rack, room.m_racks.size()).first->second;
         worker.m_open
             = !spare->second && !isUnavailable(instance) && isHeard(state, id, now) && !isSetAside(state, id, now);
         room.m_index[id] = room.m_workers.size();
--- a/src/placement/PlaceWaiting.cpp
+++ b/src/placement/PlaceWaiting.cpp
@@ -14,6 +14,7 @@
 
 constexpr double zoneSpreadWeight = 1.0;
 constexpr double rackSpreadWeight = 0.5;
+constexpr double wholePercent = 100;
 constexpr std::size_t jobsTriedPerTeam = 16;
 constexpr std::uint32_t mostBackoffDoublings = 20;
 constexpr WallMillis longestBackoff = 3600000;
@@ -33,10 +34,10 @@
     std::size_t m_unplaced = 0;
 };
 
-// Tasks of one team and queue in each failure domain, counted when they are first asked for.
+// Tasks of one team and queue in each failure domain.
 struct SpreadCounts {
-    std::map<std::string_view, std::int64_t> m_zones;
-    std::map<std::string_view, std::int64_t> m_racks;
+    std::vector<std::int64_t> m_zones; // By index.
+    std::vector<std::int64_t> m_racks;
     std::int64_t m_total = 0;
 };
 
@@ -45,6 +46,7 @@
     std::map<std::pair<std::string_view, std::string_view>, SpreadCounts> m_spread;
     std::map<std::string_view, std::string_view> m_reservedFor; // Worker to job.
     std::vector<std::size_t> m_everywhere;
+    std::map<std::string_view, double> m_lowestBlocked; // By pool: least running for its weight of a team without room.
 };
 
 auto backoffEnd(const PlacementPlan& plan, const JobRecord& job) -> WallMillis
@@ -63,26 +65,30 @@
     return !onItsWay && plan.m_input.m_wallNow >= backoffEnd(plan, job);
 }
 
+auto spreadOf(Placer& placer, const JobRecord& job) -> SpreadCounts&
+{
+    auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
+    spread.m_zones.resize(placer.m_plan.m_room.m_zones.size());
+    spread.m_racks.resize(placer.m_plan.m_room.m_racks.size());
+    return spread;
+}
+
+auto count(SpreadCounts& spread, const WorkerRoom& worker) -> void
+{
+    ++spread.m_zones[worker.m_zone];
+    ++spread.m_racks[worker.m_rack];
+    ++spread.m_total;
+}
+
 auto indexPlaced(Placer& placer) -> void
 {
     const auto& jobs = placer.m_plan.m_fleet.m_jobs.m_jobs;
     for (const auto& worker : placer.m_plan.m_room.m_workers) {
-        for (const auto task : worker.m_tasks) {
-            const auto& job = jobs.find(task)->second;
-            auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
-            ++spread.m_zones[worker.m_instance->m_zone];
-            ++spread.m_racks[worker.m_instance->m_rack];
-            ++spread.m_total;
-        }
+        for (const auto task : worker.m_tasks)
+            count(spreadOf(placer, jobs.find(task)->second), worker);
     }
 }
 
-auto countOf(const std::map<std::string_view, std::int64_t>& counts, std::string_view domain) -> double
-{
-    const auto found = counts.find(domain);
-    return found == counts.end() ? 0 : static_cast<double>(found->second);
-}
-
 auto partLeft(std::int64_t left, std::int64_t capacity) -> double
 {
     return capacity == 0 ? 0 : static_cast<double>(left) / static_cast<double>(capacity);
@@ -98,8 +104,8 @@
     if (spread.m_total == 0)
         return waste;
     const auto total = static_cast<double>(spread.m_total);
-    return waste + zoneSpreadWeight * countOf(spread.m_zones, worker.m_instance->m_zone) / total
-        + rackSpreadWeight * countOf(spread.m_racks, worker.m_instance->m_rack) / total;
+    return waste + zoneSpreadWeight * static_cast<double>(spread.m_zones[worker.m_zone]) / total
+        + rackSpreadWeight * static_cast<double>(spread.m_racks[worker.m_rack]) / total;
 }
 
 auto hasFailedOn(const JobRecord& job, std::string_view worker) -> bool
@@ -120,6 +126,8 @@
 {
     if (!worker.m_open || (worker.m_suspect && !waiting.m_job->m_repeatable))
         return false;
+    if (placer.m_reservedFor.empty())
+        return true;
     const auto reserved = placer.m_reservedFor.find(worker.m_id);
     return reserved == placer.m_reservedFor.end() || reserved->second == waiting.m_id;
 }
@@ -140,7 +148,7 @@
     const auto& job = *waiting.m_job;
     const auto size = expectedSize(placer.m_plan.m_state, job);
     const auto avoidFailed = !job.m_failedOn.empty() && hasOtherWorker(placer, waiting, size);
-    const auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
+    const auto& spread = spreadOf(placer, job);
     std::optional<std::size_t> best;
     auto bestScore = std::numeric_limits<double>::infinity();
     for (const auto index : candidatesFor(placer, job)) {
@@ -174,10 +182,7 @@
 
     worker.m_free = worker.m_free - expectedSize(plan.m_state, job);
     worker.m_tasks.push_back(waiting.m_id);
-    auto& spread = placer.m_spread[{ job.m_team, job.m_queue }];
-    ++spread.m_zones[worker.m_instance->m_zone];
-    ++spread.m_racks[worker.m_instance->m_rack];
-    ++spread.m_total;
+    count(spreadOf(placer, job), worker);
     --plan.m_permits.find(job.m_team)->second;
 }
 
@@ -305,15 +310,47 @@
     return left != right ? left > right : a->m_team > b->m_team;
 }
 
+auto ratioOf(const WaitingTeam& team) -> double
+{
+    return static_cast<double>(team.m_running) / static_cast<double>(team.m_weight);
+}
+
+auto poolOf(const Placer& placer, const JobRecord& job) -> std::string_view
+{
+    return placer.m_plan.m_room.m_byPool.contains(job.m_queue) ? std::string_view(job.m_queue) : std::string_view();
+}
+
+// Room that a team with less for its weight waits for is not given to others, or small jobs would take it for ever.
+auto isLeftToOthers(const Placer& placer, const WaitingTeam& team, const JobRecord& job) -> bool
+{
+    const auto blocked = placer.m_lowestBlocked.find(poolOf(placer, job));
+    return blocked != placer.m_lowestBlocked.end()
+        && ratioOf(team) * wholePercent
+        > blocked->second * (wholePercent + placer.m_plan.m_state.m_limits.m_sharePercent);
+}
+
+// A job larger than half of every worker may wait long for one to empty and leaves the room to others meanwhile.
+auto blocksOthers(const Placer& placer, const WaitingJob& waiting) -> bool
+{
+    const auto size = expectedSize(placer.m_plan.m_state, *waiting.m_job);
+    const auto candidates = candidatesFor(placer, *waiting.m_job);
+    return std::any_of(candidates.begin(), candidates.end(), [&](auto index) {
+        const auto& worker = placer.m_plan.m_room.m_workers[index];
+        return mayUse(placer, worker, waiting) && fits(size + size, worker.m_capacity);
+    });
+}
+
 auto nextOf(Placer& placer, WaitingTeam& team) -> void
 {
     const auto& waiting = team.m_jobs[team.m_next++];
-    if (place(placer, waiting)) {
+    if (!isLeftToOthers(placer, team, *waiting.m_job) && place(placer, waiting)) {
         team.m_running += expectedSize(placer.m_plan.m_state, *waiting.m_job).m_milliCores;
         return;
     }
     ++team.m_unplaced;
     placer.m_plan.m_unplaced.push_back(waiting.m_id);
+    if (blocksOthers(placer, waiting))
+        placer.m_lowestBlocked.try_emplace(poolOf(placer, *waiting.m_job), ratioOf(team));
 }
 
 // Progressive filling: the team that has least for its weight goes next, which gives the weighted max-min shares.
@@ -379,7 +416,7 @@
 auto placeWaiting(PlacementPlan& plan) -> void
 {
     dropStaleReservations(plan);
-    Placer placer { plan, {}, {}, {} };
+    Placer placer { plan, {}, {}, {}, {} };
     for (std::size_t index = 0; index < plan.m_room.m_workers.size(); ++index)
         placer.m_everywhere.push_back(index);
     for (const auto& [job, worker] : plan.m_state.m_reserved)
--- a/src/placement/PressTasks.cpp
+++ b/src/placement/PressTasks.cpp
@@ -77,12 +77,12 @@
 auto sharesOf(const PlacementPlan& plan) -> std::vector<TeamShare>
 {
     std::map<std::string_view, TeamShare> teams;
-    std::int64_t capacity = 0;
+    std::int64_t inUse = 0; // What can be shared out: the fleet is full, and some of it stays free between jobs.
     for (const auto& worker : plan.m_room.m_workers) {
-        capacity += worker.m_open ? worker.m_capacity.m_milliCores : 0;
         for (const auto task : worker.m_tasks) {
             const auto& job = plan.m_fleet.m_jobs.m_jobs.find(task)->second;
             const auto size = runningSize(plan.m_state, task, job).m_milliCores;
+            inUse += size;
             teams[job.m_team].m_running += size;
             teams[job.m_team].m_demand += size;
         }
@@ -98,7 +98,7 @@
             = effectiveValue(plan.m_fleet.m_configuration, "team.share", name, plan.m_input.m_wallNow).m_value;
         shares.push_back(share);
     }
-    divideByShare(shares, capacity);
+    divideByShare(shares, inUse);
     return shares;
 }
 
