--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/platform/InstanceListClient.h"
+#include "hemlockvane/log/SnapshotPlan.h"
 #include "hemlockvane/membership/Duties.h"
 #include "hemlockvane/membership/MembershipPlan.h"
 #include "hemlockvane/membership/Vouch.h"
@@ -118,14 +119,36 @@
     }
 }
 
+// Remembers when the last removal was read back: a taken duty waits until the removed entry has certainly stopped.
+auto noteRemovals(ControlCore& core) -> void
+{
+    for (const auto& [id, entry] : core.m_state.m_membership.m_entries) {
+        if (entry.m_planned || entry.m_removedAt <= core.m_lastRemovalOffset)
+            continue;
+        core.m_lastRemovalOffset = entry.m_removedAt;
+        core.m_lastRemoval = monotonicNow();
+    }
+}
+
+auto onMembershipFolded(ControlCore& core) -> void
+{
+    if (core.m_seenMembership == core.m_state.m_membership.m_version)
+        return;
+    core.m_seenMembership = core.m_state.m_membership.m_version;
+    connectMembers(core);
+    noteRemovals(core);
+}
+
 auto fillBeat(ControlCore& core, wire::Beat& beat) -> void
 {
-    beat.set_folded_end(core.m_state.m_nextOffset);
-    beat.set_state_hash(core.m_state.m_chainHash);
-    beat.set_log_reachable(core.m_isLogReachable);
+    const auto now = monotonicNow();
+    const auto knowsMore = core.m_vouch.m_knownEnd > core.m_state.m_nextOffset;
+    beat.set_folded_end(std::max(core.m_vouch.m_knownEnd, core.m_state.m_nextOffset));
+    beat.set_state_hash(knowsMore ? 0 : core.m_state.m_chainHash);
+    beat.set_log_reachable(readsLog(core.m_vouch, now));
     beat.set_configuration_version(core.m_state.m_configuration.m_version);
-    if (core.m_lastEndRead)
-        beat.set_log_read_age_ms(static_cast<std::uint32_t>((monotonicNow() - *core.m_lastEndRead).count()));
+    if (const auto age = logReadAge(core.m_vouch, now))
+        beat.set_log_read_age_ms(static_cast<std::uint32_t>(age->count()));
 }
 
 auto answerBeat(ControlCore& core, const wire::Envelope& envelope) -> void
@@ -153,7 +176,7 @@
 auto checkDivergence(const ControlCore& core, const wire::Envelope& envelope) -> void
 {
     const auto& beat = envelope.beat();
-    if (beat.folded_end() == core.m_state.m_nextOffset && beat.state_hash() != core.m_state.m_chainHash)
+    if (hasDiverged(core.m_state.m_nextOffset, core.m_state.m_chainHash, beat.folded_end(), beat.state_hash()))
         logOf("log").error("state differs from {} at offset {}", envelope.sender(), beat.folded_end());
 }
 
@@ -248,7 +271,7 @@
 
 auto attachMembership(ControlCore& core) -> void
 {
-    core.m_onFolded.emplace_back([&core]() { connectMembers(core); });
+    core.m_onFolded.emplace_back([&core]() { onMembershipFolded(core); });
     core.m_onMessage.emplace_back([&core](const wire::Envelope& envelope) { onMessage(core, envelope); });
 }
 
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -2,9 +2,13 @@
 
 #include "hemlockvane/detail/api/OperatorsApi.h"
 #include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/ClaimsDriver.h"
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
+#include "hemlockvane/detail/control/PlacementDriver.h"
+#include "hemlockvane/detail/control/SnapshotDriver.h"
+#include "hemlockvane/detail/control/TailExchange.h"
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/HttpServer.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -43,7 +47,9 @@
 struct Entry {
     explicit Entry(const ServeSettings& settings)
         : m_core(settings, newInstanceId(settings), m_metrics)
-        , m_shell(m_core, m_metrics)
+        , m_claims(m_core)
+        , m_placement(m_core)
+        , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
               m_core.m_context, {}, [this](HttpRequest request) { return m_operators.handle(std::move(request)); })
@@ -55,6 +61,8 @@
 
     Metrics m_metrics;
     ControlCore m_core;
+    ClaimsDriver m_claims;
+    PlacementDriver m_placement;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -117,11 +125,15 @@
             core.m_stop();
     });
     attachMembership(core);
+    attachTailExchange(core);
     asio::co_spawn(core.m_context, tailLog(core), asio::detached);
     asio::co_spawn(core.m_context, pumpAppends(core), asio::detached);
     asio::co_spawn(core.m_context, watchInstances(core), asio::detached);
     asio::co_spawn(core.m_context, runMembership(core), asio::detached);
     asio::co_spawn(core.m_context, sendBeats(core), asio::detached);
+    asio::co_spawn(core.m_context, runSnapshots(core), asio::detached);
+    asio::co_spawn(core.m_context, runClaims(entry.m_claims), asio::detached);
+    asio::co_spawn(core.m_context, runPlacement(entry.m_placement), asio::detached);
 }
 
 } // namespace
