--- /dev/null
+++ b/src/pools/BufferNeed.cpp
@@ -0,0 +1,57 @@
+#include "hemlockvane/pools/BufferNeed.h"
+
+#include "hemlockvane/configuration/EffectiveValue.h"
+
+#include <algorithm>
+
+namespace hemlockvane {
+
+namespace {
+
+using CountByDomain = std::map<std::string_view, std::int64_t>;
+
+// True when spare instances can be spread over the domains so that those outside any one domain make up for it.
+auto holdsBuffer(const CountByDomain& missing, std::int64_t buffer, std::int64_t waveWidth) -> bool
+{
+    std::int64_t room = 0;
+    for (const auto& [domain, count] : missing) {
+        if (count > buffer - waveWidth)
+            return false;
+        room += buffer - waveWidth - count;
+    }
+    return room >= buffer || missing.size() <= 1;
+}
+
+} // namespace
+
+auto isSpare(const ConfigurationState& configuration, std::string_view pool, WallMillis now) -> bool
+{
+    return effectiveValue(configuration, "pool.spare", pool, now).m_value != 0;
+}
+
+auto sharedBuffer(const FleetState& fleet, const DemandByPool& demand, bool coverZones, std::int64_t waveWidth)
+    -> std::int64_t
+{
+    std::map<std::string_view, CountByDomain> byPool;
+    std::map<std::string_view, std::int64_t> available;
+    CountByDomain missing; // Instances that the pools lack when the domain fails.
+    for (const auto& [id, instance] : fleet.m_pools.m_instances) {
+        const auto domain = std::string_view(coverZones ? instance.m_zone : instance.m_rack);
+        missing.try_emplace(domain, 0);
+        if (isUnavailable(instance) || !demand.contains(instance.m_pool))
+            continue;
+        ++byPool[instance.m_pool][domain];
+        ++available[instance.m_pool];
+    }
+    for (const auto& [pool, counts] : byPool) {
+        const auto needed = demand.find(pool)->second;
+        for (const auto& [domain, count] : counts)
+            missing[domain] += std::max<std::int64_t>(0, needed - (available[pool] - count));
+    }
+    auto buffer = waveWidth;
+    while (!holdsBuffer(missing, buffer, waveWidth))
+        ++buffer;
+    return buffer;
+}
+
+} // namespace hemlockvane
