--- a/src/detail/traffic/EscrowTraffic.cpp
+++ b/src/detail/traffic/EscrowTraffic.cpp
@@ -99,10 +99,7 @@
         releaseToRecord(shell.m_escrow, resource, recordedAt - 1);
 }
 
-auto isBusy(const TrafficShell& shell) -> bool
-{
-    return shell.m_requests > 0 || !shell.m_jobsWanted.empty();
-}
+auto isBusy(const TrafficShell& shell) -> bool { return shell.m_requests > 0 || !shell.m_jobsWanted.empty(); }
 
 } // namespace
 
