--- a/include/hemlockvane/limits/EscrowHolder.h
+++ b/include/hemlockvane/limits/EscrowHolder.h
@@ -66,6 +66,10 @@
 auto ledgersOf(const EscrowHolder& holder, std::string_view resource)
     -> const std::map<std::string, HolderLedger, std::less<>>*;
 
+/// @brief Forgets a resource that will not come back; see the member's `forgetResource`.
+/// @result false while it has a capacity, or permits of it are charged to anybody
+auto forgetResource(EscrowHolder& holder, std::string_view resource) -> bool;
+
 /// @brief True when the barrier of the duty is passed, so that permits are granted.
 auto isOpen(const EscrowHolder& holder, std::string_view duty) -> bool;
 
--- a/include/hemlockvane/limits/EscrowMember.h
+++ b/include/hemlockvane/limits/EscrowMember.h
@@ -59,6 +59,12 @@
 /// @brief Takes in a grant; a grant of another epoch is ignored, a repeated or late one does no harm.
 auto receiveGrant(EscrowMember& member, const wire::EscrowGrant& grant, Instant now) -> void;
 
+/// @brief Forgets a resource that will not come back, such as an executor long off the instance list.
+///
+/// Call when its capacity has been 0 for longer than any message can be late.
+/// @result false while permits of it are in hand
+auto forgetResource(EscrowMember& member, std::string_view resource) -> bool;
+
 /// @brief Demands to send now, for the holders of their fences' duties. Call after changes and every few milliseconds.
 /// @complexity linear in the number of resources
 auto dueDemands(EscrowMember& member, Instant now) -> std::vector<wire::EscrowDemand>;
--- a/src/limits/EscrowHolder.cpp
+++ b/src/limits/EscrowHolder.cpp
@@ -417,6 +417,26 @@
     return state == duty->second.m_resources.end() ? nullptr : &state->second.m_members;
 }
 
+auto forgetResource(EscrowHolder& holder, std::string_view resource) -> bool
+{
+    if (capacityOf(holder.m_capacities, resource) > 0)
+        return false;
+    if (const auto duty = holder.m_duties.find(escrowDuty(resource)); duty != holder.m_duties.end()) {
+        auto& resources = duty->second.m_resources;
+        const auto state = resources.find(resource);
+        if (state != resources.end() && (chargedToMembers(state->second) > 0 || !state->second.m_removed.empty()))
+            return false;
+        if (state != resources.end())
+            resources.erase(state);
+    }
+    if (const auto known = holder.m_capacities.m_resources.find(resource);
+        known != holder.m_capacities.m_resources.end())
+        holder.m_capacities.m_resources.erase(known);
+    if (const auto recorded = holder.m_recorded.find(resource); recorded != holder.m_recorded.end())
+        holder.m_recorded.erase(recorded);
+    return true;
+}
+
 auto isOpen(const EscrowHolder& holder, std::string_view duty) -> bool
 {
     const auto found = holder.m_duties.find(duty);
--- a/src/limits/EscrowMember.cpp
+++ b/src/limits/EscrowMember.cpp
@@ -245,6 +245,17 @@
     returnIdle(permits, member.m_timing, now);
 }
 
+auto forgetResource(EscrowMember& member, std::string_view resource) -> bool
+{
+    const auto found = member.m_resources.find(resource);
+    if (found == member.m_resources.end())
+        return true;
+    if (permitsHeld(found->second) > 0)
+        return false;
+    member.m_resources.erase(found);
+    return true;
+}
+
 auto dueDemands(EscrowMember& member, Instant now) -> std::vector<wire::EscrowDemand>
 {
     std::vector<wire::EscrowDemand> demands;
--- a/tests/core/limits/EscrowTest.cpp
+++ b/tests/core/limits/EscrowTest.cpp
@@ -253,6 +253,7 @@
     CPPUNIT_TEST(takeover_peakReportedByMember_chargesOldCapacity);
     CPPUNIT_TEST(removal_planned_freesAtOnce);
     CPPUNIT_TEST(record_notYetFolded_keepsPermitCharged);
+    CPPUNIT_TEST(forgetResource_permitsOut_isKept);
     CPPUNIT_TEST(limit_oneOverManyEntries_rotates);
     CPPUNIT_TEST_SUITE_END();
 
@@ -460,6 +461,20 @@
         CPPUNIT_ASSERT_EQUAL(4U, grantable(holder, resourceName, m_now));
     }
 
+    auto forgetResource_permitsOut_isKept() -> void
+    {
+        auto holder = holderWithTwo();
+        auto member = memberAtEpoch(3);
+        receiveGrant(member, grant(3, 1, 1), m_now);
+        CPPUNIT_ASSERT(!forgetResource(member, resourceName));
+        CPPUNIT_ASSERT(!forgetResource(holder, resourceName));
+        setCapacity(holder, resourceName, 0, m_now);
+        CPPUNIT_ASSERT(!forgetResource(holder, resourceName));
+        memberRemoved(holder, "b", true, m_now);
+        CPPUNIT_ASSERT(forgetResource(holder, resourceName));
+        CPPUNIT_ASSERT(holder.m_capacities.m_resources.empty());
+    }
+
     auto limit_oneOverManyEntries_rotates() -> void
     {
         Fleet fleet(11, 9, 1);
