--- /dev/null
+++ b/bench/LoadBench.cpp
@@ -0,0 +1,103 @@
+#include "hemlockvane/detail/http/HttpConnection.h"
+#include "hemlockvane/detail/program/RunMain.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <string>
+#include <vector>
+
+// Sends requests over a fixed number of connections for a fixed time and prints rate and latency.
+
+namespace hemlockvane::bench {
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds callTimeout { 10000 };
+constexpr std::size_t maximumBodyBytes = 1048576;
+constexpr double microsPerMilli = 1000.0;
+
+struct Load {
+    std::vector<std::string> m_targets;
+    detail::HttpRequest m_request;
+    Clock::time_point m_end;
+    std::vector<std::int64_t> m_latencies; // Microseconds of whole answers.
+    std::map<std::string, std::size_t> m_outcomes; // By status or failure.
+};
+
+auto runConnection(Load& load, std::string target, asio::io_context& context) -> asio::awaitable<void>
+{
+    detail::HttpConnection connection(context.get_executor());
+    while (Clock::now() < load.m_end) {
+        LastReason reason;
+        if (!connection.isOpen() && !co_await connection.connect(target, callTimeout, reason)) {
+            ++load.m_outcomes["no connection"];
+            co_return;
+        }
+        const auto startedAt = Clock::now();
+        const auto response = co_await connection.exchange(load.m_request, callTimeout, maximumBodyBytes, reason);
+        const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - startedAt);
+        ++load.m_outcomes[response ? std::to_string(response->m_status) : std::string("no answer")];
+        if (response && response->m_status == 200)
+            load.m_latencies.push_back(latency.count());
+    }
+}
+
+auto quantile(const std::vector<std::int64_t>& sorted, double part) -> double
+{
+    if (sorted.empty())
+        return 0;
+    return static_cast<double>(sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))])
+        / microsPerMilli;
+}
+
+auto print(Load& load, double seconds) -> void
+{
+    std::sort(load.m_latencies.begin(), load.m_latencies.end());
+    std::printf("%.0f answers/s, p50 %.3f ms, p99 %.3f ms", static_cast<double>(load.m_latencies.size()) / seconds,
+        quantile(load.m_latencies, 0.5), quantile(load.m_latencies, 0.99));
+    for (const auto& [outcome, count] : load.m_outcomes)
+        std::printf(", %s: %zu", outcome.c_str(), count);
+    std::printf("\n");
+}
+
+auto run(int argc, char** argv) -> int
+{
+    TCLAP::CmdLine line("Load over HTTP connections to loopback addresses");
+    const TCLAP::MultiArg<std::string> targets(
+        "", "target", "address; connections go to them in turn", true, "IP:port", line);
+    const TCLAP::ValueArg<std::string> path("", "path", "target of the requests", false, "/", "PATH", line);
+    const TCLAP::ValueArg<std::string> key("", "key", "bearer key", false, "", "KEY", line);
+    const TCLAP::ValueArg<int> connections("", "connections", "connections", false, 1, "N", line);
+    const TCLAP::ValueArg<int> seconds("", "seconds", "duration", false, 3, "SECONDS", line);
+    line.parse(argc, argv);
+    Load load;
+    load.m_targets = targets.getValue();
+    load.m_request.m_target = path.getValue();
+    if (!key.getValue().empty())
+        load.m_request.m_headers.push_back({ "Authorization", "Bearer " + key.getValue() });
+    asio::io_context context(1);
+    load.m_end = Clock::now() + std::chrono::seconds(seconds.getValue());
+    for (int i = 0; i < connections.getValue(); ++i) {
+        const auto& target = load.m_targets[static_cast<std::size_t>(i) % load.m_targets.size()];
+        asio::co_spawn(context, runConnection(load, target, context), asio::detached);
+    }
+    context.run();
+    print(load, seconds.getValue());
+    return 0;
+}
+
+} // namespace
+
+} // namespace hemlockvane::bench
+
+auto main(int argc, char** argv) -> int { return hemlockvane::detail::runMain(argc, argv, hemlockvane::bench::run); }
--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/platform/InstanceListClient.h"
+#include "hemlockvane/keys/FloodWithdrawal.h"
 #include "hemlockvane/log/SnapshotPlan.h"
 #include "hemlockvane/membership/Duties.h"
 #include "hemlockvane/membership/MembershipPlan.h"
@@ -149,6 +150,8 @@
     beat.set_configuration_version(core.m_state.m_configuration.m_version);
     if (const auto age = logReadAge(core.m_vouch, now))
         beat.set_log_read_age_ms(static_cast<std::uint32_t>(age->count()));
+    for (auto& operation : floodedOperations(core.m_flood))
+        *beat.add_flooded() = std::move(operation);
 }
 
 auto answerBeat(ControlCore& core, const wire::Envelope& envelope) -> void
@@ -230,20 +233,25 @@
     }
 }
 
+auto sendBeat(ControlCore& core) -> void
+{
+    wire::Envelope envelope;
+    const auto sequence = ++core.m_lastBeat;
+    envelope.mutable_beat()->set_sequence(sequence);
+    fillBeat(core, *envelope.mutable_beat());
+    core.m_beatsSent[sequence] = monotonicNow();
+    if (core.m_beatsSent.size() > rememberedBeats)
+        core.m_beatsSent.erase(core.m_beatsSent.begin());
+    for (const auto& [id, entry] : core.m_state.m_membership.m_entries) {
+        if (entry.m_removedAt == 0 && id != core.m_instance)
+            sendToPeer(core, id, envelope);
+    }
+}
+
 auto sendBeats(ControlCore& core) -> asio::awaitable<void>
 {
-    std::uint64_t sequence = 0;
     while (!core.m_isStopped) {
-        wire::Envelope envelope;
-        envelope.mutable_beat()->set_sequence(++sequence);
-        fillBeat(core, *envelope.mutable_beat());
-        core.m_beatsSent[sequence] = monotonicNow();
-        if (core.m_beatsSent.size() > rememberedBeats)
-            core.m_beatsSent.erase(core.m_beatsSent.begin());
-        for (const auto& [id, entry] : core.m_state.m_membership.m_entries) {
-            if (entry.m_removedAt == 0 && id != core.m_instance)
-                sendToPeer(core, id, envelope);
-        }
+        sendBeat(core);
         co_await sleepFor(core.m_settings.m_beat);
     }
 }
