Plan moves between pools, pace planners, refuse jobs that no worker can hold

Cause: moves were decided by nobody in the process; a placement plan every 250 ms takes about 25 % of a core at 3,100 workers (62.6 ms a plan, docs/measurements/fleet.md); a job too large for the fleet was appended first and parked later. After: the placement holder plans moves every 5 s; a plan is followed by fifty times its own duration, at most 2 % of a core, so 3.1 s at the target, within the 7.4 s for urgent work (computed from the measured plan, not run at that size); such a job is refused before the append.

--- a/include/hemlockvane/detail/control/PlacementDriver.h
+++ b/include/hemlockvane/detail/control/PlacementDriver.h
@@ -5,6 +5,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
+#include <map>
 #include <set>
 #include <string>
 
@@ -23,6 +25,8 @@
     PlacementState m_state;
     JobPermits m_permits;
     bool m_isActive = false; ///< The duty was held at the last plan.
+    std::chrono::microseconds m_planTook { 0 }; ///< Duration of the last plan.
+    std::map<std::string, Instant, std::less<>> m_askAt; ///< When a worker is asked for its next report.
     std::set<std::string, std::less<>> m_asked; ///< Workers whose report is on its way.
 };
 
--- a/src/detail/api/JobsApi.cpp
+++ b/src/detail/api/JobsApi.cpp
@@ -10,6 +10,8 @@
 #include "hemlockvane/detail/text/JsonFields.h"
 #include "hemlockvane/detail/traffic/Authenticate.h"
 #include "hemlockvane/detail/traffic/TrafficShell.h"
+#include "hemlockvane/placement/FleetRoom.h"
+#include "hemlockvane/placement/ResourceSize.h"
 
 #include "hemlockvane/records.pb.h"
 
@@ -76,6 +78,13 @@
         && job.m_accelerators == submit.size().accelerators();
 }
 
+auto declaredSize(const wire::SubmitJob& submit) -> ResourceSize
+{
+    constexpr std::int64_t milliPerCore = 1000;
+    const auto& size = submit.size();
+    return { size.cores() * milliPerCore, size.memory_mb(), size.accelerators() };
+}
+
 auto submitted(const std::string& id, Offset offset) -> HttpResponse
 {
     return jsonResponse({ { "job", id }, { "offset", offset } });
@@ -91,6 +100,9 @@
             co_return submitted(id, known->second.m_submittedAt);
         co_return errorResponse({ ErrorKind::Conflict, "job " + id + " was submitted before with other content" });
     }
+    LastReason reason;
+    if (!core.m_state.m_pools.m_instances.empty() && !isRunnable(core.m_state.m_pools, declaredSize(submit), reason))
+        co_return errorResponse(reason);
     wire::Operation operation;
     operation.set_id("submit/" + submit.team() + "/" + id);
     *operation.mutable_submit_job() = std::move(submit);
--- a/src/detail/control/PlacementDriver.cpp
+++ b/src/detail/control/PlacementDriver.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/Commit.h"
 #include "hemlockvane/detail/control/ControlCore.h"
+#include "hemlockvane/detail/control/PlanPace.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/platform/WorkerClient.h"
 #include "hemlockvane/membership/Duties.h"
@@ -24,7 +25,7 @@
 
 namespace {
 
-constexpr Duration planInterval { 250 };
+constexpr Duration reportInterval { 1000 };
 constexpr Duration workerTimeout { 1000 };
 constexpr std::uint32_t permitsAtOnce = 256; // Asked for a team at one time.
 
@@ -186,9 +187,13 @@
 
 auto askWorkers(PlacementDriver& driver) -> void
 {
+    const auto now = monotonicNow();
     for (const auto& instance : driver.m_core.m_listed) {
-        if (instance.m_kind != "worker" || !driver.m_asked.insert(instance.m_id).second)
+        if (instance.m_kind != "worker" || now < driver.m_askAt[instance.m_id])
             continue;
+        if (!driver.m_asked.insert(instance.m_id).second)
+            continue;
+        driver.m_askAt[instance.m_id] = now + reportInterval;
         asio::co_spawn(driver.m_core.m_context, askWorker(driver, instance.m_id, instance.m_address), asio::detached);
     }
 }
@@ -227,7 +232,11 @@
         input.m_now = monotonicNow();
         input.m_wallNow = wallNow();
         input.m_mayPlace = core.m_isLogReachable;
+        const auto startedAt = std::chrono::steady_clock::now();
         actions = planPlacement(core.m_state, driver.m_state, input);
+        const auto took = std::chrono::steady_clock::now() - startedAt;
+        driver.m_planTook = std::chrono::duration_cast<std::chrono::microseconds>(took);
+        core.m_metrics.observe("placement_plan_seconds", driver.m_planTook);
     }
     giveBackUnused(driver, input.m_permits, actions);
     carryOutAll(driver, actions);
@@ -249,7 +258,7 @@
 {
     auto& core = driver.m_core;
     while (!core.m_isStopped) {
-        co_await sleepFor(planInterval);
+        co_await sleepFor(nextInterval({}, driver.m_planTook));
         const auto epoch = dutyEpoch(core, placementDuty);
         if (!epoch) {
             co_await tellNothingWaits(driver);
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -9,6 +9,7 @@
 #include "hemlockvane/detail/control/LogTail.h"
 #include "hemlockvane/detail/control/MaintenanceDriver.h"
 #include "hemlockvane/detail/control/MembershipDriver.h"
+#include "hemlockvane/detail/control/MovesDriver.h"
 #include "hemlockvane/detail/control/PlacementDriver.h"
 #include "hemlockvane/detail/control/SnapshotDriver.h"
 #include "hemlockvane/detail/control/TailExchange.h"
@@ -57,6 +58,7 @@
         , m_placement(m_core)
         , m_escrow(m_core)
         , m_maintenance(m_core)
+        , m_moves(m_core)
         , m_shell(m_core, m_claims, m_metrics)
         , m_operators(m_core)
         , m_operatorsServer(
@@ -73,6 +75,7 @@
     PlacementDriver m_placement;
     EscrowDriver m_escrow;
     MaintenanceDriver m_maintenance;
+    MovesDriver m_moves;
     TrafficShell m_shell;
     OperatorsApi m_operators;
     HttpServer m_operatorsServer;
@@ -150,6 +153,7 @@
     };
     asio::co_spawn(core.m_context, runEscrow(entry.m_escrow), asio::detached);
     asio::co_spawn(core.m_context, runMaintenance(entry.m_maintenance), asio::detached);
+    asio::co_spawn(core.m_context, runMoves(entry.m_moves), asio::detached);
     asio::co_spawn(core.m_context, runKeys(core), asio::detached);
     asio::co_spawn(entry.m_shell.m_context, runLanes(entry.m_shell), asio::detached);
 }
