--- a/demo/fleet.bash
+++ b/demo/fleet.bash
@@ -122,6 +122,15 @@
     echo "$total"
 }
 
+# keysRunTwice: how many idempotency keys the executors together ran more than once.
+keysRunTwice() {
+    local name
+    for name in "${!ADDRESS_OF[@]}"; do
+        case $name in orders-* | shades-*) ;; *) continue ;; esac
+        call GET "${ADDRESS_OF[$name]}" /standin/executions | grep -oE '"keys":\{[^}]*' | grep -oE '"[0-9a-f-]{36}":[0-9]+'
+    done | awk -F: '{ runs[$1] += $2 } END { for (key in runs) twice += runs[key] > 1; print twice + 0 }'
+}
+
 # taskExecutionsOf JOB: how often all workers together ran a job.
 taskExecutionsOf() {
     local name total=0 count
