Blame an executor whose answers begin and break, and list refusing workers

Cause: after a lost answer routing opened a connection as a probe, and a reachable executor was never blamed. One that cuts its answers short or garbles them was chosen again and again until the retry budget was spent, and callers lost answers that another executor could give. Ruled out: silence, where no byte of an answer arrives.

--- a/include/hemlockvane/detail/http/HttpConnection.h
+++ b/include/hemlockvane/detail/http/HttpConnection.h
@@ -42,6 +42,9 @@
     /// @brief True when the peer closed the connection or sent bytes that belong to no request.
     [[nodiscard]] auto isStale() -> bool;
 
+    /// @brief True when some of the last exchange's answer arrived, whole or not.
+    [[nodiscard]] auto hasAnswerBegun() const -> bool;
+
     auto close() -> void;
 
 private:
--- a/src/detail/traffic/RunRequest.cpp
+++ b/src/detail/traffic/RunRequest.cpp
@@ -35,6 +35,7 @@
     LastReason m_reason;
     bool m_wasSent = false;
     Instant m_startedAt;
+    bool m_hasAnswerBegun = false;
 };
 
 auto openConnection(TrafficShell& shell, const std::string& address, LastReason& reason)
@@ -99,7 +100,8 @@
         recordAnswer(lane.m_routing, attempt.m_executor, request.m_caller.m_team, now - attempt.m_startedAt, now);
         return;
     }
-    if (attempt.m_response || !attempt.m_wasSent) {
+    // An answer that began and is not whole is the executor's fault; silence may be the connection's.
+    if (attempt.m_response || !attempt.m_wasSent || attempt.m_hasAnswerBegun) {
         recordFailure(lane.m_routing, attempt.m_executor, now);
         return;
     }
@@ -125,6 +127,7 @@
     attempt.m_wasSent = true;
     const auto time = attemptTime(lane, request);
     attempt.m_response = co_await connection->exchange(request.m_message, time, maximumAnswerBytes, attempt.m_reason);
+    attempt.m_hasAnswerBegun = connection->hasAnswerBegun();
     shell.m_connections.giveBack(address, std::move(*connection));
 }
 
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -132,6 +132,14 @@
     return task;
 }
 
+// A refused task stays in the list, so that the entry learns that it was certainly not started.
+auto refuseTask(Worker& worker, Task task, std::string_view why) -> StandinAnswer
+{
+    end(task, "refused", std::string(why));
+    worker.m_tasks[task.m_job] = std::move(task);
+    return refusal(503, why);
+}
+
 auto start(Worker& worker, const boost::json::object& request) -> StandinAnswer
 {
     auto task = newTask(worker, request);
@@ -141,11 +149,10 @@
     if (known != worker.m_tasks.end() && known->second.m_leaseEpoch > task.m_leaseEpoch)
         return refusal(409, "an older lease epoch");
     if (known != worker.m_tasks.end() && known->second.m_leaseEpoch == task.m_leaseEpoch)
-        return startAnswer(worker, known->second);
-    if (worker.m_faults.m_refuses)
-        return refusal(503, "refused");
-    if (worker.m_isDraining)
-        return refusal(503, "draining");
+        return known->second.m_state == "refused" ? refusal(503, known->second.m_reason)
+                                                  : startAnswer(worker, known->second);
+    if (worker.m_faults.m_refuses || worker.m_isDraining)
+        return refuseTask(worker, std::move(task), worker.m_isDraining ? "draining" : "refused");
     if (task.m_leasedUntil <= Clock::now())
         return refusal(409, "the lease has ended");
     ++worker.m_executionsByJob[task.m_job];
