--- a/tests/core/maintenance/PlanWaveTest.cpp
+++ b/tests/core/maintenance/PlanWaveTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(plan_instancesLost_wavePausesAndSaysWhy);
     CPPUNIT_TEST(plan_resumedAfterHarm_goesOnUntilMoreIsLost);
     CPPUNIT_TEST(plan_zoneLost_isNoHarmOfWave);
+    CPPUNIT_TEST(plan_maintainedRackLost_pausesOnlyAtTheSecond);
     CPPUNIT_TEST(plan_widthBeforeAnyReturned_staysSmall);
     CPPUNIT_TEST(plan_finishBySoon_widthGrows);
     CPPUNIT_TEST(plan_wholeWave_maintainsEveryInstanceWithinBudget);
@@ -85,7 +86,7 @@
 
     auto plan_tooSlowUnderCover_coverIsGivenUpForTime() -> void
     {
-        constexpr WallMillis drain = 1800 * 1000;
+        constexpr WallMillis drain = 1'800'000;
         m_fleet.setException("pool.budget", "orders", 4);
         m_fleet.startWave("wave", m_fleet.m_now + 4 * drain);
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), drains(plan()).size());
@@ -127,7 +128,7 @@
     {
         m_fleet.startWave("wave");
         record(plan());
-        advance(1800 * 1000 + 1);
+        advance(1'800'000 + 1);
         record(plan());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_fleet.m_state.m_maintenance.m_waves.at("wave").m_failed.size());
         CPPUNIT_ASSERT_EQUAL(1U, unavailableIn(m_fleet.m_state.m_pools, "orders"));
@@ -164,6 +165,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(plan(), WaveActionKind::PauseWave));
     }
 
+    auto plan_maintainedRackLost_pausesOnlyAtTheSecond() -> void
+    {
+        m_fleet.setException("pool.budget", "orders", 8);
+        m_fleet.setDefault("wave.harm_limit", 2);
+        m_fleet.startWave("wave");
+        loseMaintained({ "w10", "w11" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(plan(), WaveActionKind::PauseWave));
+        m_state.m_onItsWay.clear();
+        loseMaintained({ "w14", "w15" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), countOf(plan(), WaveActionKind::PauseWave));
+    }
+
     auto plan_widthBeforeAnyReturned_staysSmall() -> void
     {
         m_fleet.setException("pool.budget", "orders", 12);
@@ -175,7 +188,7 @@
 
     auto plan_finishBySoon_widthGrows() -> void
     {
-        constexpr WallMillis drain = 1800 * 1000;
+        constexpr WallMillis drain = 1'800'000;
         m_fleet.setException("pool.budget", "orders", 6);
         m_fleet.setException("wave.cover", "orders", 0);
         m_fleet.setDefault("wave.width", 1);
@@ -236,7 +249,12 @@
     {
         m_fleet.setException("pool.budget", "orders", 6);
         m_fleet.startWave("wave");
-        for (const auto* id : { "w10", "w14", "w18" }) {
+        loseMaintained({ "w10", "w14", "w18" });
+    }
+
+    auto loseMaintained(std::initializer_list<const char*> ids) -> void
+    {
+        for (const auto* id : ids) {
             m_fleet.beginDrain("wave", id);
             m_fleet.endDrain("wave", id, true);
             fail(id);
