Charge the permits of entries that were removed before this one joined

Cause: an instance that joined after a crashed entry was removed never knew it as a member, so the removal was ignored; taking over that entry's escrow duty it would have granted at once what the crashed entry's requests may still use. Such a removal is now dated by its record, less an allowed skew of 10 s, and charged until settled. Touches the escrow driver of the serving process, which skipped those entries as well.

--- a/include/hemlockvane/limits/EscrowHolder.h
+++ b/include/hemlockvane/limits/EscrowHolder.h
@@ -36,7 +36,7 @@
 /// @brief A member's JoinEntry was folded.
 auto memberJoined(EscrowHolder& holder, std::string_view instance, Offset joinedAt) -> void;
 
-/// @brief A member's RemoveEntry was folded.
+/// @brief A member's RemoveEntry was folded; also one that was removed before this instance joined.
 /// @param planned it left with nothing in flight, so nothing of it is charged
 auto memberRemoved(EscrowHolder& holder, std::string_view instance, bool planned, Instant now) -> void;
 
--- a/src/detail/control/EscrowDriver.cpp
+++ b/src/detail/control/EscrowDriver.cpp
@@ -14,6 +14,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -22,9 +24,17 @@
 
 constexpr Duration stepInterval { 5 };
 constexpr Duration recountInterval { 100 };
+constexpr Duration recordClockSkew { 10000 }; // Allowed between the authors of records and this instance.
 
 using Connections = std::map<std::string, std::map<std::string, std::uint32_t, std::less<>>, std::less<>>;
 
+// When an entry was removed, at the latest, that this instance never knew as a member; dated by its record.
+auto removalTime(const EscrowDriver& driver, const EntryRecord& entry) -> Instant
+{
+    const auto age = Duration { wallNow() - entry.m_removedAtMs } - recordClockSkew;
+    return monotonicNow() - std::clamp(age, Duration::zero(), driver.m_holder.m_timing.m_settle);
+}
+
 auto followMembers(EscrowDriver& driver) -> void
 {
     const auto& membership = driver.m_core.m_state.m_membership;
@@ -37,6 +47,8 @@
             memberJoined(driver.m_holder, id, entry.m_joinedAt);
         if (entry.m_removedAt != 0 && isKnown)
             memberRemoved(driver.m_holder, id, entry.m_planned, monotonicNow());
+        if (entry.m_removedAt != 0 && !isKnown)
+            memberRemoved(driver.m_holder, id, entry.m_planned, removalTime(driver, entry));
     }
     for (const auto& [name, duty] : membership.m_duties) {
         if (!name.starts_with("escrow/"))
--- a/src/limits/EscrowHolder.cpp
+++ b/src/limits/EscrowHolder.cpp
@@ -297,14 +297,14 @@
 
 auto memberRemoved(EscrowHolder& holder, std::string_view instance, bool planned, Instant now) -> void
 {
+    const auto settledAt = now + holder.m_timing.m_settle;
+    if (!planned)
+        holder.m_removedSettledAt = std::max(holder.m_removedSettledAt, settledAt);
     const auto found = holder.m_members.find(instance);
     if (found == holder.m_members.end())
         return;
     const auto joinedAt = found->second;
     holder.m_members.erase(found);
-    const auto settledAt = now + holder.m_timing.m_settle;
-    if (!planned)
-        holder.m_removedSettledAt = settledAt;
     for (auto& [name, duty] : holder.m_duties) {
         const auto reported = duty.m_reported.find(instance);
         if (reported != duty.m_reported.end()) {
--- a/tests/core/limits/EscrowTest.cpp
+++ b/tests/core/limits/EscrowTest.cpp
@@ -251,6 +251,7 @@
     CPPUNIT_TEST(removal_unplanned_staysChargedUntilSettled);
     CPPUNIT_TEST(takeover_afterLowering_chargesOldCapacity);
     CPPUNIT_TEST(takeover_peakReportedByMember_chargesOldCapacity);
+    CPPUNIT_TEST(takeover_removedBeforeThisJoined_chargesUnheard);
     CPPUNIT_TEST(removal_planned_freesAtOnce);
     CPPUNIT_TEST(record_notYetFolded_keepsPermitCharged);
     CPPUNIT_TEST(forgetResource_permitsOut_isKept);
@@ -434,6 +435,17 @@
         CPPUNIT_ASSERT_EQUAL(0U, grantable(holder, resourceName, m_now));
     }
 
+    // "b" was removed before this instance joined, so it never knew "b" as a member.
+    auto takeover_removedBeforeThisJoined_chargesUnheard() -> void
+    {
+        EscrowHolder holder;
+        memberJoined(holder, "a", 2);
+        setCapacity(holder, resourceName, 4, m_now);
+        openAlone(holder, 1, 0);
+        CPPUNIT_ASSERT_EQUAL(1U, grantable(holder, resourceName, m_now));
+        CPPUNIT_ASSERT_EQUAL(4U, grantable(holder, resourceName, m_now + holder.m_timing.m_settle));
+    }
+
     auto removal_planned_freesAtOnce() -> void
     {
         auto holder = holderWithTwo();
