--- a/src/detail/control/EscrowDriver.cpp
+++ b/src/detail/control/EscrowDriver.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-constexpr Duration stepInterval { 5 };
+constexpr Duration busyInterval { 5 };
+constexpr Duration idleInterval { 25 };
 constexpr Duration recountInterval { 100 };
 constexpr Duration recordClockSkew { 10000 }; // Allowed between the authors of records and this instance.
 
@@ -40,8 +41,12 @@
     const auto& membership = driver.m_core.m_state.m_membership;
     if (driver.m_seenMembership == membership.m_version)
         return;
+    const auto isFirst = driver.m_seenMembership == 0;
     driver.m_seenMembership = membership.m_version;
     for (const auto& [id, entry] : membership.m_entries) {
+        // A removal that came with a snapshot is charged like one that was seen: what it granted may still be used.
+        if (isFirst)
+            memberJoined(driver.m_holder, id, entry.m_joinedAt);
         const auto isKnown = driver.m_holder.m_members.contains(id);
         if (entry.m_removedAt == 0 && !isKnown)
             memberJoined(driver.m_holder, id, entry.m_joinedAt);
@@ -174,6 +179,7 @@
 
 auto onMessage(EscrowDriver& driver, const wire::Envelope& envelope) -> void
 {
+    driver.m_isBusy = driver.m_isBusy || envelope.has_escrow_demands() || envelope.has_escrow_report();
     for (const auto& demand : envelope.escrow_demands().demands())
         receiveDemand(driver.m_holder, envelope.sender(), demand);
     if (envelope.has_escrow_report())
@@ -221,7 +227,8 @@
     core.m_onFolded.emplace_back([&driver]() { followMembers(driver); });
     core.m_onMessage.emplace_back([&driver](const wire::Envelope& envelope) { onMessage(driver, envelope); });
     while (!core.m_isStopped) {
-        co_await sleepFor(stepInterval);
+        co_await sleepFor(driver.m_isBusy ? busyInterval : idleInterval);
+        driver.m_isBusy = false;
         followCapacities(driver);
         countJobs(driver);
         const auto now = monotonicNow();
