--- a/src/detail/control/MembershipDriver.cpp
+++ b/src/detail/control/MembershipDriver.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/control/Commit.h"
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/peers/EnvelopeEpoch.h"
 #include "hemlockvane/detail/platform/InstanceListClient.h"
 #include "hemlockvane/keys/FloodWithdrawal.h"
 #include "hemlockvane/log/SnapshotPlan.h"
@@ -186,6 +187,7 @@
 auto onMessage(ControlCore& core, const wire::Envelope& envelope) -> void
 {
     onPeerHeard(core.m_planner, envelope.sender(), monotonicNow());
+    onKnownEnd(core.m_vouch, newestEpoch(envelope));
     if (envelope.message_case() != wire::Envelope::kBeat)
         return;
     checkDivergence(core, envelope);
--- /dev/null
+++ b/tests/shell/peers/EnvelopeEpochTest.cpp
@@ -0,0 +1,42 @@
+#include "hemlockvane/detail/peers/EnvelopeEpoch.h"
+
+#include "hemlockvane/peers.pb.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hemlockvane::detail {
+
+class EnvelopeEpochTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EnvelopeEpochTest);
+    CPPUNIT_TEST(newestEpoch_claimAnswer_isItsFence);
+    CPPUNIT_TEST(newestEpoch_severalGrants_isTheNewest);
+    CPPUNIT_TEST(newestEpoch_beat_isNone);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto newestEpoch_claimAnswer_isItsFence() -> void
+    {
+        wire::Envelope envelope;
+        envelope.mutable_claim_answer()->mutable_fence()->set_epoch(7);
+        CPPUNIT_ASSERT_EQUAL(Offset { 7 }, newestEpoch(envelope));
+    }
+
+    auto newestEpoch_severalGrants_isTheNewest() -> void
+    {
+        wire::Envelope envelope;
+        for (const auto epoch : { 5, 9, 3 })
+            envelope.mutable_escrow_grants()->add_grants()->mutable_fence()->set_epoch(epoch);
+        CPPUNIT_ASSERT_EQUAL(Offset { 9 }, newestEpoch(envelope));
+    }
+
+    auto newestEpoch_beat_isNone() -> void
+    {
+        wire::Envelope envelope;
+        envelope.mutable_beat()->set_folded_end(100);
+        CPPUNIT_ASSERT_EQUAL(Offset { 0 }, newestEpoch(envelope));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EnvelopeEpochTest);
+
+} // namespace hemlockvane::detail
