--- a/src/detail/control/EscrowDriver.cpp
+++ b/src/detail/control/EscrowDriver.cpp
@@ -41,12 +41,8 @@
     const auto& membership = driver.m_core.m_state.m_membership;
     if (driver.m_seenMembership == membership.m_version)
         return;
-    const auto isFirst = driver.m_seenMembership == 0;
     driver.m_seenMembership = membership.m_version;
     for (const auto& [id, entry] : membership.m_entries) {
-        // A removal that came with a snapshot is charged like one that was seen: what it granted may still be used.
-        if (isFirst)
-            memberJoined(driver.m_holder, id, entry.m_joinedAt);
         const auto isKnown = driver.m_holder.m_members.contains(id);
         if (entry.m_removedAt == 0 && !isKnown)
             memberJoined(driver.m_holder, id, entry.m_joinedAt);
