Let a worker that refused a task rest before it is given another

Cause: a refusal is no failure, so nothing was learnt from it and best fit chose the same worker again. Ruled out: the set-aside of failing workers, which a refusal must not lead to. The rest doubles from 1 s to 60 s; a worker that finishes something starts anew.

--- a/include/hemlockvane/placement/PlacementLimits.h
+++ b/include/hemlockvane/placement/PlacementLimits.h
@@ -13,6 +13,8 @@
     Duration m_clockDrift { 500 }; ///< How far two clocks may drift apart within a term.
     Duration m_silentAfter { 3000 }; ///< A worker not heard for this long is given nothing new.
     Duration m_pressureStep { 1500 }; ///< Between throttle, checkpoint and stop.
+    Duration m_refusalRest { 1000 }; ///< A worker that refused a task is given none so long; doubles each time.
+    Duration m_longestRefusalRest { 60000 };
     Duration m_setAside { 300000 }; ///< First time that a failing worker is set aside; doubles each time.
     Duration m_longestSetAside { 7200000 };
     std::uint32_t m_blameJobs = 3; ///< Jobs that failed on a worker and finished elsewhere before it is set aside.
--- a/include/hemlockvane/placement/WorkerTrust.h
+++ b/include/hemlockvane/placement/WorkerTrust.h
@@ -16,6 +16,9 @@
 /// @brief True while a worker is set aside.
 auto isSetAside(const PlacementState& state, std::string_view worker, Instant now) -> bool;
 
+/// @brief True while a worker that refused a task is given nothing new.
+auto isRefusing(const PlacementState& state, std::string_view worker, Instant now) -> bool;
+
 /// @brief True when a worker failed several times in a row and is given repeatable jobs only.
 auto isSuspect(const PlacementState& state, std::string_view worker) -> bool;
 
--- a/src/placement/FleetRoom.cpp
+++ b/src/placement/FleetRoom.cpp
@@ -77,8 +77,8 @@
         worker.m_suspect = isSuspect(state, id);
         worker.m_zone = room.m_zones.try_emplace(instance.m_zone, room.m_zones.size()).first->second;
         worker.m_rack = room.m_racks.try_emplace(instance.m_rack, room.m_racks.size()).first->second;
-        worker.m_open
-            = !spare->second && !isUnavailable(instance) && isHeard(state, id, now) && !isSetAside(state, id, now);
+        worker.m_open = !spare->second && !isUnavailable(instance) && isHeard(state, id, now)
+            && !isSetAside(state, id, now) && !isRefusing(state, id, now);
         room.m_index[id] = room.m_workers.size();
         room.m_byPool[instance.m_pool].push_back(room.m_workers.size());
         room.m_workers.push_back(std::move(worker));
--- a/src/placement/WorkerTrust.cpp
+++ b/src/placement/WorkerTrust.cpp
@@ -31,6 +31,12 @@
     return size > 1 && static_cast<std::uint32_t>(aside) < most;
 }
 
+// Doubles from one time to the next, up to a longest one.
+auto backoff(Duration first, Duration longest, std::uint32_t times) -> Duration
+{
+    return std::min(longest, first * (1 << std::min(times, mostDoublings)));
+}
+
 auto setAsideIfBlamed(const FleetState& fleet, PlacementState& state, std::string_view worker, Instant now) -> void
 {
     auto& status = statusOf(state, worker);
@@ -38,13 +44,20 @@
         return;
     if (!mayBeSetAside(fleet, state, worker, now))
         return;
-    const auto doublings = std::min(status.m_timesSetAside, mostDoublings);
     status.m_setAsideUntil
-        = now + std::min(state.m_limits.m_longestSetAside, state.m_limits.m_setAside * (1 << doublings));
+        = now + backoff(state.m_limits.m_setAside, state.m_limits.m_longestSetAside, status.m_timesSetAside);
     ++status.m_timesSetAside;
     status.m_blamedFor.clear();
 }
 
+auto noteRefusal(PlacementState& state, std::string_view worker, Instant now) -> void
+{
+    auto& status = statusOf(state, worker);
+    status.m_refusesUntil
+        = now + backoff(state.m_limits.m_refusalRest, state.m_limits.m_longestRefusalRest, status.m_refusals);
+    ++status.m_refusals;
+}
+
 auto rememberEnd(QueueHistory& history, std::string_view worker, bool failed) -> void
 {
     history.m_ends.emplace_back(worker, failed);
@@ -69,6 +82,8 @@
 auto learnBlame(const FleetState& fleet, PlacementState& state, std::string_view job, std::string_view worker,
     AttemptOutcome outcome, Instant now) -> void
 {
+    if (outcome == AttemptOutcome::Refused && !worker.empty())
+        noteRefusal(state, worker, now);
     const auto found = fleet.m_jobs.m_jobs.find(job);
     const auto failed = outcome == AttemptOutcome::Failed;
     if (found == fleet.m_jobs.m_jobs.end() || (!failed && outcome != AttemptOutcome::Finished))
@@ -81,6 +96,7 @@
         return;
     }
     status.m_failuresInRow = 0;
+    status.m_refusals = 0;
     if (!status.m_blamedFor.empty())
         status.m_blamedFor.erase(status.m_blamedFor.begin());
     for (const auto& other : found->second.m_failedOn) {
@@ -97,6 +113,12 @@
     return found != state.m_workers.end() && found->second.m_setAsideUntil > now;
 }
 
+auto isRefusing(const PlacementState& state, std::string_view worker, Instant now) -> bool
+{
+    const auto found = state.m_workers.find(worker);
+    return found != state.m_workers.end() && found->second.m_refusesUntil > now;
+}
+
 auto isSuspect(const PlacementState& state, std::string_view worker) -> bool
 {
     const auto found = state.m_workers.find(worker);
--- a/tests/core/placement/WorkerTrustTest.cpp
+++ b/tests/core/placement/WorkerTrustTest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(failuresInRow_onlyOnThisWorker_makeItSuspect);
     CPPUNIT_TEST(failuresInRow_ofQueueFailingElsewhereToo_blameNoWorker);
     CPPUNIT_TEST(setAside_timeOver_isTriedAgain);
+    CPPUNIT_TEST(refusal_jobPlacedAgain_goesToAnotherWorker);
+    CPPUNIT_TEST(refusals_inRow_restLongerUpToABound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +54,32 @@
         CPPUNIT_ASSERT_EQUAL(1, aside);
     }
 
+    auto refusal_jobPlacedAgain_goesToAnotherWorker() -> void
+    {
+        m_world.addWorkers(2);
+        m_world.m_fleet.submit("j", "t", 4);
+        m_world.stepFor(Duration(500));
+        const auto first = m_world.m_fleet.job("j").m_worker;
+        m_world.endTask("j", TaskPhase::Refused);
+        m_world.stepFor(Duration(900));
+        CPPUNIT_ASSERT(m_world.m_fleet.job("j").m_status == JobStatus::Running);
+        CPPUNIT_ASSERT(first != m_world.m_fleet.job("j").m_worker);
+    }
+
+    auto refusals_inRow_restLongerUpToABound() -> void
+    {
+        m_world.addWorkers(1);
+        m_world.m_fleet.submit("j", "t", 4);
+        const auto& limits = m_world.m_state.m_limits;
+        learn("w0", AttemptOutcome::Refused);
+        CPPUNIT_ASSERT(isRefusing(m_world.m_state, "w0", m_world.m_now));
+        CPPUNIT_ASSERT(!isRefusing(m_world.m_state, "w0", m_world.m_now + limits.m_refusalRest));
+        for (auto i = 0; i < 40; ++i)
+            learn("w0", AttemptOutcome::Refused);
+        CPPUNIT_ASSERT(isRefusing(m_world.m_state, "w0", m_world.m_now + limits.m_longestRefusalRest - Duration(1)));
+        CPPUNIT_ASSERT(!isRefusing(m_world.m_state, "w0", m_world.m_now + limits.m_longestRefusalRest));
+    }
+
     auto failuresInRow_onlyOnThisWorker_makeItSuspect() -> void
     {
         m_world.addWorkers(2);
