Keep idle connections within an executor's limit over all entries, forget executors that are gone

Cause: an entry kept up to 8 idle connections to each executor whatever the number of entries, so nine entries and 8 slots could reach 80, beyond 64; and the escrow kept a resource for every executor ever listed. Now the idle ones follow from service.connections and the number of members (4 at nine entries: 44 with the slots in use), and a resource gone for the settling time is forgotten once nobody holds permits of it. The setting threads.traffic, which had no effect, is gone; its place in the tests is taken by limits.connections.

--- a/include/hemlockvane/detail/settings/ServeSettings.h
+++ b/include/hemlockvane/detail/settings/ServeSettings.h
@@ -23,7 +23,6 @@
     Duration m_listLag { 2000 }; ///< Largest lag of the instance list.
     Duration m_beat { 500 }; ///< Interval between heartbeats to the peers.
     HttpLimits m_limits; ///< Of the callers' port.
-    unsigned m_trafficThreads = 2;
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/traffic/ExecutorConnections.h
+++ b/include/hemlockvane/detail/traffic/ExecutorConnections.h
@@ -25,8 +25,8 @@
     /// @brief A new connection, not yet connected.
     auto makeNew() -> HttpConnection;
 
-    /// @brief Gives a connection back; a closed one is dropped.
-    auto giveBack(std::string_view address, HttpConnection connection) -> void;
+    /// @brief Gives a connection back; a closed one is dropped, and one beyond the idle ones allowed is closed.
+    auto giveBack(std::string_view address, HttpConnection connection, std::size_t maximumIdle) -> void;
 
     /// @brief Closes the idle connections to an executor: it is gone or they may have gone silent.
     auto dropIdle(std::string_view address) -> void;
--- a/include/hemlockvane/detail/traffic/ServiceLane.h
+++ b/include/hemlockvane/detail/traffic/ServiceLane.h
@@ -18,6 +18,7 @@
     RequestQueue m_queue;
     RoutingState m_routing;
     RetryBudget m_budget;
+    std::size_t m_spareConnections = 0; ///< Idle ones kept to an executor.
     std::map<std::string, std::string, std::less<>> m_addresses; ///< By executor id.
     std::map<std::uint64_t, std::shared_ptr<SlotWait>> m_waits; ///< By ticket.
 };
--- a/src/configuration/SettingSpec.cpp
+++ b/src/configuration/SettingSpec.cpp
@@ -17,6 +17,8 @@
     SettingSpec { "queue.deadline_ms", ScopeKind::Queue, 10000, 10, 120000, "ms", "deadline of a request without one" },
     SettingSpec { "queue.depth", ScopeKind::Queue, 256, 1, 100000, "requests", "requests waiting at one entry" },
     SettingSpec { "queue.open", ScopeKind::Queue, 0, 0, 1, "flag", "1: work is taken without a key" },
+    SettingSpec {
+        "service.connections", ScopeKind::Service, 64, 1, 65536, "connections", "all entries to an executor" },
     SettingSpec { "service.slots", ScopeKind::Service, 8, 1, 1024, "requests", "concurrent requests an executor" },
     SettingSpec { "team.limit", ScopeKind::Team, 1000, 0, 1000000, "running", "upper limit on what runs fleet-wide" },
     SettingSpec { "team.share", ScopeKind::Team, 100, 1, 1000000, "weight", "weight in the fair share" },
--- a/src/detail/control/CapacityFollower.cpp
+++ b/src/detail/control/CapacityFollower.cpp
@@ -3,6 +3,8 @@
 #include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/limits/EscrowResource.h"
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace {
@@ -52,10 +54,13 @@
     follower.m_nextAt = now + expiryInterval;
     auto current = currentCapacities(view, wallNow);
     for (const auto& [resource, capacity] : follower.m_capacities) {
-        if (!current.contains(resource))
-            changes[resource] = 0;
+        if (current.contains(resource))
+            continue;
+        changes[resource] = 0;
+        follower.m_goneSince[resource] = now;
     }
     for (const auto& [resource, capacity] : current) {
+        follower.m_goneSince.erase(resource);
         const auto known = follower.m_capacities.find(resource);
         if (known == follower.m_capacities.end() || known->second != capacity)
             changes[resource] = capacity;
@@ -64,4 +69,21 @@
     return changes;
 }
 
+auto forgetGone(
+    CapacityFollower& follower, Instant now, Duration age, const std::function<bool(std::string_view)>& forget) -> void
+{
+    std::erase_if(
+        follower.m_goneSince, [&](const auto& gone) { return now - gone.second >= age && forget(gone.first); });
+}
+
+auto subsetLimits(const ConfigurationState& configuration, std::string_view service, WallMillis now) -> SubsetLimits
+{
+    SubsetLimits limits;
+    const auto connections = effectiveValue(configuration, "service.connections", service, now).m_value;
+    const auto slots = effectiveValue(configuration, "service.slots", service, now).m_value;
+    limits.m_slots = static_cast<std::uint32_t>(slots);
+    limits.m_connections = static_cast<std::uint32_t>(std::max(connections, slots));
+    return limits;
+}
+
 } // namespace hemlockvane::detail
--- a/src/detail/control/EscrowDriver.cpp
+++ b/src/detail/control/EscrowDriver.cpp
@@ -67,6 +67,8 @@
     const auto now = monotonicNow();
     for (const auto& [resource, capacity] : capacityChanges(driver.m_capacities, *view, now, wallNow()))
         setCapacity(driver.m_holder, resource, capacity, now);
+    forgetGone(driver.m_capacities, now, driver.m_holder.m_timing.m_settle,
+        [&](std::string_view resource) { return forgetResource(driver.m_holder, resource); });
 }
 
 // Running jobs count against their team's limit by the log; counted together with the offset up to which they are.
@@ -115,7 +117,7 @@
 }
 
 auto connectionsOf(const std::map<std::string, std::string, std::less<>>& zones,
-    std::span<const SlotExecutor> executors) -> Connections
+    std::span<const SlotExecutor> executors, const SubsetLimits& limits) -> Connections
 {
     std::vector<SubsetMember> entryMembers;
     for (const auto& [id, zone] : zones)
@@ -127,7 +129,7 @@
         slots[executor.m_executor] = executor.m_slots;
     }
     Connections connections;
-    for (const auto& [executor, entries] : computeSubsets(entryMembers, executorMembers, {})) {
+    for (const auto& [executor, entries] : computeSubsets(entryMembers, executorMembers, limits)) {
         for (const auto& entry : entries)
             connections[entry][executor] = slots[executor];
     }
@@ -168,8 +170,9 @@
             continue;
         const auto executors = executorsOf(driver, service);
         const auto zones = zonesOf(driver.m_core);
+        const auto limits = subsetLimits(driver.m_core.m_state.m_configuration, service, wallNow());
         balanceSlots(balancer, driver.m_holder, executors, weightsOf(driver.m_core), zones,
-            connectionsOf(zones, executors), now);
+            connectionsOf(zones, executors, limits), now);
     }
 }
 
--- a/src/detail/settings/LoadServeSettings.cpp
+++ b/src/detail/settings/LoadServeSettings.cpp
@@ -141,13 +141,6 @@
         });
 }
 
-auto threadsField() -> Field
-{
-    return numberField("threads.traffic", "threads", 1, 64, [](std::int64_t number, ServeSettings& settings) {
-        settings.m_trafficThreads = static_cast<unsigned>(number);
-    });
-}
-
 auto fields() -> const std::vector<Field>&
 {
     static const std::vector<Field> all {
@@ -170,7 +163,6 @@
         timeoutField("limits.read_timeout_ms", &HttpLimits::m_readTimeout),
         timeoutField("limits.idle_timeout_ms", &HttpLimits::m_idleTimeout),
         timeoutField("limits.write_timeout_ms", &HttpLimits::m_writeTimeout),
-        threadsField(),
     };
     return all;
 }
--- a/src/detail/traffic/EscrowTraffic.cpp
+++ b/src/detail/traffic/EscrowTraffic.cpp
@@ -76,6 +76,8 @@
     const auto window = capacityWindow(shell.m_escrow.m_timing);
     for (const auto& [resource, capacity] : capacityChanges(shell.m_capacityFollower, view, now, wallNow()))
         setCapacity(shell.m_capacities, resource, capacity, now, window);
+    forgetGone(shell.m_capacityFollower, now, shell.m_escrow.m_timing.m_settle,
+        [&](std::string_view resource) { return forgetResource(shell.m_escrow, resource); });
 }
 
 auto takeJobPermits(TrafficShell& shell, TeamCounts waiting) -> asio::awaitable<TeamCounts>
--- a/src/detail/traffic/ExecutorConnections.cpp
+++ b/src/detail/traffic/ExecutorConnections.cpp
@@ -2,12 +2,6 @@
 
 namespace hemlockvane::detail {
 
-namespace {
-
-constexpr std::size_t maximumIdlePerExecutor = 8;
-
-} // namespace
-
 ExecutorConnections::ExecutorConnections(boost::asio::any_io_executor executor)
     : m_executor(std::move(executor))
 {
@@ -27,12 +21,12 @@
 
 auto ExecutorConnections::makeNew() -> HttpConnection { return HttpConnection(m_executor); }
 
-auto ExecutorConnections::giveBack(std::string_view address, HttpConnection connection) -> void
+auto ExecutorConnections::giveBack(std::string_view address, HttpConnection connection, std::size_t maximumIdle) -> void
 {
     if (!connection.isOpen())
         return;
     auto& idle = m_idle[std::string(address)];
-    if (idle.size() < maximumIdlePerExecutor)
+    if (idle.size() < maximumIdle)
         idle.push_back(std::move(connection));
 }
 
--- a/src/detail/traffic/Lanes.cpp
+++ b/src/detail/traffic/Lanes.cpp
@@ -2,16 +2,21 @@
 
 #include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/CapacityFollower.h"
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/traffic/QueueRequest.h"
 #include "hemlockvane/detail/traffic/TrafficShell.h"
 #include "hemlockvane/errors/ErrorAnswer.h"
 #include "hemlockvane/limits/EscrowResource.h"
 #include "hemlockvane/routing/ChooseExecutor.h"
+#include "hemlockvane/routing/ConnectionSubset.h"
+#include "hemlockvane/routing/SubsetLimits.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -135,11 +140,22 @@
         updateExecutors(lane.m_routing, listed[service]);
 }
 
+// Idle connections that this entry may keep to an executor, so that all entries together stay within its limit.
+auto spareOf(const TrafficView& view, std::string_view service, WallMillis now) -> std::size_t
+{
+    const auto limits = subsetLimits(*view.m_configuration, service, now);
+    const auto& entries = view.m_membership->m_entries;
+    const auto members = std::count_if(
+        entries.begin(), entries.end(), [](const auto& entry) { return entry.second.m_removedAt == 0; });
+    return spareConnections(limits, std::min(limits.m_entries, static_cast<std::uint32_t>(members)));
+}
+
 auto followConfiguration(TrafficShell& shell, const TrafficView& view) -> void
 {
     const auto now = wallNow();
     const auto& configuration = *view.m_configuration;
     for (auto& [service, lane] : shell.m_lanes) {
+        lane.m_spareConnections = spareOf(view, service, now);
         lane.m_queue.m_limits.m_depth
             = static_cast<std::size_t>(effectiveValue(configuration, "queue.depth", service, now).m_value);
         for (const auto& [id, key] : view.m_keys->m_keys)
--- a/src/detail/traffic/RunRequest.cpp
+++ b/src/detail/traffic/RunRequest.cpp
@@ -119,7 +119,7 @@
         co_return;
     // Nothing suspends between this check and the first byte.
     if (!mayStillSend(*currentView(shell), request.m_caller, request.m_deadline, monotonicNow(), attempt.m_reason)) {
-        shell.m_connections.giveBack(address, std::move(*connection));
+        shell.m_connections.giveBack(address, std::move(*connection), lane.m_spareConnections);
         co_return;
     }
     logOf("routing").info("{} {} {} of team '{}' to {}", request.m_queue, request.m_message.m_method,
@@ -128,7 +128,7 @@
     const auto time = attemptTime(lane, request);
     attempt.m_response = co_await connection->exchange(request.m_message, time, maximumAnswerBytes, attempt.m_reason);
     attempt.m_hasAnswerBegun = connection->hasAnswerBegun();
-    shell.m_connections.giveBack(address, std::move(*connection));
+    shell.m_connections.giveBack(address, std::move(*connection), lane.m_spareConnections);
 }
 
 auto endOf(const Attempt& attempt) -> AttemptEnd { return attempt.m_wasSent ? AttemptEnd::Lost : AttemptEnd::NotSent; }
--- a/tests/shell/settings/LoadServeSettingsTest.cpp
+++ b/tests/shell/settings/LoadServeSettingsTest.cpp
@@ -46,23 +46,24 @@
     auto optionalSettings_withinRange_areTaken() -> void
     {
         const auto text = wholeText() + "timing:\n  vouch_ms: 900\n  beat_ms: 100\nlimits:\n  body_bytes: 2048\n"
-            + "threads:\n  traffic: 3\n";
+            + "  connections: 30\n";
         const auto settings = parseServeSettings(text, m_problems);
         CPPUNIT_ASSERT(settings.has_value());
         CPPUNIT_ASSERT(settings->m_vouch == Duration(900) && settings->m_beat == Duration(100));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2048 }, settings->m_limits.m_maximumBodyBytes);
-        CPPUNIT_ASSERT_EQUAL(3U, settings->m_trafficThreads);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 30 }, settings->m_limits.m_maximumConnections);
     }
 
     auto manyProblems_inOneFile_areAllNamedByLine() -> void
     {
-        const auto text = wholeText() + "colour: red\ntiming:\n  vouch_ms: soon\nthreads:\n  traffic: 0\n  idle: 1\n";
+        const auto text
+            = wholeText() + "colour: red\ntiming:\n  vouch_ms: soon\nlimits:\n  connections: 0\n  idle: 1\n";
         CPPUNIT_ASSERT(!parseServeSettings(text, m_problems));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, m_problems.size());
         assertProblem(0, 15, "colour");
         assertProblem(1, 17, "timing.vouch_ms");
-        assertProblem(2, 19, "threads.traffic");
-        assertProblem(3, 20, "threads.idle");
+        assertProblem(2, 19, "limits.connections");
+        assertProblem(3, 20, "limits.idle");
         CPPUNIT_ASSERT_EQUAL(
             std::string(
                 "f:17: timing.vouch_ms: found 'soon', expected a whole number from 100 to 60000 (milliseconds)"),
@@ -99,8 +100,8 @@
 
     auto listInPlaceOfValue_isRefused() -> void
     {
-        CPPUNIT_ASSERT(!parseServeSettings(wholeText() + "threads:\n  traffic: [1]\n", m_problems));
-        assertProblem(0, 16, "threads.traffic");
+        CPPUNIT_ASSERT(!parseServeSettings(wholeText() + "limits:\n  connections: [1]\n", m_problems));
+        assertProblem(0, 16, "limits.connections");
     }
 
     auto beatTooSlowForVouch_isRefused() -> void
