--- a/include/hemlockvane/detail/traffic/Lanes.h
+++ b/include/hemlockvane/detail/traffic/Lanes.h
@@ -22,7 +22,7 @@
 
 /// @brief Waits in the service's queue until the request has a slot at an executor and a permit of its team.
 /// @param tried executors that it was sent to before
-/// @param reason receives QueueFull, DeadlinePassed or NoCapacity; the request is certainly not run
+/// @param reason receives QueueFull, DeadlinePassed, NoCapacity or OverLimit; the request is certainly not run
 /// @param retryAfter receives when the caller may come back
 /// @result id of the executor
 auto acquireSlot(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, std::vector<std::string> tried,
--- a/src/detail/traffic/Lanes.cpp
+++ b/src/detail/traffic/Lanes.cpp
@@ -164,6 +164,25 @@
     }
 }
 
+// True when the team may have nothing running at all.
+auto isBarred(const TrafficShell& shell, std::string_view team) -> bool
+{
+    const auto& capacities = shell.m_capacityFollower.m_capacities;
+    const auto found = capacities.find(teamLimitResource(team));
+    return found != capacities.end() && found->second == 0;
+}
+
+// A request that left the queue while slots were free waited for a permit of its team.
+auto isOverLimit(const TrafficShell& shell, const ServiceLane& lane, std::string_view team) -> bool
+{
+    return permitsFree(shell.m_escrow, teamLimitResource(team)) == 0 && hasFreeSlot(shell, lane);
+}
+
+auto overLimit(std::string_view team, LastReason& reason) -> std::nullopt_t
+{
+    return fail(reason, ErrorKind::OverLimit, "team " + std::string(team) + " has its upper limit running");
+}
+
 } // namespace
 
 auto findLane(TrafficShell& shell, std::string_view service) -> ServiceLane*
@@ -175,12 +194,15 @@
 auto acquireSlot(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, std::vector<std::string> tried,
     LastReason& reason, Duration& retryAfter) -> asio::awaitable<std::optional<std::string>>
 {
+    const auto& team = request.m_caller.m_team;
+    if (isBarred(shell, team))
+        co_return overLimit(team, reason);
     const auto ticket = ++shell.m_lastTicket;
     const auto wait = std::make_shared<SlotWait>(shell.m_context.get_executor());
     wait->m_isRepeatable = request.m_isRepeatable;
     wait->m_tried = std::move(tried);
     lane.m_waits[ticket] = wait;
-    const QueuedRequest queued { ticket, request.m_caller.m_team, request.m_isUrgent, request.m_deadline };
+    const QueuedRequest queued { ticket, team, request.m_isUrgent, request.m_deadline };
     shed(lane, enqueue(lane.m_queue, queued, monotonicNow()));
     pump(shell, lane);
     boost::system::error_code error;
@@ -189,6 +211,8 @@
     if (wait->m_executor)
         co_return wait->m_executor;
     retryAfter = wait->m_retryAfter;
+    if (wait->m_shedKind != ErrorKind::QueueFull && isOverLimit(shell, lane, team))
+        co_return overLimit(team, reason);
     fail(reason, wait->m_shedKind,
         "the queue of " + lane.m_service + " shed it: " + std::string(errorAnswer(wait->m_shedKind).m_name));
     co_return std::nullopt;
