--- a/app/Serve.cpp
+++ b/app/Serve.cpp
@@ -1,4 +1,5 @@
 #include "Commands.h"
+#include "ParseArguments.h"
 
 #include "hemlockvane/detail/server/EntryServer.h"
 #include "hemlockvane/detail/settings/LoadServeSettings.h"
@@ -10,25 +11,16 @@
 auto runServe(int argc, char** argv) -> int
 {
     using namespace hemlockvane::detail;
-    constexpr int usageError = 2;
-    std::string path;
-    std::string level;
-    try {
-        TCLAP::CmdLine command("Runs an entry instance until SIGTERM.", ' ', "0.1.0");
-        const TCLAP::ValueArg<std::string> settings("", "settings", "settings file", true, "", "FILE", command);
-        const TCLAP::ValueArg<std::string> logLevel(
-            "", "log-level", "trace, debug, info, warning or error", false, "info", "LEVEL", command);
-        command.parse(argc, argv);
-        path = settings.getValue();
-        level = logLevel.getValue();
-    } catch (const TCLAP::ExitException& exit) {
-        return exit.getExitStatus() == 0 ? 0 : usageError;
-    }
+    constexpr int exitRefused = 1;
+    std::vector<std::string> levels { "trace", "debug", "info", "warning", "error" };
+    TCLAP::ValuesConstraint<std::string> isLevel(levels);
+    TCLAP::CmdLine line("Runs an entry instance until SIGTERM.", ' ', "0.1.0");
+    const TCLAP::ValueArg<std::string> file("", "settings", "settings file", true, "", "FILE", line);
+    const TCLAP::ValueArg<std::string> level("", "log-level", "least level logged", false, "info", &isLevel, line);
+    hemlockvane::app::parseArguments(line, argc, argv);
     std::vector<SettingsProblem> problems;
-    const auto settings = loadServeSettings(path, problems);
+    const auto settings = loadServeSettings(file.getValue(), problems);
     for (const auto& problem : problems)
-        std::fprintf(stderr, "%s\n", describe(problem, path).c_str());
-    if (!settings)
-        return 1;
-    return serveEntry(*settings, level);
+        std::fprintf(stderr, "%s\n", describe(problem, file.getValue()).c_str());
+    return settings ? serveEntry(*settings, level.getValue()) : exitRefused;
 }
