--- a/src/detail/control/PlacementDriver.cpp
+++ b/src/detail/control/PlacementDriver.cpp
@@ -109,9 +109,18 @@
         { "memory_mb", job.m_memoryMb } };
 }
 
-auto verbOf(PlacementActionKind kind) -> std::string_view
+// Name of an action in log lines; for a command to a task also the last part of its path.
+auto nameOf(PlacementActionKind kind) -> std::string_view
 {
     switch (kind) {
+    case PlacementActionKind::PlaceJob:
+        return "place";
+    case PlacementActionKind::EndAttempt:
+        return "end";
+    case PlacementActionKind::RenewLease:
+        return "renew";
+    case PlacementActionKind::StartTask:
+        return "start";
     case PlacementActionKind::ThrottleTask:
         return "throttle";
     case PlacementActionKind::ReleaseTask:
@@ -122,11 +131,6 @@
         return "stop";
     case PlacementActionKind::AcknowledgeEnd:
         return "acknowledge";
-    case PlacementActionKind::PlaceJob:
-    case PlacementActionKind::EndAttempt:
-    case PlacementActionKind::RenewLease:
-    case PlacementActionKind::StartTask:
-        break;
     }
     return "";
 }
@@ -137,7 +141,7 @@
         return { "/v1/lease", { { "lease_until", action.m_leaseUntil } } };
     if (action.m_kind == PlacementActionKind::StartTask)
         return { "/v1/tasks", startBody(core, action) };
-    return { "/v1/tasks/" + action.m_job + "/" + std::string(verbOf(action.m_kind)),
+    return { "/v1/tasks/" + action.m_job + "/" + std::string(nameOf(action.m_kind)),
         { { "lease_epoch", action.m_leaseEpoch } } };
 }
 
@@ -159,9 +163,8 @@
         = action.m_kind == PlacementActionKind::PlaceJob || action.m_kind == PlacementActionKind::EndAttempt;
     if (action.m_kind != PlacementActionKind::RenewLease)
         logOf("placement")
-            .info("{} job {} attempt {} on {}: {}",
-                action.m_kind == PlacementActionKind::PlaceJob ? "place" : (isRecord ? "end" : "tell"), action.m_job,
-                action.m_attempt, action.m_worker, action.m_reason);
+            .info("{} job {} attempt {} on {}: {}", nameOf(action.m_kind), action.m_job, action.m_attempt,
+                action.m_worker, action.m_reason);
     auto& context = driver.m_core.m_context;
     if (isRecord)
         asio::co_spawn(context, recordAction(driver, action), asio::detached);
