--- a/src/detail/traffic/Lanes.cpp
+++ b/src/detail/traffic/Lanes.cpp
@@ -25,6 +25,8 @@
 
 constexpr Duration configurationInterval { 500 };
 
+using Addresses = std::map<std::string, std::string, std::less<>>;
+
 auto freeSlots(const TrafficShell& shell, const ServiceLane& lane, std::string_view executor) -> std::uint32_t
 {
     return permitsFree(shell.m_escrow, executorSlotsResource(lane.m_service, executor));
@@ -123,8 +125,19 @@
     return lane;
 }
 
+// Closes the idle connections to executors that are off the list or have another address.
+auto dropGone(TrafficShell& shell, const ServiceLane& lane, const Addresses& current) -> void
+{
+    for (const auto& [executor, address] : lane.m_addresses) {
+        const auto found = current.find(executor);
+        if (found == current.end() || found->second != address)
+            shell.m_connections.dropIdle(address);
+    }
+}
+
 auto followExecutors(TrafficShell& shell, const TrafficView& view) -> void
 {
+    std::map<std::string, Addresses> addresses;
     std::map<std::string, std::map<std::string, RoutedExecutor, std::less<>>> listed;
     for (const auto& instance : *view.m_listed) {
         if (instance.m_kind != "executor")
@@ -133,11 +146,14 @@
         executor.m_zone = instance.m_zone;
         executor.m_leaving = instance.m_isLeaving;
         listed[instance.m_service][instance.m_id] = executor;
-        auto& lane = shell.m_lanes.try_emplace(instance.m_service, makeLane(shell, instance.m_service)).first->second;
-        lane.m_addresses[instance.m_id] = instance.m_address;
+        addresses[instance.m_service][instance.m_id] = instance.m_address;
+        shell.m_lanes.try_emplace(instance.m_service, makeLane(shell, instance.m_service));
     }
-    for (auto& [service, lane] : shell.m_lanes)
+    for (auto& [service, lane] : shell.m_lanes) {
         updateExecutors(lane.m_routing, listed[service]);
+        dropGone(shell, lane, addresses[service]);
+        lane.m_addresses = std::move(addresses[service]);
+    }
 }
 
 // Idle connections that this entry may keep to an executor, so that all entries together stay within its limit.
--- a/src/detail/traffic/RunRequest.cpp
+++ b/src/detail/traffic/RunRequest.cpp
@@ -31,6 +31,7 @@
 // One attempt: where it went and how it ended.
 struct Attempt {
     std::string m_executor;
+    std::string m_address; // Of the executor when it was chosen.
     std::optional<HttpResponse> m_response;
     LastReason m_reason;
     bool m_wasSent = false;
@@ -105,21 +106,20 @@
         recordFailure(lane.m_routing, attempt.m_executor, now);
         return;
     }
-    const auto address = lane.m_addresses[attempt.m_executor];
-    shell.m_connections.dropIdle(address);
-    asio::co_spawn(shell.m_context, probe(shell, lane.m_service, attempt.m_executor, address), asio::detached);
+    shell.m_connections.dropIdle(attempt.m_address);
+    asio::co_spawn(
+        shell.m_context, probe(shell, lane.m_service, attempt.m_executor, attempt.m_address), asio::detached);
 }
 
 auto send(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, Attempt& attempt)
     -> asio::awaitable<void>
 {
-    const auto address = lane.m_addresses[attempt.m_executor];
-    auto connection = co_await openConnection(shell, address, attempt.m_reason);
+    auto connection = co_await openConnection(shell, attempt.m_address, attempt.m_reason);
     if (!connection)
         co_return;
     // Nothing suspends between this check and the first byte.
     if (!mayStillSend(*currentView(shell), request.m_caller, request.m_deadline, monotonicNow(), attempt.m_reason)) {
-        shell.m_connections.giveBack(address, std::move(*connection), lane.m_spareConnections);
+        shell.m_connections.giveBack(attempt.m_address, std::move(*connection), lane.m_spareConnections);
         co_return;
     }
     logOf("routing").info("{} {} {} of team '{}' to {}", request.m_queue, request.m_message.m_method,
@@ -128,7 +128,7 @@
     const auto time = attemptTime(lane, request);
     attempt.m_response = co_await connection->exchange(request.m_message, time, maximumAnswerBytes, attempt.m_reason);
     attempt.m_hasAnswerBegun = connection->hasAnswerBegun();
-    shell.m_connections.giveBack(address, std::move(*connection), lane.m_spareConnections);
+    shell.m_connections.giveBack(attempt.m_address, std::move(*connection), lane.m_spareConnections);
 }
 
 auto endOf(const Attempt& attempt) -> AttemptEnd { return attempt.m_wasSent ? AttemptEnd::Lost : AttemptEnd::NotSent; }
@@ -165,7 +165,7 @@
             = co_await acquireSlot(shell, *lane, request, tried, outcome.m_reason, outcome.m_retryAfter);
         if (!executor)
             co_return outcome;
-        Attempt attempt { *executor, std::nullopt, {}, false, monotonicNow() };
+        Attempt attempt { *executor, lane->m_addresses[*executor], std::nullopt, {}, false, monotonicNow() };
         co_await send(shell, *lane, request, attempt);
         learn(shell, *lane, request, attempt);
         releaseSlot(shell, *lane, request.m_caller.m_team, *executor, monotonicNow() - attempt.m_startedAt);
