--- a/src/detail/traffic/Lanes.cpp
+++ b/src/detail/traffic/Lanes.cpp
@@ -2,16 +2,21 @@
 
 #include "hemlockvane/configuration/EffectiveValue.h"
 #include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/control/CapacityFollower.h"
 #include "hemlockvane/detail/control/ControlCore.h"
 #include "hemlockvane/detail/traffic/QueueRequest.h"
 #include "hemlockvane/detail/traffic/TrafficShell.h"
 #include "hemlockvane/errors/ErrorAnswer.h"
 #include "hemlockvane/limits/EscrowResource.h"
 #include "hemlockvane/routing/ChooseExecutor.h"
+#include "hemlockvane/routing/ConnectionSubset.h"
+#include "hemlockvane/routing/SubsetLimits.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -135,11 +140,22 @@
         updateExecutors(lane.m_routing, listed[service]);
 }
 
+// Idle connections that this entry may keep to an executor, so that all entries together stay within its limit.
+auto spareOf(const TrafficView& view, std::string_view service, WallMillis now) -> std::size_t
+{
+    const auto limits = subsetLimits(*view.m_configuration, service, now);
+    const auto& entries = view.m_membership->m_entries;
+    const auto members = std::count_if(
+        entries.begin(), entries.end(), [](const auto& entry) { return entry.second.m_removedAt == 0; });
+    return spareConnections(limits, std::min(limits.m_entries, static_cast<std::uint32_t>(members)));
+}
+
 auto followConfiguration(TrafficShell& shell, const TrafficView& view) -> void
 {
     const auto now = wallNow();
     const auto& configuration = *view.m_configuration;
     for (auto& [service, lane] : shell.m_lanes) {
+        lane.m_spareConnections = spareOf(view, service, now);
         lane.m_queue.m_limits.m_depth
             = static_cast<std::size_t>(effectiveValue(configuration, "queue.depth", service, now).m_value);
         for (const auto& [id, key] : view.m_keys->m_keys)
@@ -148,6 +164,25 @@
     }
 }
 
+// True when the team may have nothing running at all.
+auto isBarred(const TrafficShell& shell, std::string_view team) -> bool
+{
+    const auto& capacities = shell.m_capacityFollower.m_capacities;
+    const auto found = capacities.find(teamLimitResource(team));
+    return found != capacities.end() && found->second == 0;
+}
+
+// A request that left the queue while slots were free waited for a permit of its team.
+auto isOverLimit(const TrafficShell& shell, const ServiceLane& lane, std::string_view team) -> bool
+{
+    return permitsFree(shell.m_escrow, teamLimitResource(team)) == 0 && hasFreeSlot(shell, lane);
+}
+
+auto overLimit(std::string_view team, LastReason& reason) -> std::nullopt_t
+{
+    return fail(reason, ErrorKind::OverLimit, "team " + std::string(team) + " has its upper limit running");
+}
+
 } // namespace
 
 auto findLane(TrafficShell& shell, std::string_view service) -> ServiceLane*
@@ -159,12 +194,15 @@
 auto acquireSlot(TrafficShell& shell, ServiceLane& lane, const QueueRequest& request, std::vector<std::string> tried,
     LastReason& reason, Duration& retryAfter) -> asio::awaitable<std::optional<std::string>>
 {
+    const auto& team = request.m_caller.m_team;
+    if (isBarred(shell, team))
+        co_return overLimit(team, reason);
     const auto ticket = ++shell.m_lastTicket;
     const auto wait = std::make_shared<SlotWait>(shell.m_context.get_executor());
     wait->m_isRepeatable = request.m_isRepeatable;
     wait->m_tried = std::move(tried);
     lane.m_waits[ticket] = wait;
-    const QueuedRequest queued { ticket, request.m_caller.m_team, request.m_isUrgent, request.m_deadline };
+    const QueuedRequest queued { ticket, team, request.m_isUrgent, request.m_deadline };
     shed(lane, enqueue(lane.m_queue, queued, monotonicNow()));
     pump(shell, lane);
     boost::system::error_code error;
@@ -173,6 +211,8 @@
     if (wait->m_executor)
         co_return wait->m_executor;
     retryAfter = wait->m_retryAfter;
+    if (wait->m_shedKind != ErrorKind::QueueFull && isOverLimit(shell, lane, team))
+        co_return overLimit(team, reason);
     fail(reason, wait->m_shedKind,
         "the queue of " + lane.m_service + " shed it: " + std::string(errorAnswer(wait->m_shedKind).m_name));
     co_return std::nullopt;
