Find a listed worker in one place, and name millicores once

Placement and maintenance each looked a worker up in the instance list, and four files had their own millicores of a core.

--- a/include/hemlockvane/detail/platform/ListedInstance.h
+++ b/include/hemlockvane/detail/platform/ListedInstance.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <span>
 #include <string>
+#include <string_view>
 
 namespace hemlockvane::detail {
 
@@ -15,4 +17,9 @@
     bool m_isLeaving = false;
 };
 
+/// @brief Finds a worker on the instance list.
+/// @result null when it is not listed; valid while the list lives
+/// @complexity linear in the list
+auto findWorker(std::span<const ListedInstance> listed, std::string_view id) -> const ListedInstance*;
+
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/placement/ResourceSize.h
+++ b/include/hemlockvane/placement/ResourceSize.h
@@ -4,6 +4,9 @@
 
 namespace hemlockvane {
 
+/// @brief Millicores of one core.
+inline constexpr std::int64_t milliPerCore = 1000;
+
 /// @brief An amount of a worker's resources.
 struct ResourceSize {
     std::int64_t m_milliCores = 0;
--- a/src/detail/api/JobsApi.cpp
+++ b/src/detail/api/JobsApi.cpp
@@ -80,7 +80,6 @@
 
 auto declaredSize(const wire::SubmitJob& submit) -> ResourceSize
 {
-    constexpr std::int64_t milliPerCore = 1000;
     const auto& size = submit.size();
     return { size.cores() * milliPerCore, size.memory_mb(), size.accelerators() };
 }
--- a/src/detail/control/MaintenanceDriver.cpp
+++ b/src/detail/control/MaintenanceDriver.cpp
@@ -81,15 +81,6 @@
     return "";
 }
 
-auto findWorker(const ControlCore& core, std::string_view id) -> const ListedInstance*
-{
-    for (const auto& instance : core.m_listed) {
-        if (instance.m_kind == "worker" && instance.m_id == id)
-            return &instance;
-    }
-    return nullptr;
-}
-
 auto recordAction(MaintenanceDriver& driver, WaveAction action) -> asio::awaitable<void>
 {
     auto operation = toOperation(action);
@@ -121,7 +112,7 @@
         asio::co_spawn(context, recordAction(driver, action), asio::detached);
         return;
     }
-    if (const auto* worker = findWorker(driver.m_core, action.m_instance))
+    if (const auto* worker = findWorker(driver.m_core.m_listed, action.m_instance))
         asio::co_spawn(context, rebootWorker(driver, worker->m_address), asio::detached);
 }
 
@@ -147,7 +138,7 @@
             driver.m_current.erase(id);
             continue;
         }
-        const auto* worker = findWorker(driver.m_core, id);
+        const auto* worker = findWorker(driver.m_core.m_listed, id);
         if (worker != nullptr && driver.m_asked.insert(id).second)
             asio::co_spawn(driver.m_core.m_context, askWorker(driver, id, worker->m_address), asio::detached);
     }
--- a/src/detail/control/PlacementDriver.cpp
+++ b/src/detail/control/PlacementDriver.cpp
@@ -29,15 +29,6 @@
 constexpr Duration workerTimeout { 1000 };
 constexpr std::uint32_t permitsAtOnce = 256; // Asked for a team at one time.
 
-auto addressOf(const ControlCore& core, std::string_view worker) -> std::string
-{
-    for (const auto& instance : core.m_listed) {
-        if (instance.m_kind == "worker" && instance.m_id == worker)
-            return instance.m_address;
-    }
-    return {};
-}
-
 auto carryOutAll(PlacementDriver& driver, const std::vector<PlacementAction>& actions) -> void;
 
 auto toOperation(const PlacementAction& action) -> wire::Operation
@@ -150,7 +141,8 @@
     auto& core = driver.m_core;
     if (!dutyEpoch(core, placementDuty))
         co_return;
-    const auto address = addressOf(core, action.m_worker);
+    const auto* worker = findWorker(core.m_listed, action.m_worker);
+    const auto address = worker != nullptr ? worker->m_address : std::string();
     auto [path, body] = commandOf(core, action);
     LastReason reason;
     if (!co_await commandWorker(address, std::move(path), std::move(body), workerTimeout, reason))
--- a/src/detail/platform/WorkerClient.cpp
+++ b/src/detail/platform/WorkerClient.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/http/HttpConnection.h"
 #include "hemlockvane/detail/text/JsonFields.h"
+#include "hemlockvane/placement/ResourceSize.h"
 
 #include <boost/json.hpp>
 
@@ -13,7 +14,6 @@
 namespace {
 
 constexpr unsigned statusOk = 200;
-constexpr std::int64_t milliPerCore = 1000;
 
 auto phaseOf(const json::object& task) -> TaskPhase
 {
--- a/src/placement/FleetRoom.cpp
+++ b/src/placement/FleetRoom.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t milliPerCore = 1000;
-
 auto isHeard(const PlacementState& state, std::string_view worker, Instant now) -> bool
 {
     const auto found = state.m_workers.find(worker);
--- a/src/placement/TrackTasks.cpp
+++ b/src/placement/TrackTasks.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/placement/TrackTasks.h"
 
+#include "hemlockvane/placement/ResourceSize.h"
 #include "hemlockvane/placement/WorkerTrust.h"
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t milliPerCore = 1000;
-
 auto leaseUntil(const PlacementState& state, const WorkerStatus& worker) -> std::int64_t
 {
     return worker.m_clock + state.m_limits.m_leaseTerm.count();
