--- a/app/Commands.h
+++ b/app/Commands.h
@@ -15,3 +15,7 @@
 /// @brief Checks a settings file without starting.
 /// @result 0 without problems, 1 with problems, 2 usage
 auto runCheckSettings(int argc, char** argv) -> int;
+
+/// @brief Runs an instance on the users' platform until SIGTERM.
+/// @result exit code
+auto runServePlatform(int argc, char** argv) -> int;
--- a/app/Main.cpp
+++ b/app/Main.cpp
@@ -17,6 +17,7 @@
 constexpr Command commands[] = {
     { "check-settings", runCheckSettings },
     { "serve", runServe },
+    { "serve-platform", runServePlatform },
     { "ctl", runCtl },
     { "submit", runSubmit },
 };
@@ -29,6 +30,7 @@
             return command.m_run(argc - 1, argv + 1);
     }
     std::fputs("usage: hemlockvane serve --settings FILE\n"
+               "       hemlockvane serve-platform [FILE]\n"
                "       hemlockvane check-settings FILE\n"
                "       hemlockvane ctl [OPTIONS] COMMAND ...\n"
                "       hemlockvane submit [OPTIONS] COMMAND ...\n",
--- a/include/hemlockvane/detail/control/ControlCore.h
+++ b/include/hemlockvane/detail/control/ControlCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/control/CommitWaiter.h"
 #include "hemlockvane/detail/control/PeerStatus.h"
 #include "hemlockvane/detail/control/TrafficView.h"
@@ -90,7 +91,4 @@
 /// @brief A new operation id, unique over all processes.
 auto newOperationId(ControlCore& core) -> std::string;
 
-/// @brief Waits on the control thread.
-auto sleepFor(std::chrono::milliseconds duration) -> boost::asio::awaitable<void>;
-
 } // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "hemlockvane/detail/coordinator/RecordDecoders.h"
+#include "hemlockvane/time/Time.h"
+
+#include <functional>
+#include <string>
+
+namespace hemlockvane::detail {
+
+class AdvicePort;
+class ExecutorPort;
+class MachinePort;
+class Metrics;
+class RecordStore;
+
+/// @brief What the owner of the fleet's work needs from its surroundings; all of it outlives the owner.
+struct CoordinatorPorts {
+    RecordStore* m_store = nullptr;
+    ExecutorPort* m_executors = nullptr;
+    AdvicePort* m_advice = nullptr;
+    MachinePort* m_machines = nullptr;
+    Metrics* m_metrics = nullptr;
+    RecordDecoders m_decoders;
+    std::string m_executorTopic; ///< Keyed topic that holds the list of executors.
+    std::function<Instant()> m_renewedAt; ///< When the newest renewal of the ownership was sent.
+    Duration m_longestLease { 6000 }; ///< Executors shorten longer leases to this.
+    Duration m_statusKept { 120000 }; ///< A job's final state is told for at least this long.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/coordinator/CoordinatorPorts.h"
+#include "hemlockvane/scheduling/Scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hemlockvane::detail {
+
+/// @brief State that the parts of one ownership share; all of them run on one thread.
+struct CoordinatorState {
+    CoordinatorState(boost::asio::io_context& context, const CoordinatorPorts& ports, std::uint64_t epoch)
+        : m_context(context)
+        , m_ports(ports)
+        , m_epoch(epoch)
+        , m_planSignal(context)
+        , m_journalSignal(context)
+    {
+    }
+
+    boost::asio::io_context& m_context;
+    CoordinatorPorts m_ports;
+    std::uint64_t m_epoch;
+    scheduling::Scheduler m_scheduler;
+    bool m_isStopped = false;
+    bool m_isLoaded = false;
+    Signal m_planSignal;
+    Signal m_journalSignal;
+    Instant m_settledBy; ///< When leases of earlier owners must have lapsed.
+    std::uint64_t m_jobsEnd = 0; ///< Next offset of the topic of submissions.
+    std::uint64_t m_executorsEnd = 0; ///< Next offset of the list of executors.
+    std::map<std::string, std::unique_ptr<Signal>> m_lookSignals; ///< By executor id.
+    std::map<std::string, std::string> m_executorRows; ///< Rows about executors that wait for the journal.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/ExecutorLooks.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "hemlockvane/scheduling/TaskRun.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace hemlockvane::detail {
+
+struct CoordinatorState;
+
+/// @brief Takes in the whole list of executors.
+/// @result false when the store did not answer
+auto loadExecutors(const std::shared_ptr<CoordinatorState>& state) -> boost::asio::awaitable<bool>;
+
+/// @brief Follows the list of executors until the ownership ends.
+auto followExecutors(std::shared_ptr<CoordinatorState> state) -> boost::asio::awaitable<void>;
+
+/// @brief Looks at one executor while it has runs, or ends that it may forget; until the ownership ends.
+auto watchExecutor(std::shared_ptr<CoordinatorState> state, scheduling::ExecutorIndex index)
+    -> boost::asio::awaitable<void>;
+
+/// @brief Wakes the watch of an executor.
+auto wakeWatch(CoordinatorState& state, const std::string& id) -> void;
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/JobAnswer.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "hemlockvane/scheduling/JobPhase.h"
+
+namespace hemlockvane::detail {
+
+/// @brief What is known of a job.
+struct JobAnswer {
+    bool m_isKnown = false;
+    scheduling::JobPhase m_phase = scheduling::JobPhase::Queued; ///< When known.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/SchedulerRecords.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "hemlockvane/scheduling/ExecutorEntry.h"
+#include "hemlockvane/scheduling/JobProgress.h"
+#include "hemlockvane/scheduling/JobSpec.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockvane::detail {
+
+/// @brief Sixteen hexadecimal digits of a job id.
+auto jobIdText(scheduling::JobId id) -> std::string;
+
+/// @brief Reads sixteen hexadecimal digits.
+/// @result empty for anything else
+auto parseJobId(std::string_view text) -> std::optional<scheduling::JobId>;
+
+auto encodeProgress(const scheduling::JobProgress& progress) -> std::string;
+auto decodeProgress(std::string_view bytes) -> std::optional<scheduling::JobProgress>;
+
+auto encodeExecutor(const scheduling::ExecutorEntry& entry) -> std::string;
+auto decodeExecutor(std::string_view bytes) -> std::optional<scheduling::ExecutorEntry>;
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/ports/LookResult.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "hemlockvane/detail/ports/CallOutcome.h"
+#include "hemlockvane/scheduling/ExecutorReport.h"
+
+namespace hemlockvane::detail {
+
+/// @brief The answer to a look.
+struct LookResult {
+    CallOutcome m_outcome = CallOutcome::Unknown;
+    scheduling::ExecutorReport m_report; ///< When answered.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/ports/RecordStore.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hemlockvane/detail/ports/KeyedRecord.h"
+#include "hemlockvane/detail/ports/StoreAppend.h"
+#include "hemlockvane/detail/ports/StoreAppendResult.h"
+#include "hemlockvane/detail/ports/StoreRead.h"
+#include "hemlockvane/time/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief The platform's store of record logs: the only place where anything lasts.
+class RecordStore {
+public:
+    virtual ~RecordStore() = default;
+
+    /// @param timeout for an answer
+    virtual auto append(StoreAppend order, Duration timeout) -> boost::asio::awaitable<StoreAppendResult> = 0;
+
+    /// @brief Reads from an offset; with a wait, answers as soon as there is a record.
+    /// @result empty without an answer
+    virtual auto read(std::string topic, std::uint64_t from, Duration wait)
+        -> boost::asio::awaitable<std::optional<StoreRead>>
+        = 0;
+
+    /// @brief Newest record of every key, and the offset from which to go on reading.
+    /// @result empty without a whole answer
+    virtual auto newest(std::string topic)
+        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>>
+        = 0;
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/ports/StoreAppendResult.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "hemlockvane/detail/ports/StoreAppendKind.h"
+
+#include <cstdint>
+
+namespace hemlockvane::detail {
+
+/// @brief The store's answer to an append.
+struct StoreAppendResult {
+    StoreAppendKind m_kind = StoreAppendKind::Unknown;
+    std::uint64_t m_offset = 0; ///< Of the first record; when stored.
+    std::uint64_t m_end = 0; ///< Of the topic.
+    std::uint64_t m_expectedSequence = 0; ///< When out of order.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/rules/RulesSource.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "hemlockvane/detail/rules/OperatorRules.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockvane::detail {
+
+/// @brief Where the operators' records are and how they are read.
+struct RulesSource {
+    std::string m_topic; ///< Keyed topic of what operators write.
+    std::string m_rulesKey; ///< Key of the newest configuration.
+    std::function<std::optional<OperatorRules>(std::string_view value)> m_decode;
+    std::function<void(std::string_view key, std::string_view value)> m_onOther; ///< Called with every other record.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hemlockvane/scheduling/ExecutorEntry.h"
+#include "hemlockvane/scheduling/ExecutorRun.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlockvane::scheduling {
+
+/// @brief One executor as the scheduler sees it.
+struct Executor {
+    ExecutorEntry m_entry;
+    std::string m_rack;
+    bool m_isListed = true;
+    bool m_isGone = false; ///< It is certain that this incarnation is no more.
+    bool m_isSettled = false; ///< It answered under this owner's epoch, or its leases from before must have lapsed.
+    Instant m_settledBy; ///< When leases given by earlier owners must have lapsed.
+    bool m_isSilent = false; ///< Its last calls were not answered.
+    bool m_isReserved = false; ///< Set aside for a move or an upkeep: nothing is placed there.
+    Instant m_restsUntil; ///< Nothing is placed there before, after it failed what it was given.
+    std::uint32_t m_failuresInRow = 0; ///< Ends failed, of different jobs, since the last end done.
+    JobId m_lastFailedJob = 0;
+
+    Resources m_used; ///< Needs of all its runs, fillers' processors left out.
+    std::vector<ExecutorRun> m_runs;
+
+    std::int64_t m_clockMs = 0; ///< Its clock at `m_clockAt`, at the least.
+    Instant m_clockAt;
+    std::int64_t m_leaseUntilMs = 0; ///< Latest deadline sent, on its clock.
+    std::uint64_t m_lastSeen = 0; ///< Ends up to here are stored with us.
+    std::uint64_t m_lastRead = 0; ///< Ends up to here were applied.
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> m_unstored; ///< Number of an end and the journal batch that holds it.
+};
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/include/hemlockvane/scheduling/ExecutorEntry.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "hemlockvane/scheduling/Resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::scheduling {
+
+/// @brief What an executor says of itself in the list.
+struct ExecutorEntry {
+    std::string m_id;
+    std::int64_t m_bornMs = 0; ///< Unix time of its start; id and start together name one incarnation.
+    std::string m_service;
+    std::string m_address;
+    std::string m_zone;
+    bool m_isDraining = false;
+    std::int64_t m_remainingMs = 0; ///< While draining: least time that is left.
+    Resources m_capacity;
+    std::vector<std::string> m_labels; ///< Kind and rack.
+
+    auto operator==(const ExecutorEntry&) const -> bool = default;
+};
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/include/hemlockvane/scheduling/ExecutorRun.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "hemlockvane/scheduling/TaskKey.h"
+
+#include <cstdint>
+
+namespace hemlockvane::scheduling {
+
+/// @brief A run as an executor's own list names it.
+struct ExecutorRun {
+    TaskKey m_task;
+    std::uint32_t m_run = 0;
+
+    auto operator==(const ExecutorRun&) const -> bool = default;
+};
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/include/hemlockvane/scheduling/Occurrence.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "hemlockvane/scheduling/StepState.h"
+
+#include <vector>
+
+namespace hemlockvane::scheduling {
+
+/// @brief One run of all steps of a job.
+struct Occurrence {
+    WallMillis m_due = 0;
+    std::vector<StepState> m_steps;
+    bool m_isDone = false;
+};
+
+} // namespace hemlockvane::scheduling
--- a/src/detail/control/ControlCore.cpp
+++ b/src/detail/control/ControlCore.cpp
@@ -90,11 +90,4 @@
     return core.m_instance + "/" + std::to_string(++core.m_operationCount);
 }
 
-auto sleepFor(std::chrono::milliseconds duration) -> asio::awaitable<void>
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-}
-
 } // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -0,0 +1,155 @@
+#include "hemlockvane/detail/coordinator/Coordinator.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/ExecutorLooks.h"
+#include "hemlockvane/detail/coordinator/Journal.h"
+#include "hemlockvane/detail/coordinator/OrderSender.h"
+#include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration planInterval { 100 }; // Longest time between two plans: leases, stops and due times.
+constexpr Duration planSpacing { 8 }; // Between two plans: one plan takes in what arrives meanwhile.
+constexpr Duration loadRetry { 100 }; // After a load that the store did not answer.
+constexpr Duration leaseClockSlack { 500 }; // For executors' clocks, 2 % slow, and calls on their way.
+
+auto planOnce(const std::shared_ptr<CoordinatorState>& state) -> void
+{
+    auto& scheduler = state->m_scheduler;
+    const auto now = monotonicNow();
+    scheduler.m_renewedAt = state->m_ports.m_renewedAt();
+    const auto lapsed = scheduling::expireLeases(scheduler, now);
+    if (lapsed > 0)
+        logOf("executors").info("event=leases_lapsed runs={}", lapsed);
+    std::vector<scheduling::Action> actions;
+    scheduling::planStops(scheduler, now, actions);
+    scheduling::planStarts(scheduler, now, wallNow(), actions);
+    if (!scheduler.m_dirtyJobs.empty())
+        state->m_journalSignal.notify();
+    sendActions(state, std::move(actions));
+}
+
+auto planAlways(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<void>
+{
+    while (!state->m_isStopped) {
+        planOnce(state);
+        co_await sleepFor(planSpacing);
+        co_await state->m_planSignal.wait(planInterval);
+    }
+}
+
+auto load(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<bool>
+{
+    const auto isFenced = co_await fenceJournal(*state);
+    if (!isFenced)
+        co_return false;
+    while (!state->m_isStopped) {
+        auto isLoaded = co_await loadSubmissions(*state);
+        if (isLoaded)
+            isLoaded = co_await loadJournal(*state);
+        if (isLoaded)
+            isLoaded = co_await loadExecutors(state);
+        if (isLoaded)
+            co_return true;
+        co_await sleepFor(loadRetry);
+    }
+    co_return false;
+}
+
+} // namespace
+
+Coordinator::Coordinator(asio::io_context& context, const CoordinatorPorts& ports, std::uint64_t epoch)
+    : m_state(std::make_shared<CoordinatorState>(context, ports, epoch))
+{
+}
+
+Coordinator::~Coordinator() = default;
+
+auto Coordinator::start(const scheduling::FleetRules& rules) -> void
+{
+    m_state->m_scheduler.m_rules = rules;
+    asio::co_spawn(m_state->m_context, run(), asio::detached);
+}
+
+auto Coordinator::stop() -> void
+{
+    m_state->m_isStopped = true;
+    m_state->m_planSignal.notify();
+    m_state->m_journalSignal.notify();
+    for (const auto& [id, signal] : m_state->m_lookSignals)
+        signal->notify();
+}
+
+auto Coordinator::setRules(const scheduling::FleetRules& rules) -> void
+{
+    m_state->m_scheduler.m_rules = rules;
+    m_state->m_planSignal.notify();
+}
+
+auto Coordinator::run() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    const auto state = m_state;
+    const auto begunAt = monotonicNow();
+    state->m_settledBy
+        = begunAt + state->m_ports.m_longestLease + state->m_ports.m_longestLease / 50 + leaseClockSlack;
+    const auto isLoaded = co_await load(state);
+    if (!isLoaded)
+        co_return;
+    state->m_isLoaded = true;
+    logOf("owner").info("event=loaded epoch={} jobs={} executors={} took_ms={}", state->m_epoch,
+        state->m_scheduler.m_jobs.size(), state->m_scheduler.m_executors.size(), (monotonicNow() - begunAt).count());
+    state->m_ports.m_metrics->count("takeovers_total");
+    asio::co_spawn(state->m_context, followSubmissions(state), asio::detached);
+    asio::co_spawn(state->m_context, followExecutors(state), asio::detached);
+    asio::co_spawn(state->m_context, writeJournal(state), asio::detached);
+    co_await planAlways(state);
+}
+
+auto Coordinator::statusOf(scheduling::JobId id) -> asio::awaitable<std::optional<JobAnswer>>
+{
+    const auto state = m_state;
+    if (!state->m_isLoaded || state->m_isStopped)
+        co_return std::nullopt;
+    const auto* job = scheduling::findJob(state->m_scheduler, id);
+    if (job == nullptr) {
+        const auto isRead = co_await readSubmissions(*state, Duration { 0 });
+        if (!isRead)
+            co_return std::nullopt;
+        job = scheduling::findJob(state->m_scheduler, id);
+    }
+    if (job == nullptr)
+        co_return JobAnswer {};
+    // A final state is told only once it is stored: a new owner must not take it back.
+    const auto isTold = !scheduling::isFinal(job->m_phase) || job->m_phase == scheduling::JobPhase::Cancelled;
+    const auto stored = scheduling::isFinal(job->m_durablePhase) ? job->m_durablePhase : scheduling::JobPhase::Running;
+    co_return JobAnswer { true, isTold ? job->m_phase : stored };
+}
+
+auto Coordinator::waitingOf(const std::string& queue) -> std::optional<std::size_t>
+{
+    if (!m_state->m_isLoaded || m_state->m_isStopped)
+        return std::nullopt;
+    std::size_t waiting = 0;
+    for (const auto id : m_state->m_scheduler.m_active) {
+        const auto& job = *m_state->m_scheduler.m_jobs.at(id);
+        if (job.m_spec.m_queue == queue && job.m_phase == scheduling::JobPhase::Queued)
+            ++waiting;
+    }
+    return waiting;
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/Journal.cpp
@@ -0,0 +1,147 @@
+#include "hemlockvane/detail/coordinator/Journal.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling/StoreProgress.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+#include <utility>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string journalProducer = "owner";
+constexpr Duration batchSpacing { 40 }; // Between two appends: a batch gathers what ends meanwhile.
+constexpr Duration idleWait { 1000 }; // Without changes.
+constexpr Duration appendTimeout { 1000 }; // A slow store answers within 0.5 s.
+constexpr Duration retryPause { 80 }; // After a refusal or no answer.
+
+using PhaseInBatch = std::pair<scheduling::JobId, scheduling::JobPhase>;
+
+// The changes since the last batch, as records; the jobs are clean afterwards.
+auto takeBatch(CoordinatorState& state, std::vector<PhaseInBatch>& phases) -> StoreAppend
+{
+    auto& scheduler = state.m_scheduler;
+    StoreAppend order;
+    order.m_topic = progressTopic;
+    order.m_producer = journalProducer;
+    order.m_epoch = state.m_epoch;
+    for (const auto id : scheduler.m_dirtyJobs) {
+        auto* job = scheduling::findJob(scheduler, id);
+        if (job == nullptr)
+            continue;
+        job->m_isDirty = false;
+        phases.emplace_back(id, job->m_phase);
+        order.m_records.push_back(
+            keyedRecord(progressPrefix + jobIdText(id), encodeProgress(scheduling::progressOf(*job))));
+    }
+    scheduler.m_dirtyJobs.clear();
+    for (const auto& [id, row] : state.m_executorRows)
+        order.m_records.push_back(keyedRecord(executorPrefix + id, row));
+    state.m_executorRows.clear();
+    return order;
+}
+
+auto hasChanges(const CoordinatorState& state) -> bool
+{
+    return !state.m_scheduler.m_dirtyJobs.empty() || !state.m_executorRows.empty();
+}
+
+// Appends until the store has it; a repeat of the same sequence number is one append.
+auto appendUntilStored(CoordinatorState& state, const StoreAppend& order) -> asio::awaitable<bool>
+{
+    while (!state.m_isStopped) {
+        auto repeat = order;
+        const auto result = co_await state.m_ports.m_store->append(std::move(repeat), appendTimeout);
+        if (result.m_kind == StoreAppendKind::Stored)
+            co_return true;
+        if (result.m_kind == StoreAppendKind::Fenced || result.m_kind == StoreAppendKind::OutOfOrder) {
+            logOf("journal").error("event=journal_refused epoch={} sequence={} expected={}", order.m_epoch,
+                order.m_sequence, result.m_expectedSequence);
+            co_return false;
+        }
+        state.m_ports.m_metrics->count("journal_retries_total");
+        co_await sleepFor(retryPause);
+    }
+    co_return false;
+}
+
+auto noteBatchStored(CoordinatorState& state, const std::vector<PhaseInBatch>& phases, std::uint64_t batch) -> void
+{
+    for (const auto& [id, phase] : phases) {
+        auto* job = scheduling::findJob(state.m_scheduler, id);
+        if (job == nullptr)
+            continue;
+        if (scheduling::isFinal(phase) && !scheduling::isFinal(job->m_durablePhase))
+            logOf("jobs").info("event=job_end job={} phase={} batch={} took_ms={}", jobIdText(id),
+                static_cast<int>(phase), batch, wallNow() - job->m_spec.m_submittedAt);
+        job->m_durablePhase = phase;
+    }
+    scheduling::noteStored(state.m_scheduler, batch);
+}
+
+} // namespace
+
+auto fenceJournal(CoordinatorState& state) -> asio::awaitable<bool>
+{
+    StoreAppend order;
+    order.m_topic = progressTopic;
+    order.m_producer = journalProducer;
+    order.m_epoch = state.m_epoch;
+    co_return co_await appendUntilStored(state, order);
+}
+
+auto loadJournal(CoordinatorState& state) -> asio::awaitable<bool>
+{
+    const auto newest = co_await state.m_ports.m_store->newest(progressTopic);
+    if (!newest)
+        co_return false;
+    for (const auto& record : newest->first) {
+        if (record.m_key.empty() || record.m_value.empty())
+            continue;
+        const auto id = parseJobId(std::string_view(record.m_key).substr(1));
+        const auto progress
+            = record.m_key.front() == progressPrefix && id ? decodeProgress(record.m_value) : std::nullopt;
+        const auto entry
+            = record.m_key.front() == executorPrefix ? decodeExecutor(record.m_value) : std::nullopt;
+        if (progress)
+            scheduling::restoreProgress(state.m_scheduler, *id, *progress);
+        else if (entry)
+            scheduling::listExecutor(state.m_scheduler, *entry, state.m_settledBy, monotonicNow());
+        else
+            logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
+    }
+    co_return true;
+}
+
+auto writeJournal(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
+{
+    std::uint64_t sequence = 1;
+    while (!state->m_isStopped) {
+        if (!hasChanges(*state)) {
+            co_await state->m_journalSignal.wait(idleWait);
+            continue;
+        }
+        std::vector<PhaseInBatch> phases;
+        auto order = takeBatch(*state, phases);
+        const auto batch = state->m_scheduler.m_openBatch++;
+        order.m_sequence = sequence++;
+        const auto isStored = co_await appendUntilStored(*state, order);
+        if (!isStored)
+            co_return;
+        noteBatchStored(*state, phases, batch);
+        co_await sleepFor(batchSpacing);
+    }
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/OrderSender.cpp
@@ -0,0 +1,137 @@
+#include "hemlockvane/detail/coordinator/OrderSender.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/ExecutorLooks.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/ports/AdvicePort.h"
+#include "hemlockvane/detail/ports/ExecutorPort.h"
+#include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int startAttempts = 3; // The same start again is the same run; most lost answers are one call's.
+
+auto taskText(const scheduling::TaskKey& key) -> std::string
+{
+    return jobIdText(key.m_job) + "." + std::to_string(key.m_occurrence) + "." + std::to_string(key.m_step) + "."
+        + std::to_string(key.m_index);
+}
+
+auto makeStart(CoordinatorState& state, const scheduling::Action& action) -> StartOrder
+{
+    const auto& executor = *state.m_scheduler.m_executors[action.m_executor];
+    const auto* job = scheduling::findJob(state.m_scheduler, action.m_task.m_job);
+    const auto* task = scheduling::findTask(state.m_scheduler, action.m_task);
+    StartOrder order;
+    order.m_task = action.m_task;
+    order.m_run = action.m_run;
+    order.m_payload = job->m_spec.m_payload;
+    order.m_epoch = state.m_epoch;
+    order.m_checkpoint = task->m_checkpoint;
+    order.m_ticket = action.m_ticket;
+    order.m_deadlineMs = executor.m_clockMs + (monotonicNow() - executor.m_clockAt).count()
+        + state.m_scheduler.m_timing.m_lease.count();
+    return order;
+}
+
+auto sendStart(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
+{
+    auto& executor = *state->m_scheduler.m_executors[action.m_executor];
+    const auto sentAt = monotonicNow();
+    const auto order = makeStart(*state, action);
+    executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, order.m_deadlineMs);
+    auto answer = scheduling::StartAnswer::Unknown;
+    auto wasRepeated = false;
+    for (int attempt = 0; attempt < startAttempts && !state->m_isStopped; ++attempt) {
+        const auto* run
+            = scheduling::findRun(state->m_scheduler, action.m_task, action.m_run, action.m_executor);
+        if (run == nullptr || run->m_phase != scheduling::RunPhase::Starting)
+            break;
+        wasRepeated = attempt > 0;
+        answer = co_await state->m_ports.m_executors->start(
+            executor.m_entry.m_address, executor.m_entry.m_id, order);
+        if (answer != scheduling::StartAnswer::Unknown)
+            break;
+    }
+    if (state->m_isStopped)
+        co_return;
+    logOf("orders").info("event=start task={} run={} executor={} used_cpu={} reason=\"{}\" answer={} took_ms={}",
+        taskText(action.m_task), action.m_run, executor.m_entry.m_id, executor.m_used.m_cpuMillis, action.m_reason,
+        static_cast<int>(answer), (monotonicNow() - sentAt).count());
+    state->m_ports.m_metrics->count("starts_total{answer=\"" + std::to_string(static_cast<int>(answer)) + "\"}");
+    scheduling::applyStartAnswer(state->m_scheduler, action.m_executor, action.m_task, action.m_run, answer,
+        wasRepeated, monotonicNow());
+    wakeWatch(*state, executor.m_entry.m_id);
+    if (answer != scheduling::StartAnswer::Started)
+        state->m_planSignal.notify();
+}
+
+auto sendStop(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
+{
+    auto& executor = *state->m_scheduler.m_executors[action.m_executor];
+    const auto outcome = co_await state->m_ports.m_executors->stop(
+        executor.m_entry.m_address, executor.m_entry.m_id, action.m_task, action.m_run, state->m_epoch);
+    if (state->m_isStopped)
+        co_return;
+    logOf("orders").info("event=stop task={} run={} executor={} reason=\"{}\" outcome={}", taskText(action.m_task),
+        action.m_run, executor.m_entry.m_id, action.m_reason, static_cast<int>(outcome));
+    if (outcome == CallOutcome::Answered)
+        scheduling::applyStopAnswer(
+            state->m_scheduler, action.m_executor, action.m_task, action.m_run, monotonicNow());
+    wakeWatch(*state, executor.m_entry.m_id);
+}
+
+auto sendPace(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
+{
+    auto& executor = *state->m_scheduler.m_executors[action.m_executor];
+    const auto outcome = co_await state->m_ports.m_executors->pace(executor.m_entry.m_address,
+        executor.m_entry.m_id, action.m_task, action.m_run, action.m_percent, state->m_epoch);
+    logOf("orders").info("event=pace task={} run={} executor={} percent={} reason=\"{}\" outcome={}",
+        taskText(action.m_task), action.m_run, executor.m_entry.m_id, action.m_percent, action.m_reason,
+        static_cast<int>(outcome));
+}
+
+auto askAdvice(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
+{
+    const auto askedAt = monotonicNow();
+    auto answer = co_await state->m_ports.m_advice->ask(action.m_task, action.m_candidates);
+    if (state->m_isStopped)
+        co_return;
+    logOf("advice").info("event=advice step={} asked={} good={} valid_ms={} took_ms={}", taskText(action.m_task),
+        action.m_candidates.size(), answer ? static_cast<int>(answer->m_tickets.size()) : -1,
+        answer ? answer->m_validFor.count() : 0, (monotonicNow() - askedAt).count());
+    auto given = answer.value_or(AdviceAnswer {});
+    scheduling::applyAdvice(
+        state->m_scheduler, action.m_task, std::move(given.m_tickets), given.m_validFor, askedAt);
+    state->m_planSignal.notify();
+}
+
+} // namespace
+
+auto sendActions(const std::shared_ptr<CoordinatorState>& state, std::vector<scheduling::Action> actions) -> void
+{
+    for (auto& action : actions) {
+        const auto send = action.m_kind == scheduling::ActionKind::Start ? sendStart
+            : action.m_kind == scheduling::ActionKind::Stop               ? sendStop
+            : action.m_kind == scheduling::ActionKind::Pace               ? sendPace
+                                                                          : askAdvice;
+        asio::co_spawn(state->m_context, send(state, std::move(action)), asio::detached);
+    }
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/OwnerElection.cpp
@@ -0,0 +1,217 @@
+#include "hemlockvane/detail/coordinator/OwnerElection.h"
+
+#include "hemlockvane/scheduling.pb.h"
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string ownerTopic = "owner";
+constexpr int releaseAttempts = 3; // Of a shutdown, which must not last long.
+constexpr Duration followWait { 600 }; // One read of a follower waits this long for a renewal.
+
+} // namespace
+
+struct OwnerElection::Impl : std::enable_shared_from_this<OwnerElection::Impl> {
+    Impl(asio::io_context& context, RecordStore& store, ElectionTiming timing)
+        : m_context(context)
+        , m_store(store)
+        , m_timing(timing)
+    {
+    }
+
+    auto run() -> asio::awaitable<void>;
+    auto follow(Duration wait) -> asio::awaitable<bool>;
+    auto applyRecord(const std::string& bytes) -> void;
+    auto renew() -> asio::awaitable<void>;
+    auto takeOver() -> asio::awaitable<void>;
+    auto appendOwn(std::uint64_t epoch, bool isReleased) -> asio::awaitable<StoreAppendResult>;
+    auto become(bool isOwner, std::uint64_t epoch, const char* reason) -> void;
+
+    asio::io_context& m_context;
+    RecordStore& m_store;
+    ElectionTiming m_timing;
+    std::string m_instance;
+    std::string m_address;
+    std::uint64_t m_nonce = 0;
+    std::function<void(bool)> m_onChange;
+    OwnerView m_view;
+    std::uint64_t m_end = 0;
+    Instant m_lastNewsAt; // Last record read, or first read after a failed one.
+    bool m_wasRead = false; // The last read was answered.
+    bool m_isOwner = false;
+    bool m_isLeaving = false;
+    std::uint64_t m_epoch = 0;
+    Instant m_renewedAt;
+    std::optional<Instant> m_unansweredSince; // When the oldest append was sent of which the outcome is not known.
+};
+
+auto OwnerElection::Impl::become(bool isOwner, std::uint64_t epoch, const char* reason) -> void
+{
+    if (m_isOwner == isOwner)
+        return;
+    m_isOwner = isOwner;
+    m_epoch = epoch;
+    logOf("election").info("event=owner owner={} epoch={} end={} reason=\"{}\"", isOwner, epoch, m_end, reason);
+    m_onChange(isOwner);
+}
+
+auto OwnerElection::Impl::applyRecord(const std::string& bytes) -> void
+{
+    wire::OwnerRecord record;
+    ++m_end;
+    m_lastNewsAt = monotonicNow();
+    if (!record.ParseFromString(bytes)) {
+        logOf("election").warn("event=unreadable_record offset={}", m_end - 1);
+        return;
+    }
+    if (record.epoch() != m_view.m_epoch || record.released() != m_view.m_isReleased)
+        logOf("election").info("event=seen instance={} epoch={} released={}", record.instance(), record.epoch(),
+            record.released());
+    m_view = { record.instance(), record.released() ? std::string() : record.address(), record.epoch(), record.nonce(),
+        record.released() };
+    const auto isOwn = record.nonce() == m_nonce && !record.released();
+    if (isOwn && m_unansweredSince) {
+        m_renewedAt = *m_unansweredSince;
+        m_unansweredSince.reset();
+    }
+    if (m_isOwner && (!isOwn || record.epoch() != m_epoch))
+        become(false, 0, "another instance took over");
+    else if (isOwn && !m_isOwner && !m_isLeaving)
+        become(true, record.epoch(), "own record read back");
+}
+
+auto OwnerElection::Impl::follow(Duration wait) -> asio::awaitable<bool>
+{
+    const auto read = co_await m_store.read(ownerTopic, m_end, wait);
+    if (!read) {
+        m_wasRead = false;
+        co_return false;
+    }
+    if (!m_wasRead)
+        m_lastNewsAt = monotonicNow();
+    m_wasRead = true;
+    if (read->m_isExpired) {
+        m_end = read->m_first;
+        co_return true;
+    }
+    for (const auto& record : read->m_records)
+        applyRecord(record);
+    co_return true;
+}
+
+auto OwnerElection::Impl::appendOwn(std::uint64_t epoch, bool isReleased) -> asio::awaitable<StoreAppendResult>
+{
+    wire::OwnerRecord record;
+    record.set_instance(m_instance);
+    record.set_address(m_address);
+    record.set_epoch(epoch);
+    record.set_nonce(m_nonce);
+    record.set_released(isReleased);
+    StoreAppend order;
+    order.m_topic = ownerTopic;
+    order.m_records.push_back(record.SerializeAsString());
+    order.m_expectedEnd = m_end;
+    m_unansweredSince = m_unansweredSince.value_or(monotonicNow());
+    const auto result = co_await m_store.append(std::move(order), m_timing.m_callTimeout);
+    if (result.m_kind == StoreAppendKind::Stored) {
+        m_renewedAt = *m_unansweredSince;
+        m_unansweredSince.reset();
+    }
+    co_return result;
+}
+
+auto OwnerElection::Impl::renew() -> asio::awaitable<void>
+{
+    const auto result = co_await appendOwn(m_epoch, false);
+    if (result.m_kind == StoreAppendKind::Stored) {
+        m_end = result.m_end;
+        co_await sleepFor(m_timing.m_renewal);
+        co_return;
+    }
+    // Somebody has appended: this instance, by a call whose answer was lost, or another one.
+    if (result.m_kind == StoreAppendKind::OtherEnd)
+        co_await follow(Duration { 0 });
+    else
+        co_await sleepFor(m_timing.m_retry);
+}
+
+auto OwnerElection::Impl::takeOver() -> asio::awaitable<void>
+{
+    const auto epoch = m_end + 1;
+    const auto result = co_await appendOwn(epoch, false);
+    if (result.m_kind != StoreAppendKind::Stored)
+        co_return;
+    m_end = result.m_end;
+    m_view = { m_instance, m_address, epoch, m_nonce, false };
+    become(true, epoch, "no renewal");
+}
+
+auto OwnerElection::Impl::run() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    m_lastNewsAt = monotonicNow();
+    while (!m_isLeaving) {
+        if (m_isOwner) {
+            co_await renew();
+            continue;
+        }
+        const auto isRead = co_await follow(followWait);
+        if (!isRead) {
+            co_await sleepFor(m_timing.m_retry);
+            continue;
+        }
+        const auto isVacant = m_view.m_isReleased || monotonicNow() - m_lastNewsAt > m_timing.m_silence;
+        if (!m_isOwner && !m_isLeaving && isVacant)
+            co_await takeOver();
+    }
+}
+
+OwnerElection::OwnerElection(asio::io_context& context, RecordStore& store, std::string instance,
+    std::string address, std::uint64_t nonce, ElectionTiming timing, std::function<void(bool)> onChange)
+    : m_impl(std::make_shared<Impl>(context, store, timing))
+{
+    m_impl->m_instance = std::move(instance);
+    m_impl->m_address = std::move(address);
+    m_impl->m_nonce = nonce;
+    m_impl->m_onChange = std::move(onChange);
+}
+
+OwnerElection::~OwnerElection() = default;
+
+auto OwnerElection::start() -> void { asio::co_spawn(m_impl->m_context, m_impl->run(), asio::detached); }
+
+auto OwnerElection::release() -> asio::awaitable<void>
+{
+    const auto impl = m_impl;
+    impl->m_isLeaving = true;
+    if (!impl->m_isOwner)
+        co_return;
+    const auto epoch = impl->m_epoch;
+    impl->become(false, 0, "shutting down");
+    // A renewal may be on its way: its record is read first, then the release is tried again.
+    for (int attempt = 0; attempt < releaseAttempts; ++attempt) {
+        const auto result = co_await impl->appendOwn(epoch, true);
+        if (result.m_kind == StoreAppendKind::Stored)
+            co_return;
+        co_await impl->follow(Duration { 0 });
+    }
+}
+
+auto OwnerElection::isOwner() const -> bool { return m_impl->m_isOwner; }
+auto OwnerElection::epoch() const -> std::uint64_t { return m_impl->m_epoch; }
+auto OwnerElection::owner() const -> const OwnerView& { return m_impl->m_view; }
+auto OwnerElection::renewedAt() const -> Instant { return m_impl->m_renewedAt; }
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -0,0 +1,124 @@
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+
+#include "hemlockvane/scheduling.pb.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace hemlockvane::detail {
+
+namespace {
+
+constexpr std::size_t jobIdDigits = 16;
+constexpr int hexBase = 16;
+
+auto toBytes(std::string_view bytes) -> std::string { return std::string(bytes); }
+
+auto encodeTask(const scheduling::TaskProgress& task, wire::TaskProgressRecord& row) -> void
+{
+    row.set_occurrence(task.m_occurrence);
+    row.set_step(task.m_step);
+    row.set_index(task.m_index);
+    row.set_done(task.m_isDone);
+    row.set_failures(task.m_failures);
+    row.set_gang_failures(task.m_gangFailures);
+    row.set_highest_run(task.m_highestRun);
+    row.set_ended_runs(task.m_endedRuns);
+    row.set_checkpoint(task.m_checkpoint);
+}
+
+auto decodeTask(const wire::TaskProgressRecord& row) -> scheduling::TaskProgress
+{
+    scheduling::TaskProgress task;
+    task.m_occurrence = row.occurrence();
+    task.m_step = row.step();
+    task.m_index = row.index();
+    task.m_isDone = row.done();
+    task.m_failures = row.failures();
+    task.m_gangFailures = row.gang_failures();
+    task.m_highestRun = row.highest_run();
+    task.m_endedRuns = row.ended_runs();
+    task.m_checkpoint = row.checkpoint();
+    return task;
+}
+
+} // namespace
+
+auto jobIdText(scheduling::JobId id) -> std::string
+{
+    char text[jobIdDigits + 1];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(id));
+    return text;
+}
+
+auto parseJobId(std::string_view text) -> std::optional<scheduling::JobId>
+{
+    scheduling::JobId id = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, id, hexBase);
+    if (text.size() != jobIdDigits || result.ec != std::errc {} || result.ptr != end)
+        return std::nullopt;
+    return id;
+}
+
+auto encodeProgress(const scheduling::JobProgress& progress) -> std::string
+{
+    wire::ProgressRecord record;
+    record.set_phase(static_cast<std::uint32_t>(progress.m_phase));
+    record.set_ended_at_ms(progress.m_endedAt);
+    record.set_occurrences_done(progress.m_occurrencesDone);
+    for (const auto number : progress.m_doneOccurrences)
+        record.add_done_occurrences(number);
+    for (const auto& task : progress.m_tasks)
+        encodeTask(task, *record.add_tasks());
+    return record.SerializeAsString();
+}
+
+auto decodeProgress(std::string_view bytes) -> std::optional<scheduling::JobProgress>
+{
+    wire::ProgressRecord record;
+    if (!record.ParseFromString(toBytes(bytes)))
+        return std::nullopt;
+    scheduling::JobProgress progress;
+    progress.m_phase = static_cast<scheduling::JobPhase>(record.phase());
+    progress.m_endedAt = record.ended_at_ms();
+    progress.m_occurrencesDone = record.occurrences_done();
+    progress.m_doneOccurrences.assign(record.done_occurrences().begin(), record.done_occurrences().end());
+    for (const auto& row : record.tasks())
+        progress.m_tasks.push_back(decodeTask(row));
+    return progress;
+}
+
+auto encodeExecutor(const scheduling::ExecutorEntry& entry) -> std::string
+{
+    wire::ExecutorRecord record;
+    record.set_id(entry.m_id);
+    record.set_born_ms(entry.m_bornMs);
+    record.set_service(entry.m_service);
+    record.set_address(entry.m_address);
+    record.set_zone(entry.m_zone);
+    for (const auto& label : entry.m_labels)
+        record.add_labels(label);
+    record.set_cpu_millis(entry.m_capacity.m_cpuMillis);
+    record.set_memory_mb(entry.m_capacity.m_memoryMb);
+    record.set_gpus(entry.m_capacity.m_gpus);
+    return record.SerializeAsString();
+}
+
+auto decodeExecutor(std::string_view bytes) -> std::optional<scheduling::ExecutorEntry>
+{
+    wire::ExecutorRecord record;
+    if (!record.ParseFromString(toBytes(bytes)))
+        return std::nullopt;
+    scheduling::ExecutorEntry entry;
+    entry.m_id = record.id();
+    entry.m_bornMs = record.born_ms();
+    entry.m_service = record.service();
+    entry.m_address = record.address();
+    entry.m_zone = record.zone();
+    entry.m_labels.assign(record.labels().begin(), record.labels().end());
+    entry.m_capacity = { record.cpu_millis(), record.memory_mb(), record.gpus() };
+    return entry;
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/Submissions.cpp
@@ -0,0 +1,97 @@
+#include "hemlockvane/detail/coordinator/Submissions.h"
+
+#include "hemlockvane/scheduling.pb.h"
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration submissionWait { 1000 }; // One read waits this long for a submission.
+constexpr Duration retryPause { 100 }; // After a read without an answer.
+
+auto applySubmission(CoordinatorState& state, scheduling::JobId id, const std::string& bytes, bool isInherited) -> void
+{
+    wire::SubmissionRecord record;
+    auto spec = record.ParseFromString(bytes) ? state.m_ports.m_decoders.m_job(record.body()) : std::nullopt;
+    if (!spec) {
+        logOf("jobs").error("event=unreadable_submission job={}", jobIdText(id));
+        return;
+    }
+    spec->m_id = id;
+    spec->m_queue = record.queue();
+    spec->m_workspace = record.workspace();
+    spec->m_submittedAt = record.submitted_at_ms();
+    if (scheduling::addJob(state.m_scheduler, std::move(*spec), isInherited, monotonicNow()))
+        logOf("jobs").info("event=job job={} queue={} inherited={} age_ms={}", jobIdText(id), record.queue(),
+            isInherited, wallNow() - record.submitted_at_ms());
+}
+
+} // namespace
+
+auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record, bool isInherited) -> void
+{
+    const auto id = record.m_key.empty() ? std::nullopt : parseJobId(std::string_view(record.m_key).substr(1));
+    if (!id) {
+        logOf("jobs").error("event=unreadable_key offset={}", record.m_offset);
+        return;
+    }
+    if (record.m_value.empty())
+        return;
+    if (record.m_key.front() == submissionPrefix)
+        applySubmission(state, *id, record.m_value, isInherited);
+    if (record.m_key.front() != cancellationPrefix)
+        return;
+    logOf("jobs").info("event=cancel job={} offset={}", jobIdText(*id), record.m_offset);
+    scheduling::cancelJob(state.m_scheduler, *id, wallNow());
+}
+
+auto loadSubmissions(CoordinatorState& state) -> asio::awaitable<bool>
+{
+    const auto newest = co_await state.m_ports.m_store->newest(submissionTopic);
+    if (!newest)
+        co_return false;
+    for (const auto& record : newest->first)
+        applySubmissionRecord(state, record, true);
+    state.m_jobsEnd = newest->second;
+    co_return true;
+}
+
+auto readSubmissions(CoordinatorState& state, Duration wait) -> asio::awaitable<bool>
+{
+    const auto from = state.m_jobsEnd;
+    const auto read = co_await state.m_ports.m_store->read(submissionTopic, from, wait);
+    if (!read || state.m_isStopped)
+        co_return false;
+    if (read->m_isExpired)
+        co_return co_await loadSubmissions(state);
+    auto offset = from;
+    for (const auto& bytes : read->m_records) {
+        const auto record = splitKeyedRecord(bytes, offset++);
+        // A second reader of the same records may have been faster.
+        if (record && record->m_offset >= state.m_jobsEnd)
+            applySubmissionRecord(state, *record, false);
+    }
+    state.m_jobsEnd = std::max(state.m_jobsEnd, offset);
+    if (!read->m_records.empty())
+        state.m_planSignal.notify();
+    co_return true;
+}
+
+auto followSubmissions(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
+{
+    while (!state->m_isStopped) {
+        const auto isRead = co_await readSubmissions(*state, submissionWait);
+        if (!isRead)
+            co_await sleepFor(retryPause);
+    }
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/http/HttpPool.cpp
@@ -0,0 +1,110 @@
+#include "hemlockvane/detail/http/HttpPool.h"
+
+#include "hemlockvane/detail/http/HttpConnection.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t largestAnswer = 64UL * 1024 * 1024; // Longest page of a store, with room.
+constexpr std::chrono::milliseconds longestConnect { 400 }; // Connections within a region take a few milliseconds.
+
+struct ServerConnections {
+    std::vector<HttpConnection> m_idle;
+    std::size_t m_inUse = 0;
+    std::deque<std::shared_ptr<asio::steady_timer>> m_waiting;
+};
+
+} // namespace
+
+struct HttpPool::Impl {
+    Impl(asio::io_context& context, std::size_t mostPerServer)
+        : m_context(context)
+        , m_mostPerServer(mostPerServer)
+    {
+    }
+
+    auto waitForSlot(ServerConnections& server) -> asio::awaitable<void>;
+    auto takeIdle(ServerConnections& server) -> std::optional<HttpConnection>;
+    static auto release(ServerConnections& server) -> void;
+
+    asio::io_context& m_context;
+    std::size_t m_mostPerServer;
+    std::size_t m_connectionsMade = 0;
+    std::unordered_map<std::string, ServerConnections> m_servers;
+};
+
+auto HttpPool::Impl::waitForSlot(ServerConnections& server) -> asio::awaitable<void>
+{
+    while (server.m_inUse >= m_mostPerServer) {
+        auto turn = std::make_shared<asio::steady_timer>(m_context, asio::steady_timer::time_point::max());
+        server.m_waiting.push_back(turn);
+        boost::system::error_code error;
+        co_await turn->async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+auto HttpPool::Impl::takeIdle(ServerConnections& server) -> std::optional<HttpConnection>
+{
+    while (!server.m_idle.empty()) {
+        auto connection = std::move(server.m_idle.back());
+        server.m_idle.pop_back();
+        if (!connection.isStale())
+            return connection;
+        connection.close();
+    }
+    return std::nullopt;
+}
+
+auto HttpPool::Impl::release(ServerConnections& server) -> void
+{
+    --server.m_inUse;
+    if (server.m_waiting.empty())
+        return;
+    const auto turn = std::move(server.m_waiting.front());
+    server.m_waiting.pop_front();
+    turn->cancel();
+}
+
+HttpPool::HttpPool(asio::io_context& context, std::size_t mostPerServer)
+    : m_impl(std::make_unique<Impl>(context, mostPerServer))
+{
+}
+
+HttpPool::~HttpPool() = default;
+
+auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, LastReason& reason)
+    -> asio::awaitable<std::optional<HttpResponse>>
+{
+    auto& server = m_impl->m_servers[address];
+    co_await m_impl->waitForSlot(server);
+    ++server.m_inUse;
+    auto connection = m_impl->takeIdle(server);
+    auto isConnected = connection.has_value();
+    if (!isConnected) {
+        connection.emplace(m_impl->m_context.get_executor());
+        ++m_impl->m_connectionsMade;
+        isConnected = co_await connection->connect(address, std::min(timeout, longestConnect), reason);
+    }
+    std::optional<HttpResponse> response;
+    if (isConnected)
+        response = co_await connection->exchange(request, timeout, largestAnswer, reason);
+    if (connection->isOpen())
+        server.m_idle.push_back(std::move(*connection));
+    Impl::release(server);
+    co_return response;
+}
+
+auto HttpPool::connectionsMade() const -> std::size_t { return m_impl->m_connectionsMade; }
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/intake/JobIntake.cpp
@@ -0,0 +1,127 @@
+#include "hemlockvane/detail/intake/JobIntake.h"
+
+#include "hemlockvane/scheduling.pb.h"
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/Coordinator.h"
+#include "hemlockvane/detail/coordinator/OwnerElection.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/http/HttpPool.h"
+#include "hemlockvane/detail/intake/OwnerApi.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration appendTimeout { 700 }; // A slow store answers within 0.5 s.
+constexpr Duration retryPause { 60 }; // After an append without an answer.
+constexpr Duration ownerTimeout { 500 }; // An owner answers within a few milliseconds, or is gone.
+constexpr unsigned statusOk = 200;
+
+auto parseNumber(const std::string& text) -> std::optional<std::size_t>
+{
+    std::size_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, number);
+    if (result.ec != std::errc {} || result.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+JobIntake::JobIntake(RecordStore& store, HttpPool& peers, const OwnerElection& election,
+    std::function<std::shared_ptr<Coordinator>()> owned)
+    : m_store(store)
+    , m_peers(peers)
+    , m_election(election)
+    , m_owned(std::move(owned))
+{
+}
+
+auto JobIntake::store(std::string key, std::string value, Instant deadline) -> asio::awaitable<IntakeOutcome>
+{
+    StoreAppend order;
+    order.m_topic = submissionTopic;
+    order.m_records.push_back(keyedRecord(key, value));
+    auto isUnknown = false;
+    while (true) {
+        const auto left = std::min(appendTimeout, deadline - monotonicNow());
+        if (left <= Duration { 0 })
+            co_return isUnknown ? IntakeOutcome::Unknown : IntakeOutcome::Refused;
+        auto repeat = order;
+        const auto result = co_await m_store.append(std::move(repeat), left);
+        if (result.m_kind == StoreAppendKind::Stored)
+            co_return IntakeOutcome::Stored;
+        if (result.m_kind != StoreAppendKind::Unknown && !isUnknown)
+            co_return IntakeOutcome::Refused;
+        isUnknown = true;
+        co_await sleepFor(retryPause);
+    }
+}
+
+auto JobIntake::submit(scheduling::JobId id, std::string queue, std::string workspace, std::string body,
+    Instant deadline) -> asio::awaitable<IntakeOutcome>
+{
+    wire::SubmissionRecord record;
+    record.set_queue(std::move(queue));
+    record.set_workspace(std::move(workspace));
+    record.set_body(std::move(body));
+    record.set_submitted_at_ms(wallNow());
+    auto key = submissionPrefix + jobIdText(id);
+    auto value = record.SerializeAsString();
+    co_return co_await store(std::move(key), std::move(value), deadline);
+}
+
+auto JobIntake::cancel(scheduling::JobId id, Instant deadline) -> asio::awaitable<IntakeOutcome>
+{
+    auto key = cancellationPrefix + jobIdText(id);
+    std::string value = "1"; // Any will do: an empty one would drop the key.
+    co_return co_await store(std::move(key), std::move(value), deadline);
+}
+
+auto JobIntake::askOwner(std::string target) -> asio::awaitable<std::optional<std::string>>
+{
+    const auto address = m_election.owner().m_address;
+    if (address.empty())
+        co_return std::nullopt;
+    HttpRequest request;
+    request.m_target = std::move(target);
+    LastReason reason;
+    auto response = co_await m_peers.call(address, std::move(request), ownerTimeout, reason);
+    if (!response || response->m_status != statusOk)
+        co_return std::nullopt;
+    co_return std::move(response->m_body);
+}
+
+auto JobIntake::statusOf(scheduling::JobId id) -> asio::awaitable<std::optional<JobAnswer>>
+{
+    if (const auto coordinator = m_owned())
+        co_return co_await coordinator->statusOf(id);
+    auto target = std::string(statusPath) + jobIdText(id);
+    const auto text = co_await askOwner(std::move(target));
+    if (!text)
+        co_return std::nullopt;
+    const auto phase = parseNumber(*text);
+    if (!phase)
+        co_return JobAnswer {};
+    co_return JobAnswer { true, static_cast<scheduling::JobPhase>(*phase) };
+}
+
+auto JobIntake::waitingOf(std::string queue) -> asio::awaitable<std::optional<std::size_t>>
+{
+    if (const auto coordinator = m_owned())
+        co_return coordinator->waitingOf(queue);
+    auto target = std::string(waitingPath) + queue;
+    const auto text = co_await askOwner(std::move(target));
+    co_return text ? parseNumber(*text) : std::nullopt;
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/rules/RulesFollower.cpp
@@ -0,0 +1,138 @@
+#include "hemlockvane/detail/rules/RulesFollower.h"
+
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration readWait { 700 }; // One read waits this long for a change; shorter than the time a change may take.
+constexpr Duration retryPause { 100 }; // After a read without an answer.
+
+} // namespace
+
+struct RulesFollower::Impl : std::enable_shared_from_this<RulesFollower::Impl> {
+    Impl(asio::io_context& context, RecordStore& store)
+        : m_context(context)
+        , m_store(store)
+    {
+    }
+
+    auto run() -> asio::awaitable<void>;
+    auto load() -> asio::awaitable<bool>;
+    auto readOn() -> asio::awaitable<bool>;
+    auto apply(const KeyedRecord& record) -> void;
+    auto confirm(Instant at) -> void;
+
+    asio::io_context& m_context;
+    RecordStore& m_store;
+    RulesSource m_source;
+    std::function<void(const OperatorRules&)> m_onChange;
+    std::shared_ptr<const OperatorRules> m_rules;
+    std::uint64_t m_end = 0;
+    bool m_isLoaded = false;
+    bool m_isReading = true; // False after a read without an answer.
+    Instant m_confirmedAt;
+};
+
+auto RulesFollower::Impl::apply(const KeyedRecord& record) -> void
+{
+    if (record.m_key != m_source.m_rulesKey) {
+        m_source.m_onOther(record.m_key, record.m_value);
+        return;
+    }
+    auto decoded = m_source.m_decode(record.m_value);
+    if (!decoded) {
+        logOf("rules").error("event=unreadable_configuration offset={} bytes={}", record.m_offset,
+            record.m_value.size());
+        return;
+    }
+    if (m_rules && decoded->m_fleet.m_version <= m_rules->m_fleet.m_version)
+        return;
+    logOf("rules").info("event=configuration version={} offset={} queues={} workspaces={} bytes={}",
+        decoded->m_fleet.m_version, record.m_offset, decoded->m_fleet.m_queues.size(),
+        decoded->m_fleet.m_workspaces.size(), record.m_value.size());
+    m_rules = std::make_shared<const OperatorRules>(std::move(*decoded));
+    m_onChange(*m_rules);
+}
+
+auto RulesFollower::Impl::load() -> asio::awaitable<bool>
+{
+    const auto newest = co_await m_store.newest(m_source.m_topic);
+    if (!newest)
+        co_return false;
+    for (const auto& record : newest->first)
+        apply(record);
+    m_end = newest->second;
+    m_isLoaded = true;
+    co_return true;
+}
+
+auto RulesFollower::Impl::readOn() -> asio::awaitable<bool>
+{
+    const auto read = co_await m_store.read(m_source.m_topic, m_end, readWait);
+    if (!read)
+        co_return false;
+    if (read->m_isExpired) {
+        m_isLoaded = false;
+        co_return co_await load();
+    }
+    for (const auto& bytes : read->m_records) {
+        const auto record = splitKeyedRecord(bytes, m_end++);
+        if (record)
+            apply(*record);
+    }
+    co_return m_end >= read->m_end;
+}
+
+auto RulesFollower::Impl::confirm(Instant at) -> void
+{
+    m_confirmedAt = at;
+    if (!m_isReading)
+        logOf("rules").info("event=store_regained end={}", m_end);
+    m_isReading = true;
+}
+
+auto RulesFollower::Impl::run() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    while (true) {
+        const auto sentAt = monotonicNow();
+        const auto isCurrent = m_isLoaded ? co_await readOn() : co_await load();
+        if (isCurrent) {
+            confirm(sentAt);
+            continue;
+        }
+        if (m_isReading)
+            logOf("rules").warn("event=store_lost end={} confirmed_ms_ago={}", m_end,
+                (monotonicNow() - m_confirmedAt).count());
+        m_isReading = false;
+        co_await sleepFor(retryPause);
+    }
+}
+
+RulesFollower::RulesFollower(asio::io_context& context, RecordStore& store, RulesSource source,
+    std::function<void(const OperatorRules&)> onChange)
+    : m_impl(std::make_shared<Impl>(context, store))
+{
+    m_impl->m_source = std::move(source);
+    m_impl->m_onChange = std::move(onChange);
+}
+
+RulesFollower::~RulesFollower() = default;
+
+auto RulesFollower::start() -> void { asio::co_spawn(m_impl->m_context, m_impl->run(), asio::detached); }
+
+auto RulesFollower::rules() const -> std::shared_ptr<const OperatorRules> { return m_impl->m_rules; }
+
+auto RulesFollower::confirmedAt() const -> Instant { return m_impl->m_confirmedAt; }
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/scheduling/PlanStarts.cpp
@@ -0,0 +1,313 @@
+#include "hemlockvane/scheduling/PlanStarts.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/StartCandidate.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+constexpr std::size_t mostAdviceCandidates = 100; // The advice service takes no more in one question.
+
+enum CandidateClass : std::int32_t {
+    Lasting,
+    InTime,
+    Late,
+};
+
+struct Pool {
+    std::vector<ExecutorIndex> m_usable;
+    bool m_hasUnsettled = false; // An executor may still hold runs of an earlier owner.
+};
+
+using Pools = std::map<std::string_view, Pool>;
+
+auto poolsOf(const Scheduler& scheduler, Instant now) -> Pools
+{
+    Pools pools;
+    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+        const auto& executor = *scheduler.m_executors[index];
+        auto& pool = pools[executor.m_entry.m_service];
+        if (!executor.m_isSettled && now < executor.m_settledBy)
+            pool.m_hasUnsettled = true;
+        if (isUsable(executor, now))
+            pool.m_usable.push_back(index);
+    }
+    return pools;
+}
+
+auto isStepOpen(const Job& job, const Occurrence& occurrence, std::uint32_t step) -> bool
+{
+    const auto& spec = job.m_spec.m_steps[step];
+    return std::all_of(spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
+        const auto& state = occurrence.m_steps[earlier];
+        return state.m_doneCount == state.m_tasks.size();
+    });
+}
+
+auto hasWaitingTask(const StepState& step) -> bool
+{
+    return std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
+        [](const TaskState& task) { return !task.m_isDone && task.m_runs.empty(); });
+}
+
+auto dueOf(const Job& job, const Occurrence& occurrence, const QueueRules& queue) -> std::int64_t
+{
+    const auto longest = job.m_chainMs.empty() ? 0 : *std::max_element(job.m_chainMs.begin(), job.m_chainMs.end());
+    const auto begin = job.m_spec.m_occurrences > 0 ? occurrence.m_due : job.m_spec.m_submittedAt;
+    return begin + static_cast<std::int64_t>(queue.m_stretch * static_cast<double>(longest)) + queue.m_latencyTargetMs;
+}
+
+auto collectFromJob(const Scheduler& scheduler, Job& job, WallMillis wall, std::vector<StartCandidate>& candidates)
+    -> void
+{
+    const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
+    if (isFinal(job.m_phase) || queue == scheduler.m_rules.m_queues.end())
+        return;
+    if (job.m_arrivedAt > scheduler.m_renewedAt + scheduler.m_timing.m_trustedAfterRenewal)
+        return;
+    openDueOccurrences(job, wall);
+    for (auto& [number, occurrence] : job.m_occurrences) {
+        for (std::uint32_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
+            auto& state = occurrence.m_steps[step];
+            if (!isStepOpen(job, occurrence, step) || !hasWaitingTask(state))
+                continue;
+            StartCandidate candidate { &job, &queue->second, number, step, &state, &job.m_spec.m_steps[step] };
+            candidate.m_dueMs = dueOf(job, occurrence, queue->second);
+            const auto earliest = wall + job.m_chainMs[step] + scheduler.m_timing.m_placementMargin.count();
+            candidate.m_class = candidate.m_spec->m_isLasting ? Lasting : earliest <= candidate.m_dueMs ? InTime : Late;
+            candidates.push_back(candidate);
+        }
+    }
+}
+
+auto isBefore(const StartCandidate& left, const StartCandidate& right) -> bool
+{
+    return std::tuple(left.m_queue->m_priority, left.m_class, left.m_dueMs, left.m_job->m_spec.m_id, left.m_step)
+        < std::tuple(right.m_queue->m_priority, right.m_class, right.m_dueMs, right.m_job->m_spec.m_id, right.m_step);
+}
+
+auto isWithinLimit(const Scheduler& scheduler, const StartCandidate& candidate, std::uint32_t tasks) -> bool
+{
+    const auto rules = scheduler.m_rules.m_workspaces.find(candidate.m_job->m_spec.m_workspace);
+    if (rules == scheduler.m_rules.m_workspaces.end())
+        return true;
+    const auto used = scheduler.m_usedByWorkspace.find(candidate.m_job->m_spec.m_workspace);
+    const auto& limit = rules->second.m_limit;
+    const auto sum = used == scheduler.m_usedByWorkspace.end() ? Resources {} : used->second;
+    const auto& need = candidate.m_spec->m_perTask;
+    const auto isOver = [&](std::int64_t most, std::int64_t have, std::int64_t more) {
+        return most > 0 && have + more * tasks > most;
+    };
+    return !isOver(limit.m_cpuMillis, sum.m_cpuMillis, need.m_cpuMillis)
+        && !isOver(limit.m_memoryMb, sum.m_memoryMb, need.m_memoryMb)
+        && !isOver(limit.m_gpus, sum.m_gpus, need.m_gpus);
+}
+
+auto hasTicket(const StartCandidate& candidate, const Executor& executor) -> bool
+{
+    return !candidate.m_queue->m_needsAdvice || candidate.m_state->m_tickets.contains(executor.m_entry.m_id);
+}
+
+auto mayHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
+    -> bool
+{
+    const auto& spec = *candidate.m_spec;
+    const auto& labels = executor.m_entry.m_labels;
+    if (!spec.m_requiredLabel.empty()
+        && std::find(labels.begin(), labels.end(), spec.m_requiredLabel) == labels.end())
+        return false;
+    const auto onIt = candidate.m_state->m_runsByExecutor.find(index);
+    if (spec.m_perExecutorLimit > 0 && onIt != candidate.m_state->m_runsByExecutor.end()
+        && onIt->second >= spec.m_perExecutorLimit)
+        return false;
+    auto used = executor.m_used;
+    addTo(used, planned);
+    return fitsWithin(roomNeeded(spec), used, executor.m_entry.m_capacity) && hasTicket(candidate, executor);
+}
+
+// Smaller is better: not failed there before, near its data, then the fullest; lasting tasks spread instead.
+auto placementRank(const StartCandidate& candidate, const TaskState& task, const Executor& executor,
+    ExecutorIndex index) -> std::tuple<bool, bool, std::int64_t>
+{
+    const auto hasFailed = std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end();
+    const auto isFar = !candidate.m_spec->m_dataRack.empty() && candidate.m_spec->m_dataRack != executor.m_rack;
+    const auto load = executor.m_used.m_cpuMillis;
+    return { hasFailed, isFar, candidate.m_spec->m_isLasting ? load : -load };
+}
+
+auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
+    const Pool& pool) -> std::optional<ExecutorIndex>
+{
+    std::optional<ExecutorIndex> best;
+    std::tuple<bool, bool, std::int64_t> bestRank;
+    for (const auto index : pool.m_usable) {
+        const auto& executor = *scheduler.m_executors[index];
+        if (!mayHold(candidate, executor, index, {}))
+            continue;
+        const auto rank = placementRank(candidate, task, executor, index);
+        if (!best || rank < bestRank) {
+            best = index;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+auto emitStart(Scheduler& scheduler, const StartCandidate& candidate, std::uint32_t index, std::uint32_t run,
+    ExecutorIndex executor, Instant now, std::vector<Action>& actions) -> void
+{
+    const TaskKey key { candidate.m_job->m_spec.m_id, candidate.m_occurrence, candidate.m_step, index };
+    beginRun(scheduler, key, run, executor, RunPhase::Starting, now);
+    Action action;
+    action.m_executor = executor;
+    action.m_task = key;
+    action.m_run = run;
+    action.m_reason = candidate.m_class == Lasting ? "lasting" : candidate.m_class == InTime ? "in time" : "late";
+    if (candidate.m_queue->m_needsAdvice)
+        action.m_ticket = candidate.m_state->m_tickets.at(scheduler.m_executors[executor]->m_entry.m_id);
+    actions.push_back(std::move(action));
+}
+
+auto askAdvice(const Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    auto& state = *candidate.m_state;
+    if (state.m_isAdviceAsked || state.m_nextAdviceAt > now || pool.m_usable.empty())
+        return;
+    Action action;
+    action.m_kind = ActionKind::AskAdvice;
+    action.m_task = { candidate.m_job->m_spec.m_id, candidate.m_occurrence, candidate.m_step, 0 };
+    for (const auto index : pool.m_usable) {
+        if (action.m_candidates.size() < mostAdviceCandidates)
+            action.m_candidates.push_back(scheduler.m_executors[index]->m_entry.m_id);
+    }
+    state.m_isAdviceAsked = true;
+    actions.push_back(std::move(action));
+}
+
+// Executors for all members of a gang at once, on one rack where that is asked for and possible.
+auto placeGang(const Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool,
+    const std::optional<std::string>& rack) -> std::vector<ExecutorIndex>
+{
+    std::vector<ExecutorIndex> chosen;
+    std::map<ExecutorIndex, std::uint32_t> counts;
+    const auto members = candidate.m_state->m_tasks.size();
+    for (const auto index : pool.m_usable) {
+        const auto& executor = *scheduler.m_executors[index];
+        if (rack && executor.m_rack != *rack)
+            continue;
+        Resources planned;
+        while (chosen.size() < members && mayHold(candidate, executor, index, planned)) {
+            const auto limit = candidate.m_spec->m_perExecutorLimit;
+            if (limit > 0 && counts[index] >= limit)
+                break;
+            chosen.push_back(index);
+            ++counts[index];
+            addTo(planned, roomNeeded(*candidate.m_spec));
+        }
+    }
+    return chosen.size() == members ? chosen : std::vector<ExecutorIndex> {};
+}
+
+auto startGang(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    auto& tasks = candidate.m_state->m_tasks;
+    const auto isFree = std::all_of(tasks.begin(), tasks.end(),
+        [](const TaskState& task) { return task.m_runs.empty() && !task.m_isDone; });
+    if (!isFree || !isWithinLimit(scheduler, candidate, static_cast<std::uint32_t>(tasks.size())))
+        return;
+    std::vector<ExecutorIndex> chosen;
+    std::set<std::string> racks;
+    for (const auto index : pool.m_usable)
+        racks.insert(scheduler.m_executors[index]->m_rack);
+    for (auto rack = racks.begin(); chosen.empty() && rack != racks.end(); ++rack)
+        chosen = placeGang(scheduler, candidate, pool, *rack);
+    if (chosen.empty())
+        chosen = placeGang(scheduler, candidate, pool, std::nullopt);
+    if (chosen.empty())
+        return;
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    for (const auto& task : tasks) {
+        run = std::max(run, task.m_highestRun);
+        checkpoint = std::max(checkpoint, task.m_checkpoint);
+    }
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        tasks[index].m_checkpoint = checkpoint;
+        emitStart(scheduler, candidate, index, run + 1, chosen[index], now, actions);
+    }
+}
+
+auto startTasks(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    for (std::uint32_t index = 0; index < candidate.m_state->m_tasks.size(); ++index) {
+        auto& task = candidate.m_state->m_tasks[index];
+        if (task.m_isDone || !task.m_runs.empty())
+            continue;
+        if (!isWithinLimit(scheduler, candidate, 1))
+            return;
+        const auto executor = chooseExecutor(scheduler, candidate, task, pool);
+        if (!executor)
+            return;
+        emitStart(scheduler, candidate, index, task.m_highestRun + 1, *executor, now, actions);
+    }
+}
+
+auto startStep(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    if (pool.m_hasUnsettled && candidate.m_job->m_isInherited)
+        return;
+    if (candidate.m_queue->m_needsAdvice && candidate.m_state->m_ticketsUntil <= now) {
+        askAdvice(scheduler, candidate, pool, now, actions);
+        return;
+    }
+    if (candidate.m_spec->m_isGang)
+        startGang(scheduler, candidate, pool, now, actions);
+    else
+        startTasks(scheduler, candidate, pool, now, actions);
+}
+
+} // namespace
+
+auto planStarts(Scheduler& scheduler, Instant now, WallMillis wall, std::vector<Action>& actions) -> void
+{
+    std::vector<StartCandidate> candidates;
+    for (const auto id : scheduler.m_active)
+        collectFromJob(scheduler, *scheduler.m_jobs.at(id), wall, candidates);
+    if (candidates.empty())
+        return;
+    const auto pools = poolsOf(scheduler, now);
+    std::sort(candidates.begin(), candidates.end(), isBefore);
+    for (const auto& candidate : candidates) {
+        const auto pool = pools.find(candidate.m_queue->m_service);
+        if (pool != pools.end())
+            startStep(scheduler, candidate, pool->second, now, actions);
+    }
+}
+
+auto applyAdvice(Scheduler& scheduler, const TaskKey& key, std::map<std::string, std::string> tickets,
+    Duration validFor, Instant now) -> void
+{
+    auto* step = findStep(scheduler, key);
+    if (step == nullptr)
+        return;
+    step->m_isAdviceAsked = false;
+    step->m_nextAdviceAt = now + scheduler.m_timing.m_adviceRetry;
+    if (tickets.empty())
+        return;
+    step->m_tickets = std::move(tickets);
+    step->m_ticketsUntil = now + validFor;
+}
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/src/scheduling/TrackExecutors.cpp
@@ -0,0 +1,216 @@
+#include "hemlockvane/scheduling/TrackExecutors.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <algorithm>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+constexpr std::int64_t slowestClockPercent = 98; // An executor's clock may be 2 % slow.
+
+auto rackOf(const ExecutorEntry& entry) -> std::string
+{
+    // Labels are the kind and the rack, in this order.
+    return entry.m_labels.size() > 1 ? entry.m_labels.back() : std::string();
+}
+
+auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index) -> void
+{
+    loseExecutor(scheduler, index);
+    auto& executor = *scheduler.m_executors[index];
+    executor.m_lastSeen = 0;
+    executor.m_lastRead = 0;
+    executor.m_leaseUntilMs = 0;
+    executor.m_clockMs = 0;
+    executor.m_unstored.clear();
+    executor.m_isSettled = false;
+    executor.m_isGone = false;
+    executor.m_isListed = true;
+    executor.m_failuresInRow = 0;
+    executor.m_restsUntil = {};
+}
+
+// A run that was reported but is not in our books: it goes on if its task still needs a run, else it is stopped.
+auto adoptRun(Scheduler& scheduler, ExecutorIndex index, const ReportedRun& reported, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    auto* task = findTask(scheduler, reported.m_task);
+    if (task == nullptr) {
+        actions.push_back({ ActionKind::Stop, index, reported.m_task, reported.m_run, 100, {}, {}, "unknown run" });
+        return;
+    }
+    const auto& job = *findJob(scheduler, reported.m_task.m_job);
+    const auto& spec = job.m_spec.m_steps[reported.m_task.m_step];
+    const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone
+        && (task->m_runs.empty() || (spec.m_allowsCopies && !spec.m_isGang));
+    auto& run = beginRun(scheduler, reported.m_task, reported.m_run, index,
+        isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
+    run.m_percent = reported.m_percent;
+    run.m_figure = reported.m_figure;
+    if (!reported.m_checkpoint.empty())
+        task->m_checkpoint = reported.m_checkpoint;
+}
+
+auto refreshRun(TaskRun& run, TaskState& task, const ReportedRun& reported, Instant now) -> void
+{
+    if (run.m_phase == RunPhase::Starting)
+        run.m_phase = RunPhase::Running;
+    if (run.m_atWorkAt == Instant {} && reported.m_percent >= 100)
+        run.m_atWorkAt = now;
+    run.m_percent = reported.m_percent;
+    run.m_figure = reported.m_figure;
+    if (!reported.m_checkpoint.empty())
+        task.m_checkpoint = reported.m_checkpoint;
+}
+
+// A look that was sent after the executor answered the stop and does not list the run: it is gone for good.
+auto removeRefusedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
+{
+    const auto runs = scheduler.m_executors[index]->m_runs;
+    for (const auto& item : runs) {
+        const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        if (run == nullptr || !run->m_stopAnsweredAt || *run->m_stopAnsweredAt > report.m_askedAt)
+            continue;
+        const auto isThere = std::any_of(report.m_runs.begin(), report.m_runs.end(),
+            [&](const ReportedRun& there) { return there.m_task == item.m_task && there.m_run == item.m_run; });
+        if (!isThere)
+            removeRun(scheduler, item.m_task, item.m_run, index);
+    }
+}
+
+} // namespace
+
+auto clockAtLeast(const Executor& executor, Instant now) -> std::int64_t
+{
+    return executor.m_clockMs + (now - executor.m_clockAt).count() * slowestClockPercent / 100;
+}
+
+auto isUsable(const Executor& executor, Instant now) -> bool
+{
+    return executor.m_isListed && executor.m_isSettled && !executor.m_isSilent && !executor.m_isReserved
+        && !executor.m_entry.m_isDraining && executor.m_restsUntil <= now;
+}
+
+auto listExecutor(Scheduler& scheduler, const ExecutorEntry& entry, Instant settledBy, Instant now) -> ExecutorIndex
+{
+    const auto found = scheduler.m_executorById.find(entry.m_id);
+    if (found == scheduler.m_executorById.end()) {
+        auto executor = std::make_unique<Executor>();
+        executor->m_entry = entry;
+        executor->m_rack = rackOf(entry);
+        executor->m_settledBy = settledBy;
+        executor->m_clockAt = now;
+        const auto index = static_cast<ExecutorIndex>(scheduler.m_executors.size());
+        scheduler.m_executors.push_back(std::move(executor));
+        scheduler.m_executorById.emplace(entry.m_id, index);
+        return index;
+    }
+    auto& executor = *scheduler.m_executors[found->second];
+    // A record that is older than what the executor itself said is left out.
+    if (entry.m_bornMs < executor.m_entry.m_bornMs || (executor.m_isGone && entry.m_bornMs == executor.m_entry.m_bornMs))
+        return found->second;
+    if (entry.m_bornMs > executor.m_entry.m_bornMs)
+        resetIncarnation(scheduler, found->second);
+    executor.m_entry = entry;
+    executor.m_rack = rackOf(entry);
+    executor.m_isListed = true;
+    return found->second;
+}
+
+auto unlistExecutor(Scheduler& scheduler, std::string_view id) -> void
+{
+    const auto found = scheduler.m_executorById.find(std::string(id));
+    if (found != scheduler.m_executorById.end())
+        scheduler.m_executors[found->second]->m_isListed = false;
+}
+
+auto loseExecutor(Scheduler& scheduler, ExecutorIndex index) -> void
+{
+    auto& executor = *scheduler.m_executors[index];
+    const auto runs = executor.m_runs;
+    for (const auto& run : runs)
+        removeRun(scheduler, run.m_task, run.m_run, index);
+    executor.m_isListed = false;
+    executor.m_isGone = true;
+    executor.m_isSettled = true;
+}
+
+auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now,
+    WallMillis wall, std::vector<Action>& actions) -> void
+{
+    auto& executor = *scheduler.m_executors[index];
+    if (report.m_bornMs != 0 && report.m_bornMs < executor.m_entry.m_bornMs)
+        return;
+    if (report.m_bornMs > executor.m_entry.m_bornMs) {
+        resetIncarnation(scheduler, index);
+        executor.m_entry.m_bornMs = report.m_bornMs;
+    }
+    executor.m_clockMs = report.m_clockMs;
+    executor.m_clockAt = now;
+    executor.m_isSilent = false;
+    for (const auto& end : report.m_ends) {
+        if (end.m_number <= executor.m_lastRead)
+            continue;
+        executor.m_lastRead = end.m_number;
+        applyEnd(scheduler, index, end, now, wall);
+        executor.m_unstored.emplace_back(end.m_number, scheduler.m_openBatch);
+    }
+    for (const auto& reported : report.m_runs) {
+        auto* run = findRun(scheduler, reported.m_task, reported.m_run, index);
+        if (run == nullptr)
+            adoptRun(scheduler, index, reported, now, actions);
+        else
+            refreshRun(*run, *findTask(scheduler, reported.m_task), reported, now);
+    }
+    removeRefusedRuns(scheduler, index, report);
+    executor.m_isSettled = true;
+}
+
+auto expireLeases(Scheduler& scheduler, Instant now) -> std::size_t
+{
+    std::size_t removed = 0;
+    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+        auto& executor = *scheduler.m_executors[index];
+        if (!executor.m_isSettled && now >= executor.m_settledBy)
+            executor.m_isSettled = executor.m_clockMs > 0;
+        const auto lapsesAt = executor.m_leaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
+        if (executor.m_runs.empty() || !executor.m_isSilent || clockAtLeast(executor, now) <= lapsesAt)
+            continue;
+        const auto runs = executor.m_runs;
+        for (const auto& run : runs)
+            removeRun(scheduler, run.m_task, run.m_run, index);
+        removed += runs.size();
+    }
+    return removed;
+}
+
+auto noteStored(Scheduler& scheduler, std::uint64_t batch) -> void
+{
+    for (auto& executor : scheduler.m_executors) {
+        while (!executor->m_unstored.empty() && executor->m_unstored.front().second <= batch) {
+            executor->m_lastSeen = executor->m_unstored.front().first;
+            executor->m_unstored.pop_front();
+        }
+    }
+}
+
+auto planStops(Scheduler& scheduler, Instant now, std::vector<Action>& actions) -> void
+{
+    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+        for (const auto& item : scheduler.m_executors[index]->m_runs) {
+            auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+            if (run == nullptr || run->m_phase != RunPhase::Stopping || run->m_nextOrderAt > now)
+                continue;
+            if (run->m_stopAnsweredAt)
+                continue;
+            run->m_nextOrderAt = now + scheduler.m_timing.m_stopRepeat;
+            actions.push_back({ ActionKind::Stop, index, item.m_task, item.m_run, 100, {}, {}, "not needed" });
+        }
+    }
+}
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/src/scheduling/TrackJobs.cpp
@@ -0,0 +1,161 @@
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+
+#include <algorithm>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+// Longest chain of estimates from each step to the end of the job.
+auto chainsOf(const std::vector<StepSpec>& steps) -> std::vector<std::int64_t>
+{
+    std::vector<std::int64_t> chains(steps.size(), 0);
+    for (auto index = steps.size(); index-- > 0;) {
+        chains[index] += steps[index].m_estimateMs;
+        for (const auto earlier : steps[index].m_after)
+            chains[earlier] = std::max(chains[earlier], chains[index]);
+    }
+    return chains;
+}
+
+auto makeOccurrence(const Job& job, std::uint32_t number) -> Occurrence
+{
+    Occurrence occurrence;
+    occurrence.m_due = job.m_spec.m_firstDue + static_cast<std::int64_t>(number) * job.m_spec.m_intervalMs;
+    for (const auto& step : job.m_spec.m_steps) {
+        StepState state;
+        state.m_tasks.resize(step.m_taskCount);
+        occurrence.m_steps.push_back(std::move(state));
+    }
+    return occurrence;
+}
+
+auto stopRuns(Job& job) -> void
+{
+    for (auto& [number, occurrence] : job.m_occurrences) {
+        for (auto& step : occurrence.m_steps) {
+            for (auto& task : step.m_tasks) {
+                for (auto& run : task.m_runs)
+                    run.m_phase = RunPhase::Stopping;
+            }
+        }
+    }
+}
+
+} // namespace
+
+auto findJob(const Scheduler& scheduler, JobId id) -> Job*
+{
+    const auto found = scheduler.m_jobs.find(id);
+    return found == scheduler.m_jobs.end() ? nullptr : found->second.get();
+}
+
+auto addJob(Scheduler& scheduler, JobSpec spec, bool isInherited, Instant now) -> bool
+{
+    const auto id = spec.m_id;
+    if (scheduler.m_jobs.contains(id))
+        return false;
+    auto job = std::make_unique<Job>();
+    job->m_spec = std::move(spec);
+    job->m_chainMs = chainsOf(job->m_spec.m_steps);
+    job->m_arrivedAt = now;
+    job->m_isInherited = isInherited;
+    if (job->m_spec.m_occurrences == 0)
+        job->m_occurrences.emplace(0, makeOccurrence(*job, 0));
+    auto& known = *job;
+    scheduler.m_jobs.emplace(id, std::move(job));
+    scheduler.m_active.insert(id);
+    if (scheduler.m_cancelledBeforeSeen.erase(id) > 0)
+        enterPhase(scheduler, known, JobPhase::Cancelled, known.m_spec.m_submittedAt);
+    return true;
+}
+
+auto cancelJob(Scheduler& scheduler, JobId id, WallMillis wall) -> void
+{
+    auto* job = findJob(scheduler, id);
+    if (job == nullptr)
+        scheduler.m_cancelledBeforeSeen.insert(id);
+    else if (!isFinal(job->m_phase))
+        enterPhase(scheduler, *job, JobPhase::Cancelled, wall);
+}
+
+auto dropJob(Scheduler& scheduler, JobId id) -> void
+{
+    scheduler.m_active.erase(id);
+    scheduler.m_jobs.erase(id);
+}
+
+auto markDirty(Scheduler& scheduler, Job& job) -> void
+{
+    if (job.m_isDirty)
+        return;
+    job.m_isDirty = true;
+    scheduler.m_dirtyJobs.push_back(job.m_spec.m_id);
+}
+
+auto enterPhase(Scheduler& scheduler, Job& job, JobPhase phase, WallMillis wall) -> void
+{
+    if (job.m_phase == phase || isFinal(job.m_phase))
+        return;
+    job.m_phase = phase;
+    if (isFinal(phase)) {
+        job.m_endedAt = wall;
+        stopRuns(job);
+    }
+    markDirty(scheduler, job);
+}
+
+auto occurrenceOf(Job& job, std::uint32_t number) -> Occurrence*
+{
+    const auto found = job.m_occurrences.find(number);
+    if (found != job.m_occurrences.end())
+        return &found->second;
+    if (number >= std::max<std::uint32_t>(job.m_spec.m_occurrences, 1))
+        return nullptr;
+    return &job.m_occurrences.emplace(number, makeOccurrence(job, number)).first->second;
+}
+
+auto openDueOccurrences(Job& job, WallMillis wall) -> void
+{
+    for (auto number = static_cast<std::uint32_t>(job.m_occurrences.size()); number < job.m_spec.m_occurrences;
+         ++number) {
+        if (job.m_spec.m_firstDue + static_cast<std::int64_t>(number) * job.m_spec.m_intervalMs > wall)
+            return;
+        occurrenceOf(job, number);
+    }
+}
+
+auto findStep(Scheduler& scheduler, const TaskKey& key) -> StepState*
+{
+    auto* job = findJob(scheduler, key.m_job);
+    auto* occurrence = job == nullptr ? nullptr : occurrenceOf(*job, key.m_occurrence);
+    if (occurrence == nullptr || key.m_step >= occurrence->m_steps.size())
+        return nullptr;
+    return &occurrence->m_steps[key.m_step];
+}
+
+auto findTask(Scheduler& scheduler, const TaskKey& key) -> TaskState*
+{
+    auto* step = findStep(scheduler, key);
+    return step == nullptr || key.m_index >= step->m_tasks.size() ? nullptr : &step->m_tasks[key.m_index];
+}
+
+auto completeWhenDone(Scheduler& scheduler, Job& job, Occurrence& occurrence, WallMillis wall) -> void
+{
+    if (occurrence.m_isDone)
+        return;
+    for (const auto& step : occurrence.m_steps) {
+        if (step.m_doneCount < step.m_tasks.size())
+            return;
+    }
+    occurrence.m_isDone = true;
+    ++job.m_occurrencesDone;
+    if (job.m_occurrencesDone >= std::max<std::uint32_t>(job.m_spec.m_occurrences, 1))
+        enterPhase(scheduler, job, JobPhase::Completed, wall);
+}
+
+auto hasBegun(const Job& job) -> bool { return job.m_phase != JobPhase::Queued; }
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/src/scheduling/TrackRuns.cpp
@@ -0,0 +1,196 @@
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+#include <algorithm>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+constexpr std::uint32_t failuresBeforeRest = 3; // Ends failed in a row, of different jobs.
+constexpr Duration restAfterRefusal { 200 }; // Before an executor that had no room is asked again.
+
+auto endBit(std::uint32_t run) -> std::uint64_t { return std::uint64_t { 1 } << (run % 64U); }
+
+auto stopOtherRuns(TaskState& task) -> void
+{
+    for (auto& run : task.m_runs)
+        run.m_phase = RunPhase::Stopping;
+}
+
+auto finishTask(StepState& step, TaskState& task) -> void
+{
+    if (task.m_isDone)
+        return;
+    task.m_isDone = true;
+    ++step.m_doneCount;
+    stopOtherRuns(task);
+}
+
+auto trustAfterEnd(Scheduler& scheduler, Executor& executor, const ReportedEnd& end, Instant now) -> void
+{
+    if (end.m_kind == EndKind::Done)
+        executor.m_failuresInRow = 0;
+    if (end.m_kind != EndKind::Failed || end.m_task.m_job == executor.m_lastFailedJob)
+        return;
+    executor.m_lastFailedJob = end.m_task.m_job;
+    if (++executor.m_failuresInRow >= failuresBeforeRest)
+        executor.m_restsUntil = now + scheduler.m_timing.m_restAfterFailures;
+}
+
+auto countFailure(Scheduler& scheduler, Job& job, StepState& step, TaskState& task, bool isGang, WallMillis wall)
+    -> void
+{
+    const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
+    const auto attempts = queue == scheduler.m_rules.m_queues.end() ? 1 : queue->second.m_maximumAttempts;
+    auto& failures = isGang ? step.m_gangFailures : task.m_failures;
+    if (++failures >= attempts)
+        enterPhase(scheduler, job, JobPhase::Failed, wall);
+}
+
+auto countDone(Scheduler& scheduler, Job& job, const TaskKey& key, bool isGang, WallMillis wall) -> void
+{
+    auto& occurrence = *occurrenceOf(job, key.m_occurrence);
+    auto& step = occurrence.m_steps[key.m_step];
+    if (isGang) {
+        for (auto& member : step.m_tasks)
+            finishTask(step, member);
+    } else {
+        finishTask(step, step.m_tasks[key.m_index]);
+    }
+    completeWhenDone(scheduler, job, occurrence, wall);
+}
+
+} // namespace
+
+auto roomNeeded(const StepSpec& step) -> Resources
+{
+    auto room = step.m_perTask;
+    if (step.m_isFiller)
+        room.m_cpuMillis = 0;
+    return room;
+}
+
+auto findRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor) -> TaskRun*
+{
+    auto* task = findTask(scheduler, key);
+    if (task == nullptr)
+        return nullptr;
+    const auto found = std::find_if(task->m_runs.begin(), task->m_runs.end(),
+        [&](const TaskRun& item) { return item.m_run == run && item.m_executor == executor; });
+    return found == task->m_runs.end() ? nullptr : &*found;
+}
+
+auto beginRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor, RunPhase phase,
+    Instant now) -> TaskRun&
+{
+    auto& job = *findJob(scheduler, key.m_job);
+    auto& step = *findStep(scheduler, key);
+    auto& task = step.m_tasks[key.m_index];
+    const auto& spec = job.m_spec.m_steps[key.m_step];
+    auto& target = *scheduler.m_executors[executor];
+    task.m_highestRun = std::max(task.m_highestRun, run);
+    TaskRun added;
+    added.m_run = run;
+    added.m_executor = executor;
+    added.m_phase = phase;
+    added.m_orderedAt = now;
+    task.m_runs.push_back(added);
+    step.m_hasBegun = true;
+    ++step.m_runsByExecutor[executor];
+    target.m_runs.push_back({ key, run });
+    addTo(target.m_used, roomNeeded(spec));
+    addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
+    enterPhase(scheduler, job, JobPhase::Running, 0);
+    markDirty(scheduler, job);
+    return task.m_runs.back();
+}
+
+auto removeRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor) -> void
+{
+    auto* found = findRun(scheduler, key, run, executor);
+    if (found == nullptr)
+        return;
+    auto& job = *findJob(scheduler, key.m_job);
+    auto& step = *findStep(scheduler, key);
+    auto& task = step.m_tasks[key.m_index];
+    const auto& spec = job.m_spec.m_steps[key.m_step];
+    auto& target = *scheduler.m_executors[executor];
+    task.m_runs.erase(task.m_runs.begin() + (found - task.m_runs.data()));
+    if (--step.m_runsByExecutor[executor] == 0)
+        step.m_runsByExecutor.erase(executor);
+    std::erase(target.m_runs, ExecutorRun { key, run });
+    subtractFrom(target.m_used, roomNeeded(spec));
+    subtractFrom(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
+}
+
+auto applyEnd(Scheduler& scheduler, ExecutorIndex executor, const ReportedEnd& end, Instant now, WallMillis wall)
+    -> void
+{
+    trustAfterEnd(scheduler, *scheduler.m_executors[executor], end, now);
+    removeRun(scheduler, end.m_task, end.m_run, executor);
+    auto* task = findTask(scheduler, end.m_task);
+    if (task == nullptr)
+        return;
+    auto& job = *findJob(scheduler, end.m_task.m_job);
+    auto& step = *findStep(scheduler, end.m_task);
+    const auto& spec = job.m_spec.m_steps[end.m_task.m_step];
+    task->m_highestRun = std::max(task->m_highestRun, end.m_run);
+    if (!end.m_checkpoint.empty())
+        task->m_checkpoint = end.m_checkpoint;
+    markDirty(scheduler, job);
+    const auto wasCounted = (task->m_endedRuns & endBit(end.m_run)) != 0;
+    task->m_endedRuns |= endBit(end.m_run);
+    if (spec.m_isLasting || wasCounted || isFinal(job.m_phase))
+        return;
+    if (end.m_kind == EndKind::Done)
+        countDone(scheduler, job, end.m_task, spec.m_isGang, wall);
+    if (end.m_kind == EndKind::Failed) {
+        task->m_failedOn.push_back(executor);
+        countFailure(scheduler, job, step, *task, spec.m_isGang, wall);
+    }
+    if (spec.m_isGang && end.m_kind != EndKind::Done) {
+        for (auto& member : step.m_tasks)
+            stopOtherRuns(member);
+    }
+}
+
+auto applyStartAnswer(Scheduler& scheduler, ExecutorIndex executor, const TaskKey& key, std::uint32_t run,
+    StartAnswer answer, bool wasRepeated, Instant now) -> void
+{
+    auto& target = *scheduler.m_executors[executor];
+    if (answer == StartAnswer::OtherIncarnation) {
+        loseExecutor(scheduler, executor);
+        return;
+    }
+    auto* found = findRun(scheduler, key, run, executor);
+    if (found == nullptr)
+        return;
+    if (answer == StartAnswer::Started) {
+        if (found->m_phase == RunPhase::Starting)
+            found->m_phase = RunPhase::Running;
+        return;
+    }
+    if (answer == StartAnswer::NoRoom || answer == StartAnswer::Refused || answer == StartAnswer::Unknown)
+        target.m_restsUntil = std::max(target.m_restsUntil, now + restAfterRefusal);
+    if (answer == StartAnswer::BadTicket)
+        findStep(scheduler, key)->m_ticketsUntil = now;
+    if (answer == StartAnswer::Unknown || (wasRepeated && answer != StartAnswer::AlreadyEnded)) {
+        found->m_phase = RunPhase::Stopping;
+        return;
+    }
+    removeRun(scheduler, key, run, executor);
+}
+
+auto applyStopAnswer(Scheduler& scheduler, ExecutorIndex executor, const TaskKey& key, std::uint32_t run, Instant now)
+    -> void
+{
+    auto* found = findRun(scheduler, key, run, executor);
+    if (found != nullptr && !found->m_stopAnsweredAt)
+        found->m_stopAnsweredAt = now;
+}
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/tests/shell/coordinator/MemoryStore.cpp
@@ -0,0 +1,81 @@
+#include "shell/coordinator/MemoryStore.h"
+
+#include "hemlockvane/detail/async/Signal.h"
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration callTime { 1 };
+constexpr Duration pollTime { 2 };
+
+} // namespace
+
+auto MemoryStore::append(StoreAppend order, Duration timeout) -> asio::awaitable<StoreAppendResult>
+{
+    StoreAppendResult result;
+    if (m_isDown) {
+        co_await sleepFor(timeout);
+        co_return result;
+    }
+    co_await sleepFor(callTime);
+    auto& records = m_topics[order.m_topic];
+    auto& epoch = m_epochs[order.m_topic + "/" + order.m_producer];
+    result.m_end = records.size();
+    if (order.m_expectedEnd && *order.m_expectedEnd != records.size()) {
+        result.m_kind = StoreAppendKind::OtherEnd;
+        co_return result;
+    }
+    if (order.m_epoch < epoch) {
+        result.m_kind = StoreAppendKind::Fenced;
+        co_return result;
+    }
+    epoch = order.m_epoch;
+    result.m_offset = records.size();
+    records.insert(records.end(), order.m_records.begin(), order.m_records.end());
+    result.m_end = records.size();
+    result.m_kind = m_losesAnswers ? StoreAppendKind::Unknown : StoreAppendKind::Stored;
+    co_return result;
+}
+
+auto MemoryStore::read(std::string topic, std::uint64_t from, Duration wait)
+    -> asio::awaitable<std::optional<StoreRead>>
+{
+    for (auto left = wait; left > Duration { 0 } && !m_isDown && m_topics[topic].size() <= from; left -= pollTime)
+        co_await sleepFor(pollTime);
+    co_await sleepFor(callTime);
+    if (m_isDown)
+        co_return std::nullopt;
+    const auto& records = m_topics[topic];
+    StoreRead read;
+    read.m_end = records.size();
+    for (auto offset = from; offset < records.size(); ++offset)
+        read.m_records.push_back(records[offset]);
+    co_return read;
+}
+
+auto MemoryStore::newest(std::string topic)
+    -> asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>>
+{
+    co_await sleepFor(callTime);
+    if (m_isDown)
+        co_return std::nullopt;
+    std::map<std::string, KeyedRecord> newest;
+    std::uint64_t offset = 0;
+    for (const auto& bytes : m_topics[topic]) {
+        auto record = splitKeyedRecord(bytes, offset++);
+        if (record && record->m_value.empty())
+            newest.erase(record->m_key);
+        else if (record)
+            newest.insert_or_assign(record->m_key, std::move(*record));
+    }
+    std::pair<std::vector<KeyedRecord>, std::uint64_t> all;
+    all.second = offset;
+    for (auto& [key, record] : newest)
+        all.first.push_back(std::move(record));
+    co_return all;
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/tests/shell/coordinator/MemoryStore.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "hemlockvane/detail/ports/RecordStore.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief A record store in memory, with faults switched by fields.
+class MemoryStore : public RecordStore {
+public:
+    auto append(StoreAppend order, Duration timeout) -> boost::asio::awaitable<StoreAppendResult> override;
+    auto read(std::string topic, std::uint64_t from, Duration wait)
+        -> boost::asio::awaitable<std::optional<StoreRead>> override;
+    auto newest(std::string topic)
+        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> override;
+
+    bool m_isDown = false; ///< Calls get no answer and do nothing.
+    bool m_losesAnswers = false; ///< Appends are done and not answered.
+    std::map<std::string, std::vector<std::string>> m_topics;
+    std::map<std::string, std::uint64_t> m_epochs; ///< By topic and producer.
+};
+
+} // namespace hemlockvane::detail
