Take waves through in time and move empty machines to pools that ask for more

Ruled out: moving machines with tasks on them (work thrown away, and lasting tasks would be missed).

--- a/include/hemlockvane/detail/coordinator/Coordinator.h
+++ b/include/hemlockvane/detail/coordinator/Coordinator.h
@@ -12,6 +12,10 @@
 #include <optional>
 #include <string>
 
+namespace hemlockvane::fleet {
+struct WaveState;
+}
+
 namespace hemlockvane::scheduling {
 struct FleetRules;
 }
@@ -32,6 +36,9 @@
     auto stop() -> void;
     auto setRules(const scheduling::FleetRules& rules) -> void;
 
+    /// @brief Takes in an operators' wave.
+    auto addWave(const fleet::WaveState& wave) -> void;
+
     /// @brief State of a job; asks the store before it says that there is none.
     /// @result empty when it cannot be told now
     auto statusOf(scheduling::JobId id) -> boost::asio::awaitable<std::optional<JobAnswer>>;
--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "hemlockvane/detail/coordinator/RecordDecoders.h"
+#include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/time/Time.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -23,6 +25,10 @@
     Metrics* m_metrics = nullptr;
     RecordDecoders m_decoders;
     std::string m_executorTopic; ///< Keyed topic that holds the list of executors.
+    std::string m_statusTopic; ///< Keyed topic that tells the operators how far waves are.
+    std::function<std::string(std::uint64_t number, bool isCompleted)> m_waveStatus; ///< Record for that topic.
+    fleet::FleetTiming m_fleetTiming;
+    Duration m_orderSpacing { 3000 }; ///< Between the orders of two owners for one machine.
     std::function<Instant()> m_renewedAt; ///< When the newest renewal of the ownership was sent.
     Duration m_longestLease { 6000 }; ///< Executors shorten longer leases to this.
     Duration m_statusKept { 120000 }; ///< A job's final state is told for at least this long.
--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/coordinator/CoordinatorPorts.h"
+#include "hemlockvane/detail/coordinator/OwnedFleet.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 
 #include <cstdint>
@@ -34,7 +35,8 @@
     std::uint64_t m_jobsEnd = 0; ///< Next offset of the topic of submissions.
     std::uint64_t m_executorsEnd = 0; ///< Next offset of the list of executors.
     std::map<std::string, std::unique_ptr<Signal>> m_lookSignals; ///< By executor id.
-    std::map<std::string, std::string> m_executorRows; ///< Rows about executors that wait for the journal.
+    std::map<std::string, std::string> m_rows; ///< Rows about executors and waves that wait for the journal, by key.
+    OwnedFleet m_fleet;
 };
 
 } // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/OwnedFleet.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "hemlockvane/fleet/FleetTiming.h"
+#include "hemlockvane/fleet/Machine.h"
+#include "hemlockvane/fleet/WaveState.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief What the owner knows of the machines.
+struct OwnedFleet {
+    fleet::FleetTiming m_timing;
+    std::vector<fleet::Machine> m_machines; ///< As last listed.
+    Instant m_listedAt; ///< When the last list was asked for.
+    std::map<std::uint64_t, fleet::WaveState> m_waves;
+    std::map<std::string, Instant> m_ordered; ///< Machines with an order that the list may not show yet.
+    std::set<std::string> m_reserved;
+    std::map<std::string, Instant> m_idleSince;
+    std::set<std::string> m_statusWritten; ///< Wave number and state, as last told to the operators.
+    Instant m_ordersFrom; ///< No order before: an earlier owner's may be on their way.
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/fleet/FleetTiming.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "hemlockvane/time/Time.h"
+
+namespace hemlockvane::fleet {
+
+/// @brief Times of the plans for machines.
+struct FleetTiming {
+    Duration m_moveTime { 1500 }; ///< From the order to the new executor; the platform's settings say.
+    Duration m_upkeepTime { 2000 }; ///< From the order to the new executor; the platform's settings say.
+    Duration m_emptyingTime { 2000 }; ///< For tasks to end, and lasting ones to go elsewhere, before an upkeep.
+    Duration m_parkAfter { 4000 }; ///< An idle machine is parked when it was idle for twice a move's price.
+};
+
+} // namespace hemlockvane::fleet
--- /dev/null
+++ b/include/hemlockvane/fleet/PoolView.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace hemlockvane::fleet {
+
+/// @brief One pool's room and demand, in thousandths of a core.
+struct PoolView {
+    std::string m_name;
+    bool m_isSpare = false;
+    std::int64_t m_capacityMillis = 0; ///< Of its machines that take tasks, or soon will.
+    std::int64_t m_usedMillis = 0;
+    std::int64_t m_waitingMillis = 0; ///< Tasks that could start now if there were room.
+    std::int64_t m_followingMillis = 0; ///< Tasks whose turn comes once others are done.
+};
+
+} // namespace hemlockvane::fleet
--- /dev/null
+++ b/include/hemlockvane/scheduling/MeasureDemand.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "hemlockvane/scheduling/PoolDemand.h"
+
+#include <map>
+#include <string>
+
+namespace hemlockvane::scheduling {
+
+struct Scheduler;
+
+/// @brief What each service's queues ask for now.
+auto measureDemand(const Scheduler& scheduler) -> std::map<std::string, PoolDemand>;
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/include/hemlockvane/scheduling/PoolDemand.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace hemlockvane::scheduling {
+
+/// @brief Processors that a service's tasks ask for, in thousandths of a core.
+struct PoolDemand {
+    std::int64_t m_runningMillis = 0;
+    std::int64_t m_waitingMillis = 0; ///< Could start now if there were room.
+    std::int64_t m_followingMillis = 0; ///< Wait for other steps.
+};
+
+} // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/ExecutorLooks.h"
+#include "hemlockvane/detail/coordinator/FleetKeeper.h"
 #include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/OrderSender.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
@@ -99,6 +100,8 @@
     m_state->m_planSignal.notify();
 }
 
+auto Coordinator::addWave(const fleet::WaveState& wave) -> void { detail::addWave(*m_state, wave); }
+
 auto Coordinator::run() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
@@ -106,6 +109,8 @@
     const auto begunAt = monotonicNow();
     state->m_settledBy
         = begunAt + state->m_ports.m_longestLease + state->m_ports.m_longestLease / 50 + leaseClockSlack;
+    state->m_fleet.m_timing = state->m_ports.m_fleetTiming;
+    state->m_fleet.m_ordersFrom = begunAt + state->m_ports.m_orderSpacing + leaseClockSlack;
     const auto isLoaded = co_await load(state);
     if (!isLoaded)
         co_return;
@@ -116,6 +121,8 @@
     asio::co_spawn(state->m_context, followSubmissions(state), asio::detached);
     asio::co_spawn(state->m_context, followExecutors(state), asio::detached);
     asio::co_spawn(state->m_context, writeJournal(state), asio::detached);
+    if (state->m_ports.m_machines != nullptr)
+        asio::co_spawn(state->m_context, keepFleet(state), asio::detached);
     co_await planAlways(state);
 }
 
--- a/src/detail/coordinator/ExecutorLooks.cpp
+++ b/src/detail/coordinator/ExecutorLooks.cpp
@@ -57,7 +57,7 @@
     const auto born = isNew ? 0 : scheduler.m_executors[known->second]->m_entry.m_bornMs;
     const auto index = scheduling::listExecutor(scheduler, *entry, state->m_settledBy, monotonicNow());
     if (isNew || born != entry->m_bornMs) {
-        state->m_executorRows[entry->m_id] = encodeExecutor(*entry);
+        state->m_rows[executorPrefix + entry->m_id] = encodeExecutor(*entry);
         state->m_journalSignal.notify();
     }
     if (isNew || born != entry->m_bornMs || wasDraining != entry->m_isDraining) {
--- /dev/null
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -0,0 +1,219 @@
+#include "hemlockvane/detail/coordinator/FleetKeeper.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/ExecutorLooks.h"
+#include "hemlockvane/detail/coordinator/FleetViews.h"
+#include "hemlockvane/detail/coordinator/WaveRecords.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/ports/MachinePort.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/fleet/FleetAction.h"
+#include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/fleet/PlanPoolMoves.h"
+#include "hemlockvane/fleet/PlanWaves.h"
+#include "hemlockvane/scheduling/Evacuate.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+using fleet::FleetAction;
+using fleet::FleetActionKind;
+
+namespace {
+
+constexpr Duration planInterval { 120 }; // A machine's move takes 1.5 s: a tenth of that.
+constexpr Duration listInterval { 400 }; // Between two lists while anything changes.
+constexpr Duration idleListInterval { 2000 };
+constexpr Duration listedAfterOrder { 300 }; // A list asked for this long after an order shows what came of it.
+constexpr Duration freshRenewal { 900 }; // Orders for machines go out only while the ownership was just renewed.
+constexpr Duration statusTimeout { 700 };
+
+// An order is settled once a list that was asked for after it shows the machine up again.
+auto settleOrders(OwnedFleet& owned, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
+{
+    for (const auto& machine : machines) {
+        const auto ordered = owned.m_ordered.find(machine.m_id);
+        if (machine.m_state != fleet::MachineState::Up || ordered == owned.m_ordered.end()
+            || askedAt < ordered->second + listedAfterOrder)
+            continue;
+        owned.m_ordered.erase(ordered);
+        for (auto& [number, wave] : owned.m_waves)
+            wave.m_downSince.erase(machine.m_id);
+    }
+}
+
+auto readMachines(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<void>
+{
+    const auto askedAt = monotonicNow();
+    auto machines = co_await state->m_ports.m_machines->list();
+    if (state->m_isStopped || !machines)
+        co_return;
+    settleOrders(state->m_fleet, *machines, askedAt);
+    state->m_fleet.m_machines = std::move(*machines);
+    state->m_fleet.m_listedAt = askedAt;
+}
+
+auto setReserved(CoordinatorState& state, const std::string& machine, bool isReserved) -> void
+{
+    if (isReserved)
+        state.m_fleet.m_reserved.insert(machine);
+    else
+        state.m_fleet.m_reserved.erase(machine);
+    if (auto* executor = executorOf(state, machine))
+        executor->m_isReserved = isReserved;
+}
+
+auto storeWave(CoordinatorState& state, const fleet::WaveState& wave) -> void
+{
+    state.m_rows[wavePrefix + std::to_string(wave.m_order.m_number)] = encodeWave(wave);
+    state.m_journalSignal.notify();
+}
+
+auto applyOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
+{
+    auto& owned = state.m_fleet;
+    const auto isTaken = outcome == MachineOutcome::Done;
+    // Unknown: it may have been taken; the list will tell.
+    if (!isTaken && outcome != MachineOutcome::Unknown)
+        owned.m_ordered.erase(action.m_machine);
+    if (action.m_kind == FleetActionKind::Maintain) {
+        auto& wave = owned.m_waves.at(action.m_wave);
+        if (isTaken || outcome == MachineOutcome::NotInWave || outcome == MachineOutcome::Impossible) {
+            wave.m_begun.insert(action.m_machine);
+            storeWave(state, wave);
+        } else if (outcome != MachineOutcome::Unknown) {
+            wave.m_downSince.erase(action.m_machine);
+        }
+    }
+    if (isTaken || outcome == MachineOutcome::NotInWave || outcome == MachineOutcome::Impossible)
+        setReserved(state, action.m_machine, false);
+}
+
+auto sendOrder(std::shared_ptr<CoordinatorState> state, FleetAction action) -> asio::awaitable<void>
+{
+    const auto sentAt = monotonicNow();
+    auto outcome = MachineOutcome::Unknown;
+    if (action.m_kind == FleetActionKind::Maintain)
+        outcome = co_await state->m_ports.m_machines->maintain(action.m_machine, action.m_wave, state->m_epoch);
+    else
+        outcome = co_await state->m_ports.m_machines->move(action.m_machine, action.m_pool, state->m_epoch);
+    if (state->m_isStopped)
+        co_return;
+    logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}",
+        action.m_machine, action.m_wave, action.m_pool, action.m_reason, static_cast<int>(outcome),
+        (monotonicNow() - sentAt).count());
+    state->m_ports.m_metrics->count("machine_orders_total{outcome=\"" + std::to_string(static_cast<int>(outcome))
+        + "\"}");
+    applyOutcome(*state, action, outcome);
+}
+
+auto perform(const std::shared_ptr<CoordinatorState>& state, FleetAction action, Instant now) -> void
+{
+    if (action.m_kind == FleetActionKind::Reserve || action.m_kind == FleetActionKind::Release) {
+        logOf("fleet").info("event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave,
+            action.m_reason);
+        setReserved(*state, action.m_machine, action.m_kind == FleetActionKind::Reserve);
+        return;
+    }
+    // Nothing is started on it any more, whatever becomes of the order.
+    setReserved(*state, action.m_machine, true);
+    state->m_fleet.m_ordered[action.m_machine] = now;
+    if (action.m_kind == FleetActionKind::Maintain)
+        state->m_fleet.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
+    asio::co_spawn(state->m_context, sendOrder(state, std::move(action)), asio::detached);
+}
+
+auto tellWave(const std::shared_ptr<CoordinatorState>& state, const fleet::WaveState& wave) -> asio::awaitable<void>
+{
+    const auto mark = std::to_string(wave.m_order.m_number) + (wave.m_isCompleted ? "+" : "");
+    if (state->m_fleet.m_statusWritten.contains(mark))
+        co_return;
+    StoreAppend order;
+    order.m_topic = state->m_ports.m_statusTopic;
+    order.m_records.push_back(state->m_ports.m_waveStatus(wave.m_order.m_number, wave.m_isCompleted));
+    const auto result = co_await state->m_ports.m_store->append(std::move(order), statusTimeout);
+    if (result.m_kind != StoreAppendKind::Stored)
+        co_return;
+    logOf("fleet").info("event=wave wave={} completed={} begun={} of={}", wave.m_order.m_number,
+        wave.m_isCompleted, wave.m_begun.size(), wave.m_order.m_machines.size());
+    state->m_fleet.m_statusWritten.insert(mark);
+}
+
+auto evacuateReserved(CoordinatorState& state) -> void
+{
+    auto& scheduler = state.m_scheduler;
+    std::size_t stopped = 0;
+    for (scheduling::ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+        const auto& executor = *scheduler.m_executors[index];
+        if ((executor.m_isReserved || executor.m_entry.m_isDraining) && !executor.m_runs.empty())
+            stopped += scheduling::evacuate(scheduler, index);
+    }
+    if (stopped > 0)
+        state.m_planSignal.notify();
+}
+
+auto planOnce(const std::shared_ptr<CoordinatorState>& state, Instant now) -> void
+{
+    auto& owned = state->m_fleet;
+    const auto view = viewFleet(*state, now);
+    std::vector<FleetAction> actions;
+    for (auto& [number, wave] : owned.m_waves) {
+        if (wave.m_isCompleted)
+            continue;
+        fleet::planWave(view, wave, owned.m_timing, now, actions);
+        wave.m_isCompleted = fleet::isWaveCompleted(view, wave);
+        if (wave.m_isCompleted)
+            storeWave(*state, wave);
+    }
+    fleet::planPoolMoves(view, owned.m_timing, now, actions);
+    std::set<std::string> taken;
+    for (auto& action : actions) {
+        if (taken.insert(action.m_machine).second)
+            perform(state, std::move(action), now);
+    }
+    evacuateReserved(*state);
+}
+
+auto isChanging(const OwnedFleet& owned) -> bool
+{
+    for (const auto& [number, wave] : owned.m_waves) {
+        if (!wave.m_isCompleted)
+            return true;
+    }
+    return !owned.m_ordered.empty();
+}
+
+} // namespace
+
+auto addWave(CoordinatorState& state, const fleet::WaveState& wave) -> void
+{
+    auto [place, isNew] = state.m_fleet.m_waves.try_emplace(wave.m_order.m_number, wave);
+    // Loaded from the journal without its order, or before it.
+    place->second.m_order = wave.m_order;
+    if (isNew)
+        logOf("fleet").info("event=wave_ordered wave={} machines={} limit_ms={} at_once={}", wave.m_order.m_number,
+            wave.m_order.m_machines.size(), wave.m_order.m_timeLimit.count(), wave.m_order.m_mostAtOnce);
+}
+
+auto keepFleet(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
+{
+    while (!state->m_isStopped) {
+        const auto interval = isChanging(state->m_fleet) ? listInterval : idleListInterval;
+        if (monotonicNow() - state->m_fleet.m_listedAt >= interval)
+            co_await readMachines(state);
+        for (auto& [number, wave] : state->m_fleet.m_waves)
+            co_await tellWave(state, wave);
+        const auto now = monotonicNow();
+        const auto mayOrder = now >= state->m_fleet.m_ordersFrom && now - state->m_ports.m_renewedAt() < freshRenewal;
+        if (!state->m_isStopped && mayOrder && !state->m_fleet.m_machines.empty())
+            planOnce(state, now);
+        co_await sleepFor(planInterval);
+    }
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -0,0 +1,89 @@
+#include "hemlockvane/detail/coordinator/FleetViews.h"
+
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/scheduling/MeasureDemand.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+namespace hemlockvane::detail {
+
+namespace {
+
+auto findExecutor(CoordinatorState& state, const std::string& id) -> scheduling::Executor*
+{
+    const auto found = state.m_scheduler.m_executorById.find(id);
+    return found == state.m_scheduler.m_executorById.end() ? nullptr
+                                                           : state.m_scheduler.m_executors[found->second].get();
+}
+
+auto countLasting(const CoordinatorState& state, const scheduling::Executor& executor) -> std::uint32_t
+{
+    std::uint32_t lasting = 0;
+    for (const auto& run : executor.m_runs) {
+        const auto* job = scheduling::findJob(state.m_scheduler, run.m_task.m_job);
+        if (job != nullptr && job->m_spec.m_steps[run.m_task.m_step].m_isLasting)
+            ++lasting;
+    }
+    return lasting;
+}
+
+auto viewMachine(CoordinatorState& state, const fleet::Machine& machine, Instant now) -> fleet::MachineView
+{
+    auto& owned = state.m_fleet;
+    fleet::MachineView view;
+    view.m_machine = machine;
+    view.m_isReserved = owned.m_reserved.contains(machine.m_id);
+    view.m_isOrdered = owned.m_ordered.contains(machine.m_id);
+    view.m_isSpare = state.m_scheduler.m_rules.m_spareServices.contains(machine.m_pool);
+    auto* executor = findExecutor(state, machine.m_executorId);
+    if (executor != nullptr) {
+        executor->m_isReserved = view.m_isReserved;
+        view.m_hasExecutor = executor->m_isListed && !executor->m_isSilent && !executor->m_entry.m_isDraining;
+        view.m_runs = static_cast<std::uint32_t>(executor->m_runs.size());
+        view.m_lastingRuns = countLasting(state, *executor);
+        view.m_usedCpuMillis = executor->m_used.m_cpuMillis;
+    }
+    auto [idle, isNew] = owned.m_idleSince.try_emplace(machine.m_id, now);
+    if (view.m_runs > 0)
+        idle->second = now;
+    view.m_idleSince = idle->second;
+    return view;
+}
+
+} // namespace
+
+auto executorOf(CoordinatorState& state, const std::string& machine) -> scheduling::Executor*
+{
+    for (const auto& listed : state.m_fleet.m_machines) {
+        if (listed.m_id == machine)
+            return findExecutor(state, listed.m_executorId);
+    }
+    return nullptr;
+}
+
+auto viewFleet(CoordinatorState& state, Instant now) -> fleet::FleetView
+{
+    fleet::FleetView view;
+    const auto& rules = state.m_scheduler.m_rules;
+    for (const auto& name : rules.m_services) {
+        auto& pool = view.m_pools[name];
+        pool.m_name = name;
+        pool.m_isSpare = rules.m_spareServices.contains(name);
+    }
+    for (const auto& [name, demand] : scheduling::measureDemand(state.m_scheduler)) {
+        auto& pool = view.m_pools[name];
+        pool.m_name = name;
+        pool.m_usedMillis = demand.m_runningMillis;
+        pool.m_waitingMillis = demand.m_waitingMillis;
+        pool.m_followingMillis = demand.m_followingMillis;
+    }
+    for (const auto& machine : state.m_fleet.m_machines) {
+        view.m_machines.push_back(viewMachine(state, machine, now));
+        // A machine on its way is listed in the pool where it goes.
+        const auto& added = view.m_machines.back();
+        if (machine.m_state != fleet::MachineState::Down && !added.m_isReserved)
+            view.m_pools[machine.m_pool].m_capacityMillis += machine.m_capacity.m_cpuMillis;
+    }
+    return view;
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/coordinator/WaveRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
@@ -46,15 +47,15 @@
             keyedRecord(progressPrefix + jobIdText(id), encodeProgress(scheduling::progressOf(*job))));
     }
     scheduler.m_dirtyJobs.clear();
-    for (const auto& [id, row] : state.m_executorRows)
-        order.m_records.push_back(keyedRecord(executorPrefix + id, row));
-    state.m_executorRows.clear();
+    for (const auto& [key, row] : state.m_rows)
+        order.m_records.push_back(keyedRecord(key, row));
+    state.m_rows.clear();
     return order;
 }
 
 auto hasChanges(const CoordinatorState& state) -> bool
 {
-    return !state.m_scheduler.m_dirtyJobs.empty() || !state.m_executorRows.empty();
+    return !state.m_scheduler.m_dirtyJobs.empty() || !state.m_rows.empty();
 }
 
 // Appends until the store has it; a repeat of the same sequence number is one append.
@@ -76,6 +77,19 @@
     co_return false;
 }
 
+auto restoreWave(CoordinatorState& state, const fleet::WaveState& stored) -> void
+{
+    auto& wave = state.m_fleet.m_waves[stored.m_order.m_number];
+    wave.m_order.m_number = stored.m_order.m_number;
+    wave.m_begun = stored.m_begun;
+    wave.m_isCompleted = stored.m_isCompleted;
+    // Those that an earlier owner sent may still be down: they count until a list shows them up.
+    for (const auto& machine : stored.m_begun) {
+        wave.m_downSince[machine] = monotonicNow();
+        state.m_fleet.m_ordered[machine] = monotonicNow();
+    }
+}
+
 auto noteBatchStored(CoordinatorState& state, const std::vector<PhaseInBatch>& phases, std::uint64_t batch) -> void
 {
     for (const auto& [id, phase] : phases) {
@@ -114,7 +128,10 @@
             = record.m_key.front() == progressPrefix && id ? decodeProgress(record.m_value) : std::nullopt;
         const auto entry
             = record.m_key.front() == executorPrefix ? decodeExecutor(record.m_value) : std::nullopt;
-        if (progress)
+        const auto wave = record.m_key.front() == wavePrefix ? decodeWave(record.m_value) : std::nullopt;
+        if (wave)
+            restoreWave(state, *wave);
+        else if (progress)
             scheduling::restoreProgress(state.m_scheduler, *id, *progress);
         else if (entry)
             scheduling::listExecutor(state.m_scheduler, *entry, state.m_settledBy, monotonicNow());
--- /dev/null
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -0,0 +1,126 @@
+#include "hemlockvane/fleet/PlanPoolMoves.h"
+
+#include "hemlockvane/fleet/FleetTiming.h"
+#include "hemlockvane/fleet/FleetView.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace hemlockvane::fleet {
+
+namespace {
+
+constexpr double roomPerDemand = 1.1; // Room wanted for each core that is asked for; packing leaves gaps.
+constexpr double giverLoad = 0.6; // Demand over room up to which a pool gives machines away.
+constexpr std::int64_t leastMachines = 3; // A pool keeps these for what comes at once.
+
+// Room that a pool lacks, in thousandths of a core; negative: it has that much to give.
+auto lackOf(const PoolView& pool) -> double
+{
+    const auto demand = pool.m_usedMillis + pool.m_waitingMillis + pool.m_followingMillis / 2;
+    return static_cast<double>(demand) * roomPerDemand - static_cast<double>(pool.m_capacityMillis);
+}
+
+auto isFree(const MachineView& machine) -> bool
+{
+    return machine.m_machine.m_state == MachineState::Up && machine.m_runs == 0 && !machine.m_isReserved
+        && !machine.m_isOrdered && (machine.m_isSpare || machine.m_hasExecutor);
+}
+
+class MovePlan {
+public:
+    MovePlan(const FleetView& view, std::vector<FleetAction>& actions)
+        : m_actions(actions)
+        , m_pools(view.m_pools)
+    {
+        for (const auto& machine : view.m_machines) {
+            if (isFree(machine))
+                m_free.push_back(&machine);
+            if (machine.m_machine.m_state == MachineState::Up)
+                ++m_machines[machine.m_machine.m_pool];
+        }
+        // Spare ones first, then those of the pool that asks for least.
+        std::sort(m_free.begin(), m_free.end(), [&](const MachineView* left, const MachineView* right) {
+            return std::tuple(!left->m_isSpare, lackOf(m_pools[left->m_machine.m_pool]), left->m_machine.m_id)
+                < std::tuple(!right->m_isSpare, lackOf(m_pools[right->m_machine.m_pool]), right->m_machine.m_id);
+        });
+    }
+
+    auto fill(const std::string& name) -> void
+    {
+        auto& pool = m_pools[name];
+        for (const auto* machine : m_free) {
+            const auto capacity = machine->m_machine.m_capacity.m_cpuMillis;
+            if (lackOf(pool) < static_cast<double>(capacity) / 2)
+                return;
+            if (m_taken.contains(machine->m_machine.m_id) || !mayGive(*machine, name))
+                continue;
+            move(*machine, name, "demand");
+            pool.m_capacityMillis += capacity;
+        }
+    }
+
+    auto park(const FleetTiming& timing, Instant now, const std::string& spare) -> void
+    {
+        for (const auto* machine : m_free) {
+            if (machine->m_isSpare || m_taken.contains(machine->m_machine.m_id)
+                || now - machine->m_idleSince < timing.m_parkAfter || !mayGive(*machine, spare))
+                continue;
+            move(*machine, spare, "idle");
+        }
+    }
+
+private:
+    auto mayGive(const MachineView& machine, const std::string& to) -> bool
+    {
+        const auto& from = machine.m_machine.m_pool;
+        if (from == to)
+            return false;
+        if (machine.m_isSpare)
+            return true;
+        const auto& pool = m_pools[from];
+        const auto after = pool.m_capacityMillis - machine.m_machine.m_capacity.m_cpuMillis;
+        return pool.m_waitingMillis == 0 && m_machines[from] > leastMachines
+            && static_cast<double>(pool.m_usedMillis + pool.m_followingMillis / 2)
+            <= giverLoad * static_cast<double>(after);
+    }
+
+    auto move(const MachineView& machine, const std::string& to, const char* reason) -> void
+    {
+        const auto& from = machine.m_machine.m_pool;
+        m_pools[from].m_capacityMillis -= machine.m_isSpare ? 0 : machine.m_machine.m_capacity.m_cpuMillis;
+        --m_machines[from];
+        m_taken[machine.m_machine.m_id] = true;
+        m_actions.push_back({ FleetActionKind::Move, machine.m_machine.m_id, 0, to, reason });
+    }
+
+    std::vector<FleetAction>& m_actions;
+    std::map<std::string, PoolView> m_pools;
+    std::map<std::string, std::int64_t> m_machines;
+    std::map<std::string, bool> m_taken;
+    std::vector<const MachineView*> m_free;
+};
+
+} // namespace
+
+auto planPoolMoves(const FleetView& view, const FleetTiming& timing, Instant now, std::vector<FleetAction>& actions)
+    -> void
+{
+    MovePlan plan(view, actions);
+    std::vector<const PoolView*> wanting;
+    std::string spare;
+    for (const auto& [name, pool] : view.m_pools) {
+        if (pool.m_isSpare)
+            spare = name;
+        else if (pool.m_waitingMillis > 0 && lackOf(pool) > 0)
+            wanting.push_back(&pool);
+    }
+    std::sort(wanting.begin(), wanting.end(),
+        [](const PoolView* left, const PoolView* right) { return lackOf(*left) > lackOf(*right); });
+    for (const auto* pool : wanting)
+        plan.fill(pool->m_name);
+    if (!spare.empty())
+        plan.park(timing, now, spare);
+}
+
+} // namespace hemlockvane::fleet
--- /dev/null
+++ b/src/scheduling/Evacuate.cpp
@@ -0,0 +1,49 @@
+#include "hemlockvane/scheduling/Evacuate.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <algorithm>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+constexpr std::int32_t atWorkPercent = 100;
+
+auto isAtWork(const TaskState& task) -> bool
+{
+    return std::any_of(task.m_runs.begin(), task.m_runs.end(), [](const TaskRun& run) {
+        return run.m_phase == RunPhase::Running && run.m_percent >= atWorkPercent;
+    });
+}
+
+auto countAway(const StepState& step) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(
+        step.m_tasks.begin(), step.m_tasks.end(), [](const TaskState& task) { return !isAtWork(task); }));
+}
+
+} // namespace
+
+auto evacuate(Scheduler& scheduler, ExecutorIndex index) -> std::size_t
+{
+    std::size_t stopped = 0;
+    for (const auto& item : scheduler.m_executors[index]->m_runs) {
+        const auto& job = *findJob(scheduler, item.m_task.m_job);
+        const auto& spec = job.m_spec.m_steps[item.m_task.m_step];
+        auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        if (!spec.m_isLasting || run == nullptr || run->m_phase != RunPhase::Running)
+            continue;
+        const auto& step = *findStep(scheduler, item.m_task);
+        const auto mayMiss = std::max<std::size_t>(spec.m_mayMiss, 1);
+        if (run->m_percent >= atWorkPercent && countAway(step) >= mayMiss)
+            continue;
+        run->m_phase = RunPhase::Stopping;
+        ++stopped;
+    }
+    return stopped;
+}
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/src/scheduling/MeasureDemand.cpp
@@ -0,0 +1,50 @@
+#include "hemlockvane/scheduling/MeasureDemand.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <algorithm>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+auto addStep(PoolDemand& demand, const Occurrence& occurrence, const StepState& state, const StepSpec& spec) -> void
+{
+    const auto need = roomNeeded(spec).m_cpuMillis;
+    const auto isOpen = std::all_of(spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
+        const auto& before = occurrence.m_steps[earlier];
+        return before.m_doneCount == before.m_tasks.size();
+    });
+    for (const auto& task : state.m_tasks) {
+        if (task.m_isDone)
+            continue;
+        if (!task.m_runs.empty())
+            demand.m_runningMillis += need;
+        else if (isOpen)
+            demand.m_waitingMillis += need;
+        else
+            demand.m_followingMillis += need;
+    }
+}
+
+} // namespace
+
+auto measureDemand(const Scheduler& scheduler) -> std::map<std::string, PoolDemand>
+{
+    std::map<std::string, PoolDemand> demands;
+    for (const auto id : scheduler.m_active) {
+        const auto& job = *scheduler.m_jobs.at(id);
+        const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
+        if (isFinal(job.m_phase) || queue == scheduler.m_rules.m_queues.end())
+            continue;
+        auto& demand = demands[queue->second.m_service];
+        for (const auto& [number, occurrence] : job.m_occurrences) {
+            for (std::size_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step)
+                addStep(demand, occurrence, occurrence.m_steps[step], job.m_spec.m_steps[step]);
+        }
+    }
+    return demands;
+}
+
+} // namespace hemlockvane::scheduling
