--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -3,12 +3,15 @@
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/coordinator/CoordinatorPorts.h"
 #include "hemlockvane/detail/coordinator/OwnedFleet.h"
+#include "hemlockvane/scheduling/Action.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace hemlockvane::detail {
 
@@ -36,6 +39,8 @@
     std::uint64_t m_executorsEnd = 0; ///< Next offset of the list of executors.
     std::map<std::string, std::unique_ptr<Signal>> m_lookSignals; ///< By executor id.
     std::map<std::string, std::string> m_rows; ///< Rows about executors and waves that wait for the journal, by key.
+    std::set<std::string> m_storedExecutors; ///< Executors with a row in the store.
+    std::vector<scheduling::Action> m_pendingStarts; ///< Sent once their runs are stored.
     OwnedFleet m_fleet;
 };
 
--- a/include/hemlockvane/detail/coordinator/SchedulerRecords.h
+++ b/include/hemlockvane/detail/coordinator/SchedulerRecords.h
@@ -18,7 +18,7 @@
 auto parseJobId(std::string_view text) -> std::optional<scheduling::JobId>;
 
 auto encodeProgress(const scheduling::JobProgress& progress) -> std::string;
-auto decodeProgress(std::string_view bytes) -> std::optional<scheduling::JobProgress>;
+auto decodeProgress(scheduling::JobId id, std::string_view bytes) -> std::optional<scheduling::JobProgress>;
 
 auto encodeExecutor(const scheduling::ExecutorEntry& entry) -> std::string;
 auto decodeExecutor(std::string_view bytes) -> std::optional<scheduling::ExecutorEntry>;
--- a/include/hemlockvane/detail/coordinator/Submissions.h
+++ b/include/hemlockvane/detail/coordinator/Submissions.h
@@ -24,8 +24,7 @@
 inline constexpr char cancellationPrefix = 'c';
 
 /// @brief Takes in one record of the topic.
-/// @param isInherited an earlier owner may have acted on it
-auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record, bool isInherited) -> void;
+auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record) -> void;
 
 /// @brief Takes in all that is stored.
 /// @result false when the store did not answer
--- a/include/hemlockvane/scheduling/Job.h
+++ b/include/hemlockvane/scheduling/Job.h
@@ -18,7 +18,6 @@
     std::vector<std::int64_t> m_chainMs; ///< For each step the longest chain of estimates from its start.
     std::map<std::uint32_t, Occurrence> m_occurrences; ///< Begun or due; done ones stay until the job ends.
     Instant m_arrivedAt;
-    bool m_isInherited = false; ///< An earlier owner may have started tasks of it.
     WallMillis m_endedAt = 0;
     bool m_isDirty = false; ///< Progress differs from what was handed to the journal.
     std::uint32_t m_occurrencesDone = 0;
--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -24,7 +24,6 @@
     std::vector<std::unique_ptr<Executor>> m_executors;
     std::unordered_map<std::string, ExecutorIndex> m_executorById;
     std::map<std::string, Resources> m_usedByWorkspace;
-    Instant m_renewedAt; ///< When the newest renewal of the ownership was sent.
     std::vector<JobId> m_dirtyJobs; ///< Progress to be stored.
     std::uint64_t m_openBatch = 1; ///< Journal batch that takes the next changes.
     std::set<JobId> m_cancelledBeforeSeen; ///< Cancelled, but the job itself was not read yet.
--- a/include/hemlockvane/scheduling/SchedulerTiming.h
+++ b/include/hemlockvane/scheduling/SchedulerTiming.h
@@ -8,8 +8,6 @@
 struct SchedulerTiming {
     Duration m_lease { 4000 }; ///< Outlives a change of owner: about 1.5 s to notice and 1 s to look around.
     Duration m_leaseSlack { 400 }; ///< Added to a lease's end before its task may run elsewhere.
-    /// A job read later than this after the newest renewal may be a new owner's: it waits for the next renewal.
-    Duration m_trustedAfterRenewal { 1200 };
     Duration m_stopRepeat { 300 }; ///< Between two stops of one run that stays.
     Duration m_restAfterFailures { 3000 }; ///< For an executor that fails all that it starts.
     Duration m_adviceRetry { 150 }; ///< After a question that got no good executor.
--- a/include/hemlockvane/scheduling/StoreProgress.h
+++ b/include/hemlockvane/scheduling/StoreProgress.h
@@ -9,9 +9,9 @@
 struct Scheduler;
 
 /// @brief A job's progress as it is to be stored.
-auto progressOf(const Job& job) -> JobProgress;
+auto progressOf(const Scheduler& scheduler, const Job& job) -> JobProgress;
 
-/// @brief Puts stored progress back into a job that has just been taken in.
-auto restoreProgress(Scheduler& scheduler, JobId id, const JobProgress& progress) -> void;
+/// @brief Puts stored progress back into a job that has just been taken in; the executors are listed already.
+auto restoreProgress(Scheduler& scheduler, JobId id, const JobProgress& progress, Instant now) -> void;
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/TrackJobs.h
+++ b/include/hemlockvane/scheduling/TrackJobs.h
@@ -9,9 +9,8 @@
 struct Scheduler;
 
 /// @brief Takes in a job; one that is known already is left as it is.
-/// @param isInherited an earlier owner may have started tasks of it
 /// @result true when the job is new
-auto addJob(Scheduler& scheduler, JobSpec spec, bool isInherited, Instant now) -> bool;
+auto addJob(Scheduler& scheduler, JobSpec spec, Instant now) -> bool;
 
 /// @brief Cancels a job; its runs are to be stopped. A job not seen yet is cancelled when it arrives.
 auto cancelJob(Scheduler& scheduler, JobId id, WallMillis wall) -> void;
@@ -46,6 +45,9 @@
 /// @brief Completes the occurrence, and with the last one the job, once all its steps are done.
 auto completeWhenDone(Scheduler& scheduler, Job& job, Occurrence& occurrence, WallMillis wall) -> void;
 
+/// @brief Takes jobs that have ended and have no run left out of the active ones.
+auto retireJobs(Scheduler& scheduler) -> void;
+
 /// @brief True when any task of the job was ever started.
 auto hasBegun(const Job& job) -> bool;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -27,19 +27,39 @@
 constexpr Duration loadRetry { 100 }; // After a load that the store did not answer.
 constexpr Duration leaseClockSlack { 500 }; // For executors' clocks, 2 % slow, and calls on their way.
 
+// Rows of executors that can hold no run any more are dropped from the store.
+auto dropExecutorRows(CoordinatorState& state) -> void
+{
+    for (const auto& executor : state.m_scheduler.m_executors) {
+        if (executor->m_isListed || !executor->m_runs.empty() || !state.m_storedExecutors.contains(executor->m_entry.m_id))
+            continue;
+        state.m_storedExecutors.erase(executor->m_entry.m_id);
+        state.m_rows[executorPrefix + executor->m_entry.m_id] = std::string();
+    }
+}
+
 auto planOnce(const std::shared_ptr<CoordinatorState>& state) -> void
 {
     auto& scheduler = state->m_scheduler;
     const auto now = monotonicNow();
-    scheduler.m_renewedAt = state->m_ports.m_renewedAt();
     const auto lapsed = scheduling::expireLeases(scheduler, now);
     if (lapsed > 0)
         logOf("executors").info("event=leases_lapsed runs={}", lapsed);
+    dropExecutorRows(*state);
+    scheduling::retireJobs(scheduler);
     std::vector<scheduling::Action> actions;
     scheduling::planStops(scheduler, now, actions);
     scheduling::planStarts(scheduler, now, wallNow(), actions);
     if (!scheduler.m_dirtyJobs.empty())
         state->m_journalSignal.notify();
+    // A start is ordered only once the store holds its run: a new owner must know where each task may be.
+    for (auto& action : actions) {
+        if (action.m_kind == scheduling::ActionKind::Start)
+            state->m_pendingStarts.push_back(std::move(action));
+    }
+    std::erase_if(actions, [](const auto& action) { return action.m_kind == scheduling::ActionKind::Start; });
+    if (!state->m_pendingStarts.empty())
+        state->m_journalSignal.notify();
     sendActions(state, std::move(actions));
 }
 
--- a/src/detail/coordinator/ExecutorLooks.cpp
+++ b/src/detail/coordinator/ExecutorLooks.cpp
@@ -54,10 +54,12 @@
     }
     const auto isNew = known == scheduler.m_executorById.end();
     const auto wasDraining = !isNew && scheduler.m_executors[known->second]->m_entry.m_isDraining;
+    const auto wasListed = !isNew && scheduler.m_executors[known->second]->m_isListed;
     const auto born = isNew ? 0 : scheduler.m_executors[known->second]->m_entry.m_bornMs;
     const auto index = scheduling::listExecutor(scheduler, *entry, state->m_settledBy, monotonicNow());
-    if (isNew || born != entry->m_bornMs) {
+    if (!wasListed || born != entry->m_bornMs) {
         state->m_rows[executorPrefix + entry->m_id] = encodeExecutor(*entry);
+        state->m_storedExecutors.insert(entry->m_id);
         state->m_journalSignal.notify();
     }
     if (isNew || born != entry->m_bornMs || wasDraining != entry->m_isDraining) {
@@ -103,8 +105,9 @@
 
 auto needsLook(const scheduling::Executor& executor) -> bool
 {
-    return !executor.m_isGone
-        && (!executor.m_isSettled || !executor.m_runs.empty() || executor.m_lastRead > executor.m_lastSeen
+    if (executor.m_isGone || (!executor.m_isListed && executor.m_runs.empty()))
+        return false;
+    return (!executor.m_isSettled || !executor.m_runs.empty() || executor.m_lastRead > executor.m_lastSeen
             || !executor.m_unstored.empty());
 }
 
--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -14,6 +14,7 @@
 #include "hemlockvane/fleet/PlanPoolMoves.h"
 #include "hemlockvane/fleet/PlanWaves.h"
 #include "hemlockvane/scheduling/Evacuate.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -74,6 +75,17 @@
     state.m_journalSignal.notify();
 }
 
+// The platform has ended everything on the machine; its next executor has another id or a later start.
+auto loseExecutorOf(CoordinatorState& state, const std::string& machine) -> void
+{
+    const auto* executor = executorOf(state, machine);
+    if (executor == nullptr)
+        return;
+    const auto index = state.m_scheduler.m_executorById.at(executor->m_entry.m_id);
+    scheduling::loseExecutor(state.m_scheduler, index);
+    state.m_planSignal.notify();
+}
+
 auto applyOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
 {
     auto& owned = state.m_fleet;
@@ -90,6 +102,8 @@
             wave.m_downSince.erase(action.m_machine);
         }
     }
+    if (isTaken)
+        loseExecutorOf(state, action.m_machine);
     if (isTaken || outcome == MachineOutcome::NotInWave || outcome == MachineOutcome::Impossible)
         setReserved(state, action.m_machine, false);
 }
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/OrderSender.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/coordinator/WaveRecords.h"
@@ -23,6 +24,7 @@
 
 const std::string journalProducer = "owner";
 constexpr Duration batchSpacing { 40 }; // Between two appends: a batch gathers what ends meanwhile.
+constexpr Duration startSpacing { 4 }; // While starts wait for their batch.
 constexpr Duration idleWait { 1000 }; // Without changes.
 constexpr Duration appendTimeout { 1000 }; // A slow store answers within 0.5 s.
 constexpr Duration retryPause { 80 }; // After a refusal or no answer.
@@ -44,7 +46,7 @@
         job->m_isDirty = false;
         phases.emplace_back(id, job->m_phase);
         order.m_records.push_back(
-            keyedRecord(progressPrefix + jobIdText(id), encodeProgress(scheduling::progressOf(*job))));
+            keyedRecord(progressPrefix + jobIdText(id), encodeProgress(scheduling::progressOf(scheduler, *job))));
     }
     scheduler.m_dirtyJobs.clear();
     for (const auto& [key, row] : state.m_rows)
@@ -90,6 +92,30 @@
     }
 }
 
+auto restoreExecutor(CoordinatorState& state, const scheduling::ExecutorEntry& entry) -> void
+{
+    const auto index = scheduling::listExecutor(state.m_scheduler, entry, state.m_settledBy, monotonicNow());
+    state.m_scheduler.m_executors[index]->m_isListed = false; // Until the list names it.
+    state.m_storedExecutors.insert(entry.m_id);
+}
+
+auto restoreRecord(CoordinatorState& state, const KeyedRecord& record) -> void
+{
+    const auto prefix = record.m_key.front();
+    const auto id = parseJobId(std::string_view(record.m_key).substr(1));
+    const auto progress = prefix == progressPrefix && id ? decodeProgress(*id, record.m_value) : std::nullopt;
+    const auto entry = prefix == executorPrefix ? decodeExecutor(record.m_value) : std::nullopt;
+    const auto wave = prefix == wavePrefix ? decodeWave(record.m_value) : std::nullopt;
+    if (wave)
+        restoreWave(state, *wave);
+    else if (progress)
+        scheduling::restoreProgress(state.m_scheduler, *id, *progress, monotonicNow());
+    else if (entry)
+        restoreExecutor(state, *entry);
+    else
+        logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
+}
+
 auto noteBatchStored(CoordinatorState& state, const std::vector<PhaseInBatch>& phases, std::uint64_t batch) -> void
 {
     for (const auto& [id, phase] : phases) {
@@ -120,23 +146,12 @@
     const auto newest = co_await state.m_ports.m_store->newest(progressTopic);
     if (!newest)
         co_return false;
-    for (const auto& record : newest->first) {
-        if (record.m_key.empty() || record.m_value.empty())
-            continue;
-        const auto id = parseJobId(std::string_view(record.m_key).substr(1));
-        const auto progress
-            = record.m_key.front() == progressPrefix && id ? decodeProgress(record.m_value) : std::nullopt;
-        const auto entry
-            = record.m_key.front() == executorPrefix ? decodeExecutor(record.m_value) : std::nullopt;
-        const auto wave = record.m_key.front() == wavePrefix ? decodeWave(record.m_value) : std::nullopt;
-        if (wave)
-            restoreWave(state, *wave);
-        else if (progress)
-            scheduling::restoreProgress(state.m_scheduler, *id, *progress);
-        else if (entry)
-            scheduling::listExecutor(state.m_scheduler, *entry, state.m_settledBy, monotonicNow());
-        else
-            logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
+    // Executors first: runs are put back on them.
+    for (const auto prefix : { executorPrefix, wavePrefix, progressPrefix }) {
+        for (const auto& record : newest->first) {
+            if (!record.m_key.empty() && !record.m_value.empty() && record.m_key.front() == prefix)
+                restoreRecord(state, record);
+        }
     }
     co_return true;
 }
@@ -151,13 +166,16 @@
         }
         std::vector<PhaseInBatch> phases;
         auto order = takeBatch(*state, phases);
+        auto starts = std::move(state->m_pendingStarts);
+        state->m_pendingStarts.clear();
         const auto batch = state->m_scheduler.m_openBatch++;
         order.m_sequence = sequence++;
         const auto isStored = co_await appendUntilStored(*state, order);
         if (!isStored)
             co_return;
         noteBatchStored(*state, phases, batch);
-        co_await sleepFor(batchSpacing);
+        sendActions(state, std::move(starts));
+        co_await sleepFor(state->m_pendingStarts.empty() ? batchSpacing : startSpacing);
     }
 }
 
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -27,6 +27,15 @@
     row.set_checkpoint(task.m_checkpoint);
 }
 
+auto encodeRun(const scheduling::RunProgress& run, wire::RunProgressRecord& row) -> void
+{
+    row.set_occurrence(run.m_task.m_occurrence);
+    row.set_step(run.m_task.m_step);
+    row.set_index(run.m_task.m_index);
+    row.set_run(run.m_run);
+    row.set_executor_id(run.m_executorId);
+}
+
 auto decodeTask(const wire::TaskProgressRecord& row) -> scheduling::TaskProgress
 {
     scheduling::TaskProgress task;
@@ -71,10 +80,12 @@
         record.add_done_occurrences(number);
     for (const auto& task : progress.m_tasks)
         encodeTask(task, *record.add_tasks());
+    for (const auto& run : progress.m_runs)
+        encodeRun(run, *record.add_runs());
     return record.SerializeAsString();
 }
 
-auto decodeProgress(std::string_view bytes) -> std::optional<scheduling::JobProgress>
+auto decodeProgress(scheduling::JobId id, std::string_view bytes) -> std::optional<scheduling::JobProgress>
 {
     wire::ProgressRecord record;
     if (!record.ParseFromString(toBytes(bytes)))
@@ -86,6 +97,9 @@
     progress.m_doneOccurrences.assign(record.done_occurrences().begin(), record.done_occurrences().end());
     for (const auto& row : record.tasks())
         progress.m_tasks.push_back(decodeTask(row));
+    for (const auto& row : record.runs())
+        progress.m_runs.push_back(
+            { { id, row.occurrence(), row.step(), row.index() }, row.run(), row.executor_id() });
     return progress;
 }
 
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -17,7 +17,7 @@
 constexpr Duration submissionWait { 1000 }; // One read waits this long for a submission.
 constexpr Duration retryPause { 100 }; // After a read without an answer.
 
-auto applySubmission(CoordinatorState& state, scheduling::JobId id, const std::string& bytes, bool isInherited) -> void
+auto applySubmission(CoordinatorState& state, scheduling::JobId id, const std::string& bytes) -> void
 {
     wire::SubmissionRecord record;
     auto spec = record.ParseFromString(bytes) ? state.m_ports.m_decoders.m_job(record.body()) : std::nullopt;
@@ -29,14 +29,14 @@
     spec->m_queue = record.queue();
     spec->m_workspace = record.workspace();
     spec->m_submittedAt = record.submitted_at_ms();
-    if (scheduling::addJob(state.m_scheduler, std::move(*spec), isInherited, monotonicNow()))
-        logOf("jobs").info("event=job job={} queue={} inherited={} age_ms={}", jobIdText(id), record.queue(),
-            isInherited, wallNow() - record.submitted_at_ms());
+    if (scheduling::addJob(state.m_scheduler, std::move(*spec), monotonicNow()))
+        logOf("jobs").info("event=job job={} queue={} age_ms={}", jobIdText(id), record.queue(),
+            wallNow() - record.submitted_at_ms());
 }
 
 } // namespace
 
-auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record, bool isInherited) -> void
+auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record) -> void
 {
     const auto id = record.m_key.empty() ? std::nullopt : parseJobId(std::string_view(record.m_key).substr(1));
     if (!id) {
@@ -46,7 +46,7 @@
     if (record.m_value.empty())
         return;
     if (record.m_key.front() == submissionPrefix)
-        applySubmission(state, *id, record.m_value, isInherited);
+        applySubmission(state, *id, record.m_value);
     if (record.m_key.front() != cancellationPrefix)
         return;
     logOf("jobs").info("event=cancel job={} offset={}", jobIdText(*id), record.m_offset);
@@ -59,7 +59,7 @@
     if (!newest)
         co_return false;
     for (const auto& record : newest->first)
-        applySubmissionRecord(state, record, true);
+        applySubmissionRecord(state, record);
     state.m_jobsEnd = newest->second;
     co_return true;
 }
@@ -77,7 +77,7 @@
         const auto record = splitKeyedRecord(bytes, offset++);
         // A second reader of the same records may have been faster.
         if (record && record->m_offset >= state.m_jobsEnd)
-            applySubmissionRecord(state, *record, false);
+            applySubmissionRecord(state, *record);
     }
     state.m_jobsEnd = std::max(state.m_jobsEnd, offset);
     if (!read->m_records.empty())
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -24,7 +24,6 @@
 
 struct Pool {
     std::vector<ExecutorIndex> m_usable;
-    bool m_hasUnsettled = false; // An executor may still hold runs of an earlier owner.
 };
 
 using Pools = std::map<std::string_view, Pool>;
@@ -34,11 +33,8 @@
     Pools pools;
     for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
         const auto& executor = *scheduler.m_executors[index];
-        auto& pool = pools[executor.m_entry.m_service];
-        if (!executor.m_isSettled && now < executor.m_settledBy)
-            pool.m_hasUnsettled = true;
         if (isUsable(executor, now))
-            pool.m_usable.push_back(index);
+            pools[executor.m_entry.m_service].m_usable.push_back(index);
     }
     return pools;
 }
@@ -71,8 +67,6 @@
     const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
     if (isFinal(job.m_phase) || queue == scheduler.m_rules.m_queues.end())
         return;
-    if (job.m_arrivedAt > scheduler.m_renewedAt + scheduler.m_timing.m_trustedAfterRenewal)
-        return;
     openDueOccurrences(job, wall);
     for (auto& [number, occurrence] : job.m_occurrences) {
         for (std::uint32_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
@@ -266,8 +260,6 @@
 auto startStep(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
-    if (pool.m_hasUnsettled && candidate.m_job->m_isInherited)
-        return;
     if (candidate.m_queue->m_needsAdvice && candidate.m_state->m_ticketsUntil <= now) {
         askAdvice(scheduler, candidate, pool, now, actions);
         return;
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
 
 #include <algorithm>
 
@@ -9,9 +10,6 @@
 
 namespace {
 
-// A new owner skips this many run numbers: its predecessor may have used them without storing it.
-constexpr std::uint32_t unstoredRuns = 2;
-
 auto appendTask(JobProgress& progress, const TaskKey& key, const StepState& step, const TaskState& task) -> void
 {
     if (task.m_highestRun == 0 && !task.m_isDone)
@@ -29,6 +27,31 @@
     progress.m_tasks.push_back(std::move(row));
 }
 
+auto appendRuns(JobProgress& progress, const Scheduler& scheduler, JobId id, std::uint32_t number,
+    const Occurrence& occurrence) -> void
+{
+    for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        const auto& tasks = occurrence.m_steps[step].m_tasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            for (const auto& run : tasks[index].m_runs)
+                progress.m_runs.push_back({ { id, number, step, index }, run.m_run,
+                    scheduler.m_executors[run.m_executor]->m_entry.m_id });
+        }
+    }
+}
+
+auto restoreRun(Scheduler& scheduler, const Job& job, const RunProgress& row, Instant now) -> void
+{
+    const auto executor = scheduler.m_executorById.find(row.m_executorId);
+    const auto* task = findTask(scheduler, row.m_task);
+    if (task == nullptr || executor == scheduler.m_executorById.end()
+        || findRun(scheduler, row.m_task, row.m_run, executor->second) != nullptr)
+        return;
+    const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone;
+    beginRun(scheduler, row.m_task, row.m_run, executor->second, isNeeded ? RunPhase::Running : RunPhase::Stopping,
+        now);
+}
+
 auto restoreTask(Scheduler& scheduler, JobId id, const TaskProgress& row) -> void
 {
     const TaskKey key { id, row.m_occurrence, row.m_step, row.m_index };
@@ -40,7 +63,7 @@
         ++step.m_doneCount;
     task->m_isDone = row.m_isDone;
     task->m_failures = row.m_failures;
-    task->m_highestRun = row.m_highestRun + unstoredRuns;
+    task->m_highestRun = row.m_highestRun;
     task->m_endedRuns = row.m_endedRuns;
     task->m_checkpoint = row.m_checkpoint;
     step.m_gangFailures = std::max(step.m_gangFailures, row.m_gangFailures);
@@ -49,12 +72,14 @@
 
 } // namespace
 
-auto progressOf(const Job& job) -> JobProgress
+auto progressOf(const Scheduler& scheduler, const Job& job) -> JobProgress
 {
     JobProgress progress;
     progress.m_phase = job.m_phase;
     progress.m_endedAt = job.m_endedAt;
     progress.m_occurrencesDone = job.m_occurrencesDone;
+    for (const auto& [number, occurrence] : job.m_occurrences)
+        appendRuns(progress, scheduler, job.m_spec.m_id, number, occurrence);
     if (isFinal(job.m_phase))
         return progress;
     for (const auto& [number, occurrence] : job.m_occurrences) {
@@ -71,7 +96,7 @@
     return progress;
 }
 
-auto restoreProgress(Scheduler& scheduler, JobId id, const JobProgress& progress) -> void
+auto restoreProgress(Scheduler& scheduler, JobId id, const JobProgress& progress, Instant now) -> void
 {
     auto* job = findJob(scheduler, id);
     if (job == nullptr)
@@ -88,6 +113,8 @@
     if (!isFinal(job->m_phase))
         job->m_phase = progress.m_phase;
     job->m_durablePhase = job->m_phase;
+    for (const auto& row : progress.m_runs)
+        restoreRun(scheduler, *job, row, now);
 }
 
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -67,6 +67,22 @@
         task.m_checkpoint = reported.m_checkpoint;
 }
 
+auto isReported(const ExecutorReport& report, const ExecutorRun& item) -> bool
+{
+    return std::any_of(report.m_runs.begin(), report.m_runs.end(),
+        [&](const ReportedRun& there) { return there.m_task == item.m_task && there.m_run == item.m_run; });
+}
+
+// The first answer under this owner's epoch: what an earlier owner ordered and is not there will be refused.
+auto removeRunsNotThere(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
+{
+    const auto runs = scheduler.m_executors[index]->m_runs;
+    for (const auto& item : runs) {
+        if (!isReported(report, item))
+            removeRun(scheduler, item.m_task, item.m_run, index);
+    }
+}
+
 // A look that was sent after the executor answered the stop and does not list the run: it is gone for good.
 auto removeRefusedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
 {
@@ -75,9 +91,7 @@
         const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
         if (run == nullptr || !run->m_stopAnsweredAt || *run->m_stopAnsweredAt > report.m_askedAt)
             continue;
-        const auto isThere = std::any_of(report.m_runs.begin(), report.m_runs.end(),
-            [&](const ReportedRun& there) { return there.m_task == item.m_task && there.m_run == item.m_run; });
-        if (!isThere)
+        if (!isReported(report, item))
             removeRun(scheduler, item.m_task, item.m_run, index);
     }
 }
@@ -167,6 +181,8 @@
             refreshRun(*run, *findTask(scheduler, reported.m_task), reported, now);
     }
     removeRefusedRuns(scheduler, index, report);
+    if (!executor.m_isSettled)
+        removeRunsNotThere(scheduler, index, report);
     executor.m_isSettled = true;
 }
 
@@ -175,10 +191,10 @@
     std::size_t removed = 0;
     for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
         auto& executor = *scheduler.m_executors[index];
-        if (!executor.m_isSettled && now >= executor.m_settledBy)
-            executor.m_isSettled = executor.m_clockMs > 0;
         const auto lapsesAt = executor.m_leaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
-        if (executor.m_runs.empty() || !executor.m_isSilent || clockAtLeast(executor, now) <= lapsesAt)
+        const auto hasLapsed
+            = executor.m_isSettled ? clockAtLeast(executor, now) > lapsesAt : now >= executor.m_settledBy;
+        if (executor.m_runs.empty() || !executor.m_isSilent || !hasLapsed)
             continue;
         const auto runs = executor.m_runs;
         for (const auto& run : runs)
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -32,6 +32,17 @@
     return occurrence;
 }
 
+auto hasRuns(const Job& job) -> bool
+{
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+        for (const auto& step : occurrence.m_steps) {
+            if (!step.m_runsByExecutor.empty())
+                return true;
+        }
+    }
+    return false;
+}
+
 auto stopRuns(Job& job) -> void
 {
     for (auto& [number, occurrence] : job.m_occurrences) {
@@ -52,7 +63,7 @@
     return found == scheduler.m_jobs.end() ? nullptr : found->second.get();
 }
 
-auto addJob(Scheduler& scheduler, JobSpec spec, bool isInherited, Instant now) -> bool
+auto addJob(Scheduler& scheduler, JobSpec spec, Instant now) -> bool
 {
     const auto id = spec.m_id;
     if (scheduler.m_jobs.contains(id))
@@ -61,7 +72,6 @@
     job->m_spec = std::move(spec);
     job->m_chainMs = chainsOf(job->m_spec.m_steps);
     job->m_arrivedAt = now;
-    job->m_isInherited = isInherited;
     if (job->m_spec.m_occurrences == 0)
         job->m_occurrences.emplace(0, makeOccurrence(*job, 0));
     auto& known = *job;
@@ -156,6 +166,14 @@
         enterPhase(scheduler, job, JobPhase::Completed, wall);
 }
 
+auto retireJobs(Scheduler& scheduler) -> void
+{
+    std::erase_if(scheduler.m_active, [&](JobId id) {
+        const auto& job = *scheduler.m_jobs.at(id);
+        return isFinal(job.m_phase) && !hasRuns(job);
+    });
+}
+
 auto hasBegun(const Job& job) -> bool { return job.m_phase != JobPhase::Queued; }
 
 } // namespace hemlockvane::scheduling
