--- a/include/hemlockvane/fleet/PoolView.h
+++ b/include/hemlockvane/fleet/PoolView.h
@@ -14,6 +14,7 @@
     std::int64_t m_capacityMillis = 0; ///< Of its machines that take tasks, or soon will.
     std::int64_t m_usedMillis = 0;
     std::int64_t m_waitingMillis = 0; ///< Tasks that could start now if there were room.
+    std::int64_t m_arrivingMillis = 0; ///< What work at the rate of the last moment keeps busy.
     std::int64_t m_followingMillis = 0; ///< Tasks whose turn comes once others are done.
 };
 
--- a/include/hemlockvane/scheduling/MeasureDemand.h
+++ b/include/hemlockvane/scheduling/MeasureDemand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/scheduling/PoolDemand.h"
+#include "hemlockvane/time/Time.h"
 
 #include <map>
 #include <string>
@@ -10,6 +11,6 @@
 struct Scheduler;
 
 /// @brief What each service's queues ask for now.
-auto measureDemand(const Scheduler& scheduler) -> std::map<std::string, PoolDemand>;
+auto measureDemand(const Scheduler& scheduler, Instant now) -> std::map<std::string, PoolDemand>;
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/PoolDemand.h
+++ b/include/hemlockvane/scheduling/PoolDemand.h
@@ -8,6 +8,7 @@
 struct PoolDemand {
     std::int64_t m_runningMillis = 0;
     std::int64_t m_waitingMillis = 0; ///< Could start now if there were room.
+    std::int64_t m_arrivingMillis = 0; ///< What work at the rate of the last moment keeps busy.
     std::int64_t m_followingMillis = 0; ///< Wait for other steps.
 };
 
--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/scheduling/Arrival.h"
 #include "hemlockvane/scheduling/Executor.h"
 #include "hemlockvane/scheduling/FleetRules.h"
 #include "hemlockvane/scheduling/Job.h"
@@ -7,6 +8,8 @@
 #include "hemlockvane/scheduling/TaskKey.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -24,6 +27,7 @@
     std::vector<std::unique_ptr<Executor>> m_executors;
     std::unordered_map<std::string, ExecutorIndex> m_executorById;
     std::map<std::string, Resources> m_usedByWorkspace;
+    std::map<std::string, std::deque<Arrival>> m_arrivals; ///< By queue; of the last moments.
     std::vector<JobId> m_dirtyJobs; ///< Progress to be stored.
     std::uint64_t m_openBatch = 1; ///< Journal batch that takes the next changes.
     std::set<JobId> m_cancelledBeforeSeen; ///< Cancelled, but the job itself was not read yet.
--- a/src/detail/coordinator/ExecutorLooks.cpp
+++ b/src/detail/coordinator/ExecutorLooks.cpp
@@ -90,11 +90,12 @@
     co_return true;
 }
 
-// Lease for an executor: never beyond what a new owner waits for.
+// Lease for an executor: never beyond what a new owner waits for. A silent one gets no longer lease, since a look that
+// is not answered may still be carried out: its tasks are to be free once the leases it has have lapsed.
 auto leaseDeadline(const CoordinatorState& state, const scheduling::Executor& executor, Instant now)
     -> std::optional<std::int64_t>
 {
-    if (executor.m_clockMs == 0)
+    if (executor.m_clockMs == 0 || executor.m_isSilent)
         return std::nullopt;
     const auto untilLongest = state.m_ports.m_renewedAt() + state.m_ports.m_longestLease - now;
     const auto lease = std::min(state.m_scheduler.m_timing.m_lease, untilLongest);
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -69,11 +69,12 @@
         pool.m_name = name;
         pool.m_isSpare = rules.m_spareServices.contains(name);
     }
-    for (const auto& [name, demand] : scheduling::measureDemand(state.m_scheduler)) {
+    for (const auto& [name, demand] : scheduling::measureDemand(state.m_scheduler, now)) {
         auto& pool = view.m_pools[name];
         pool.m_name = name;
         pool.m_usedMillis = demand.m_runningMillis;
         pool.m_waitingMillis = demand.m_waitingMillis;
+        pool.m_arrivingMillis = demand.m_arrivingMillis;
         pool.m_followingMillis = demand.m_followingMillis;
     }
     for (const auto& machine : state.m_fleet.m_machines) {
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -17,7 +17,8 @@
 // Room that a pool lacks, in thousandths of a core; negative: it has that much to give.
 auto lackOf(const PoolView& pool) -> double
 {
-    const auto demand = pool.m_usedMillis + pool.m_waitingMillis + pool.m_followingMillis / 2;
+    const auto inHand = pool.m_usedMillis + pool.m_waitingMillis + pool.m_followingMillis / 2;
+    const auto demand = std::max(inHand, pool.m_arrivingMillis);
     return static_cast<double>(demand) * roomPerDemand - static_cast<double>(pool.m_capacityMillis);
 }
 
@@ -80,7 +81,7 @@
             return true;
         const auto& pool = m_pools[from];
         const auto after = pool.m_capacityMillis - machine.m_machine.m_capacity.m_cpuMillis;
-        return pool.m_waitingMillis == 0 && m_machines[from] > leastMachines
+        return pool.m_waitingMillis == 0 && pool.m_arrivingMillis <= after && m_machines[from] > leastMachines
             && static_cast<double>(pool.m_usedMillis + pool.m_followingMillis / 2)
             <= giverLoad * static_cast<double>(after);
     }
@@ -112,7 +113,7 @@
     for (const auto& [name, pool] : view.m_pools) {
         if (pool.m_isSpare)
             spare = name;
-        else if (pool.m_waitingMillis > 0 && lackOf(pool) > 0)
+        else if (lackOf(pool) > 0)
             wanting.push_back(&pool);
     }
     std::sort(wanting.begin(), wanting.end(),
--- a/src/fleet/PlanWaves.cpp
+++ b/src/fleet/PlanWaves.cpp
@@ -16,6 +16,7 @@
 constexpr double idleShare = 0.5; // Of a pool's machines that may be away while it asks for little.
 constexpr double busyShare = 0.17; // While it asks for about what it has.
 constexpr double lateShare = 0.34; // Once the wave would miss its limit otherwise.
+constexpr double paceReserve = 0.7; // Part of the wave's time that is planned with.
 constexpr double busyLoad = 0.55; // Demand over room from which a pool counts as busy.
 
 struct PoolCount {
@@ -100,9 +101,12 @@
     auto slots = wave.m_order.m_mostAtOnce > down ? wave.m_order.m_mostAtOnce - down : 0;
     const auto rounds = std::floor(roundsLeft(wave, timing, now));
     const auto isLate = rounds * wave.m_order.m_mostAtOnce < static_cast<double>(pending.size()) * 2;
+    // Machines that empty are not down yet, but take their place among those that may be. No more are taken out at
+    // once than the limit asks for: the others serve meanwhile, or go where they are needed.
+    const auto pace = std::ceil(static_cast<double>(pending.size()) / std::max(rounds * paceReserve, 1.0));
+    const auto most = std::min<std::size_t>(wave.m_order.m_mostAtOnce, static_cast<std::size_t>(pace));
     maintainEmpty(pending, wave, slots, rounds < 1, actions);
-    // Machines that empty are not down yet, but take their place among those that may be.
-    auto mayReserve = wave.m_order.m_mostAtOnce > down + reserved ? wave.m_order.m_mostAtOnce - down - reserved : 0;
+    auto mayReserve = most > down + reserved ? most - down - reserved : 0;
     std::sort(pending.begin(), pending.end(), [&](const MachineView* left, const MachineView* right) {
         return std::tuple(loadOf(view, left->m_machine.m_pool), left->m_lastingRuns, left->m_usedCpuMillis)
             < std::tuple(loadOf(view, right->m_machine.m_pool), right->m_lastingRuns, right->m_usedCpuMillis);
@@ -113,9 +117,9 @@
             return;
         auto& count = counts[machine->m_machine.m_pool];
         const auto share = shareAway(loadOf(view, machine->m_machine.m_pool), isLate);
-        const auto most = std::max(1.0, share * static_cast<double>(count.m_machines));
+        const auto mostOfPool = std::max(1.0, share * static_cast<double>(count.m_machines));
         if (machine->m_isReserved || machine->m_isSpare || machine->m_isOrdered
-            || machine->m_machine.m_state != MachineState::Up || static_cast<double>(count.m_away) + 1 > most)
+            || machine->m_machine.m_state != MachineState::Up || static_cast<double>(count.m_away) + 1 > mostOfPool)
             continue;
         actions.push_back({ FleetActionKind::Reserve, machine->m_machine.m_id, wave.m_order.m_number, {}, "wave" });
         ++count.m_away;
--- a/src/scheduling/Evacuate.cpp
+++ b/src/scheduling/Evacuate.cpp
@@ -12,17 +12,19 @@
 
 constexpr std::int32_t atWorkPercent = 100;
 
-auto isAtWork(const TaskState& task) -> bool
+// A task on an executor that does not answer counts as away.
+auto isAtWork(const Scheduler& scheduler, const TaskState& task) -> bool
 {
-    return std::any_of(task.m_runs.begin(), task.m_runs.end(), [](const TaskRun& run) {
-        return run.m_phase == RunPhase::Running && run.m_percent >= atWorkPercent;
+    return std::any_of(task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) {
+        return run.m_phase == RunPhase::Running && run.m_percent >= atWorkPercent
+            && !scheduler.m_executors[run.m_executor]->m_isSilent;
     });
 }
 
-auto countAway(const StepState& step) -> std::size_t
+auto countAway(const Scheduler& scheduler, const StepState& step) -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(
-        step.m_tasks.begin(), step.m_tasks.end(), [](const TaskState& task) { return !isAtWork(task); }));
+    return static_cast<std::size_t>(std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
+        [&](const TaskState& task) { return !isAtWork(scheduler, task); }));
 }
 
 } // namespace
@@ -38,7 +40,7 @@
             continue;
         const auto& step = *findStep(scheduler, item.m_task);
         const auto mayMiss = std::max<std::size_t>(spec.m_mayMiss, 1);
-        if (run->m_percent >= atWorkPercent && countAway(step) >= mayMiss)
+        if (run->m_percent >= atWorkPercent && countAway(scheduler, step) >= mayMiss)
             continue;
         run->m_phase = RunPhase::Stopping;
         ++stopped;
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+constexpr std::int64_t millisPerSecond = 1000;
+constexpr Duration rateWindow { 700 }; // Half a move's time: a rush is seen while machines can still come for it.
+constexpr std::size_t leastJobsForRate = 4;
+
 auto addStep(PoolDemand& demand, const Occurrence& occurrence, const StepState& state, const StepSpec& spec) -> void
 {
     const auto need = roomNeeded(spec).m_cpuMillis;
@@ -28,9 +32,23 @@
     }
 }
 
+// Processors that arrivals at the present rate keep busy; 0 for a few jobs, which make no rate.
+auto arrivingMillis(const std::deque<Arrival>& arrivals, Instant now) -> std::int64_t
+{
+    std::int64_t work = 0;
+    std::size_t jobs = 0;
+    for (const auto& arrival : arrivals) {
+        if (arrival.m_at + rateWindow < now)
+            continue;
+        work += arrival.m_work;
+        ++jobs;
+    }
+    return jobs < leastJobsForRate ? 0 : work * millisPerSecond / rateWindow.count();
+}
+
 } // namespace
 
-auto measureDemand(const Scheduler& scheduler) -> std::map<std::string, PoolDemand>
+auto measureDemand(const Scheduler& scheduler, Instant now) -> std::map<std::string, PoolDemand>
 {
     std::map<std::string, PoolDemand> demands;
     for (const auto id : scheduler.m_active) {
@@ -44,6 +62,11 @@
                 addStep(demand, occurrence, occurrence.m_steps[step], job.m_spec.m_steps[step]);
         }
     }
+    for (const auto& [name, arrivals] : scheduler.m_arrivals) {
+        const auto queue = scheduler.m_rules.m_queues.find(name);
+        if (queue != scheduler.m_rules.m_queues.end())
+            demands[queue->second.m_service].m_arrivingMillis += arrivingMillis(arrivals, now);
+    }
     return demands;
 }
 
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr std::int64_t millisPerSecond = 1000;
+constexpr Duration arrivalsKept { 2000 }; // Longer than any rate is taken over.
+
 // Longest chain of estimates from each step to the end of the job.
 auto chainsOf(const std::vector<StepSpec>& steps) -> std::vector<std::int64_t>
 {
@@ -32,6 +35,26 @@
     return occurrence;
 }
 
+// Core-seconds that a job brings at once; what lasts or comes later is no part of a rush.
+auto workOf(const JobSpec& spec) -> std::int64_t
+{
+    std::int64_t work = 0;
+    for (const auto& step : spec.m_steps) {
+        if (!step.m_isLasting && spec.m_occurrences == 0)
+            work += static_cast<std::int64_t>(step.m_taskCount) * step.m_perTask.m_cpuMillis * step.m_estimateMs
+                / millisPerSecond;
+    }
+    return work;
+}
+
+auto noteArrival(Scheduler& scheduler, const JobSpec& spec, Instant now) -> void
+{
+    auto& arrivals = scheduler.m_arrivals[spec.m_queue];
+    arrivals.push_back({ now, workOf(spec) });
+    while (arrivals.front().m_at + arrivalsKept < now)
+        arrivals.pop_front();
+}
+
 auto hasRuns(const Job& job) -> bool
 {
     for (const auto& [number, occurrence] : job.m_occurrences) {
@@ -74,6 +97,7 @@
     job->m_arrivedAt = now;
     if (job->m_spec.m_occurrences == 0)
         job->m_occurrences.emplace(0, makeOccurrence(*job, 0));
+    noteArrival(scheduler, job->m_spec, now);
     auto& known = *job;
     scheduler.m_jobs.emplace(id, std::move(job));
     scheduler.m_active.insert(id);
