Take an executor for gone only when the platform's lists show it

An upkeep that an earlier owner had done was ordered again after a takeover and answered with success; the machine's new executor was taken for gone with its tasks on it. Ruled out: a second owner (one epoch only), a restart (same start time in the list).

--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -9,6 +9,7 @@
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/MachinePort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/fleet/EndedExecutors.h"
 #include "hemlockvane/fleet/FleetAction.h"
 #include "hemlockvane/fleet/FleetView.h"
 #include "hemlockvane/fleet/PlanPoolMoves.h"
@@ -48,6 +49,20 @@
     }
 }
 
+auto loseEndedExecutors(CoordinatorState& state, const std::vector<fleet::Machine>& machines) -> void
+{
+    for (const auto& id : fleet::endedExecutors(state.m_fleet.m_machines, machines)) {
+        const auto found = state.m_scheduler.m_executorById.find(id);
+        if (found == state.m_scheduler.m_executorById.end())
+            continue;
+        const auto& executor = *state.m_scheduler.m_executors[found->second];
+        if (!executor.m_runs.empty())
+            logOf("fleet").info("event=gone executor={} runs={}", id, executor.m_runs.size());
+        scheduling::loseExecutor(state.m_scheduler, found->second);
+        state.m_planSignal.notify();
+    }
+}
+
 auto readMachines(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<void>
 {
     const auto askedAt = monotonicNow();
@@ -55,6 +70,7 @@
     if (state->m_isStopped || !machines)
         co_return;
     settleOrders(state->m_fleet, *machines, askedAt);
+    loseEndedExecutors(*state, *machines);
     state->m_fleet.m_machines = std::move(*machines);
     state->m_fleet.m_listedAt = askedAt;
 }
@@ -75,17 +91,6 @@
     state.m_journalSignal.notify();
 }
 
-// The platform has ended everything on the machine; its next executor has another id or a later start.
-auto loseExecutorOf(CoordinatorState& state, const std::string& machine) -> void
-{
-    const auto* executor = executorOf(state, machine);
-    if (executor == nullptr)
-        return;
-    const auto index = state.m_scheduler.m_executorById.at(executor->m_entry.m_id);
-    scheduling::loseExecutor(state.m_scheduler, index);
-    state.m_planSignal.notify();
-}
-
 auto applyOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
 {
     auto& owned = state.m_fleet;
@@ -102,8 +107,6 @@
             wave.m_downSince.erase(action.m_machine);
         }
     }
-    if (isTaken)
-        loseExecutorOf(state, action.m_machine);
     if (isTaken || outcome == MachineOutcome::NotInWave || outcome == MachineOutcome::Impossible)
         setReserved(state, action.m_machine, false);
 }
