--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -30,7 +30,8 @@
     fleet::FleetTiming m_fleetTiming;
     Duration m_orderSpacing { 3000 }; ///< Between the orders of two owners for one machine.
     std::function<Instant()> m_renewedAt; ///< When the newest renewal of the ownership was sent.
-    Duration m_longestLease { 6000 }; ///< Executors shorten longer leases to this.
+    Instant m_earlierLeasesLapsedBy; ///< When the leases of earlier owners must have lapsed.
+    Duration m_longestLease { 6500 }; ///< No lease goes beyond this after the newest renewal.
     Duration m_statusKept { 120000 }; ///< A job's final state is told for at least this long.
 };
 
--- a/include/hemlockvane/detail/coordinator/OwnerElection.h
+++ b/include/hemlockvane/detail/coordinator/OwnerElection.h
@@ -43,6 +43,9 @@
     /// @brief When the newest renewal that the store took was sent.
     [[nodiscard]] auto renewedAt() const -> Instant;
 
+    /// @brief When the leases that earlier owners gave must have lapsed.
+    [[nodiscard]] auto earlierLeasesLapsedBy() const -> Instant;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- a/include/hemlockvane/detail/ports/AdvicePort.h
+++ b/include/hemlockvane/detail/ports/AdvicePort.h
@@ -18,8 +18,7 @@
 
     /// @result empty without an answer, or when the service is busy
     virtual auto ask(scheduling::TaskKey step, std::vector<std::string> executors)
-        -> boost::asio::awaitable<std::optional<AdviceAnswer>>
-        = 0;
+        -> boost::asio::awaitable<std::optional<AdviceAnswer>> = 0;
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/ports/MachinePort.h
+++ b/include/hemlockvane/detail/ports/MachinePort.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "hemlockvane/detail/ports/MachineOutcome.h"
 #include "hemlockvane/fleet/Machine.h"
 #include "hemlockvane/time/Time.h"
-#include "hemlockvane/detail/ports/MachineOutcome.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -21,11 +21,9 @@
     /// @result empty without a whole answer
     virtual auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> = 0;
     virtual auto move(std::string machine, std::string pool, std::uint64_t epoch)
-        -> boost::asio::awaitable<MachineOutcome>
-        = 0;
+        -> boost::asio::awaitable<MachineOutcome> = 0;
     virtual auto maintain(std::string machine, std::uint64_t wave, std::uint64_t epoch)
-        -> boost::asio::awaitable<MachineOutcome>
-        = 0;
+        -> boost::asio::awaitable<MachineOutcome> = 0;
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/ports/RecordStore.h
+++ b/include/hemlockvane/detail/ports/RecordStore.h
@@ -27,14 +27,12 @@
     /// @brief Reads from an offset; with a wait, answers as soon as there is a record.
     /// @result empty without an answer
     virtual auto read(std::string topic, std::uint64_t from, Duration wait)
-        -> boost::asio::awaitable<std::optional<StoreRead>>
-        = 0;
+        -> boost::asio::awaitable<std::optional<StoreRead>> = 0;
 
     /// @brief Newest record of every key, and the offset from which to go on reading.
     /// @result empty without a whole answer
     virtual auto newest(std::string topic)
-        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>>
-        = 0;
+        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> = 0;
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -34,7 +34,8 @@
     std::int64_t m_leaseUntilMs = 0; ///< Latest deadline sent, on its clock.
     std::uint64_t m_lastSeen = 0; ///< Ends up to here are stored with us.
     std::uint64_t m_lastRead = 0; ///< Ends up to here were applied.
-    std::deque<std::pair<std::uint64_t, std::uint64_t>> m_unstored; ///< Number of an end and the journal batch that holds it.
+    std::deque<std::pair<std::uint64_t, std::uint64_t>>
+        m_unstored; ///< Number of an end and the journal batch that holds it.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/Job.h
+++ b/include/hemlockvane/scheduling/Job.h
@@ -14,7 +14,8 @@
 struct Job {
     JobSpec m_spec;
     JobPhase m_phase = JobPhase::Queued;
-    JobPhase m_durablePhase = JobPhase::Queued; ///< Newest phase that the store holds; final phases are shown from here.
+    JobPhase m_durablePhase
+        = JobPhase::Queued; ///< Newest phase that the store holds; final phases are shown from here.
     std::vector<std::int64_t> m_chainMs; ///< For each step the longest chain of estimates from its start.
     std::map<std::uint32_t, Occurrence> m_occurrences; ///< Begun or due; done ones stay until the job ends.
     Instant m_arrivedAt;
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -27,8 +27,8 @@
 
 /// @brief Applies an executor's answer to a look.
 /// @param actions receives stops for runs that nothing is known of
-auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now,
-    WallMillis wall, std::vector<Action>& actions) -> void;
+auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now, WallMillis wall,
+    std::vector<Action>& actions) -> void;
 
 /// @brief Removes the runs of silent executors whose leases must have lapsed by now.
 /// @result number of runs removed
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -25,13 +25,14 @@
 constexpr Duration planInterval { 100 }; // Longest time between two plans: leases, stops and due times.
 constexpr Duration planSpacing { 8 }; // Between two plans: one plan takes in what arrives meanwhile.
 constexpr Duration loadRetry { 100 }; // After a load that the store did not answer.
-constexpr Duration leaseClockSlack { 500 }; // For executors' clocks, 2 % slow, and calls on their way.
+constexpr Duration orderSlack { 500 }; // For an earlier owner's orders for machines on their way.
 
 // Rows of executors that can hold no run any more are dropped from the store.
 auto dropExecutorRows(CoordinatorState& state) -> void
 {
     for (const auto& executor : state.m_scheduler.m_executors) {
-        if (executor->m_isListed || !executor->m_runs.empty() || !state.m_storedExecutors.contains(executor->m_entry.m_id))
+        if (executor->m_isListed || !executor->m_runs.empty()
+            || !state.m_storedExecutors.contains(executor->m_entry.m_id))
             continue;
         state.m_storedExecutors.erase(executor->m_entry.m_id);
         state.m_rows[executorPrefix + executor->m_entry.m_id] = std::string();
@@ -127,10 +128,9 @@
     const auto self = shared_from_this();
     const auto state = m_state;
     const auto begunAt = monotonicNow();
-    state->m_settledBy
-        = begunAt + state->m_ports.m_longestLease + state->m_ports.m_longestLease / 50 + leaseClockSlack;
+    state->m_settledBy = state->m_ports.m_earlierLeasesLapsedBy;
     state->m_fleet.m_timing = state->m_ports.m_fleetTiming;
-    state->m_fleet.m_ordersFrom = begunAt + state->m_ports.m_orderSpacing + leaseClockSlack;
+    state->m_fleet.m_ordersFrom = begunAt + state->m_ports.m_orderSpacing + orderSlack;
     const auto isLoaded = co_await load(state);
     if (!isLoaded)
         co_return;
--- a/src/detail/coordinator/ExecutorLooks.cpp
+++ b/src/detail/coordinator/ExecutorLooks.cpp
@@ -42,8 +42,8 @@
 auto applyEntry(const std::shared_ptr<CoordinatorState>& state, const KeyedRecord& record) -> void
 {
     auto& scheduler = state->m_scheduler;
-    const auto entry = record.m_value.empty() ? std::nullopt
-                                              : state->m_ports.m_decoders.m_executor(record.m_key, record.m_value);
+    const auto entry
+        = record.m_value.empty() ? std::nullopt : state->m_ports.m_decoders.m_executor(record.m_key, record.m_value);
     const auto known = scheduler.m_executorById.find(record.m_key);
     if (!entry) {
         if (known == scheduler.m_executorById.end() || !scheduler.m_executors[known->second]->m_isListed)
@@ -63,9 +63,9 @@
         state->m_journalSignal.notify();
     }
     if (isNew || born != entry->m_bornMs || wasDraining != entry->m_isDraining) {
-        logOf("executors").info("event=listed executor={} service={} born={} draining={} remaining_ms={} offset={}",
-            entry->m_id, entry->m_service, entry->m_bornMs, entry->m_isDraining, entry->m_remainingMs,
-            record.m_offset);
+        logOf("executors")
+            .info("event=listed executor={} service={} born={} draining={} remaining_ms={} offset={}", entry->m_id,
+                entry->m_service, entry->m_bornMs, entry->m_isDraining, entry->m_remainingMs, record.m_offset);
         state->m_planSignal.notify();
     }
     spawnWatch(state, index);
@@ -109,11 +109,10 @@
     if (executor.m_isGone || (!executor.m_isListed && executor.m_runs.empty()))
         return false;
     return (!executor.m_isSettled || !executor.m_runs.empty() || executor.m_lastRead > executor.m_lastSeen
-            || !executor.m_unstored.empty());
+        || !executor.m_unstored.empty());
 }
 
-auto lookOnce(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index)
-    -> asio::awaitable<bool>
+auto lookOnce(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index) -> asio::awaitable<bool>
 {
     auto& executor = *state->m_scheduler.m_executors[index];
     const auto now = monotonicNow();
@@ -141,15 +140,17 @@
         co_return true;
     }
     if (result.m_outcome == CallOutcome::OtherIncarnation && bornBefore == executor.m_entry.m_bornMs) {
-        logOf("executors").info("event=gone executor={} born={} runs={}", executor.m_entry.m_id,
-            executor.m_entry.m_bornMs, executor.m_runs.size());
+        logOf("executors")
+            .info("event=gone executor={} born={} runs={}", executor.m_entry.m_id, executor.m_entry.m_bornMs,
+                executor.m_runs.size());
         scheduling::loseExecutor(state->m_scheduler, index);
         state->m_planSignal.notify();
         co_return true;
     }
     if (!executor.m_isSilent)
-        logOf("executors").info("event=lost executor={} outcome={} runs={} lease_until={}", executor.m_entry.m_id,
-            static_cast<int>(result.m_outcome), executor.m_runs.size(), executor.m_leaseUntilMs);
+        logOf("executors")
+            .info("event=lost executor={} outcome={} runs={} lease_until={}", executor.m_entry.m_id,
+                static_cast<int>(result.m_outcome), executor.m_runs.size(), executor.m_leaseUntilMs);
     executor.m_isSilent = true;
     co_return false;
 }
@@ -194,8 +195,7 @@
     }
 }
 
-auto watchExecutor(std::shared_ptr<CoordinatorState> state, scheduling::ExecutorIndex index)
-    -> asio::awaitable<void>
+auto watchExecutor(std::shared_ptr<CoordinatorState> state, scheduling::ExecutorIndex index) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[index];
     auto& signal = *state->m_lookSignals.at(executor.m_entry.m_id);
--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -121,19 +121,18 @@
         outcome = co_await state->m_ports.m_machines->move(action.m_machine, action.m_pool, state->m_epoch);
     if (state->m_isStopped)
         co_return;
-    logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}",
-        action.m_machine, action.m_wave, action.m_pool, action.m_reason, static_cast<int>(outcome),
-        (monotonicNow() - sentAt).count());
-    state->m_ports.m_metrics->count("machine_orders_total{outcome=\"" + std::to_string(static_cast<int>(outcome))
-        + "\"}");
+    logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}", action.m_machine,
+        action.m_wave, action.m_pool, action.m_reason, static_cast<int>(outcome), (monotonicNow() - sentAt).count());
+    state->m_ports.m_metrics->count(
+        "machine_orders_total{outcome=\"" + std::to_string(static_cast<int>(outcome)) + "\"}");
     applyOutcome(*state, action, outcome);
 }
 
 auto perform(const std::shared_ptr<CoordinatorState>& state, FleetAction action, Instant now) -> void
 {
     if (action.m_kind == FleetActionKind::Reserve || action.m_kind == FleetActionKind::Release) {
-        logOf("fleet").info("event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave,
-            action.m_reason);
+        logOf("fleet").info(
+            "event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave, action.m_reason);
         setReserved(*state, action.m_machine, action.m_kind == FleetActionKind::Reserve);
         return;
     }
@@ -156,8 +155,8 @@
     const auto result = co_await state->m_ports.m_store->append(std::move(order), statusTimeout);
     if (result.m_kind != StoreAppendKind::Stored)
         co_return;
-    logOf("fleet").info("event=wave wave={} completed={} begun={} of={}", wave.m_order.m_number,
-        wave.m_isCompleted, wave.m_begun.size(), wave.m_order.m_machines.size());
+    logOf("fleet").info("event=wave wave={} completed={} begun={} of={}", wave.m_order.m_number, wave.m_isCompleted,
+        wave.m_begun.size(), wave.m_order.m_machines.size());
     state->m_fleet.m_statusWritten.insert(mark);
 }
 
--- a/src/detail/coordinator/OrderSender.cpp
+++ b/src/detail/coordinator/OrderSender.cpp
@@ -58,13 +58,11 @@
     auto answer = scheduling::StartAnswer::Unknown;
     auto wasRepeated = false;
     for (int attempt = 0; attempt < startAttempts && !state->m_isStopped; ++attempt) {
-        const auto* run
-            = scheduling::findRun(state->m_scheduler, action.m_task, action.m_run, action.m_executor);
+        const auto* run = scheduling::findRun(state->m_scheduler, action.m_task, action.m_run, action.m_executor);
         if (run == nullptr || run->m_phase != scheduling::RunPhase::Starting)
             break;
         wasRepeated = attempt > 0;
-        answer = co_await state->m_ports.m_executors->start(
-            executor.m_entry.m_address, executor.m_entry.m_id, order);
+        answer = co_await state->m_ports.m_executors->start(executor.m_entry.m_address, executor.m_entry.m_id, order);
         if (answer != scheduling::StartAnswer::Unknown)
             break;
     }
@@ -74,8 +72,8 @@
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, executor.m_used.m_cpuMillis, action.m_reason,
         static_cast<int>(answer), (monotonicNow() - sentAt).count());
     state->m_ports.m_metrics->count("starts_total{answer=\"" + std::to_string(static_cast<int>(answer)) + "\"}");
-    scheduling::applyStartAnswer(state->m_scheduler, action.m_executor, action.m_task, action.m_run, answer,
-        wasRepeated, monotonicNow());
+    scheduling::applyStartAnswer(
+        state->m_scheduler, action.m_executor, action.m_task, action.m_run, answer, wasRepeated, monotonicNow());
     wakeWatch(*state, executor.m_entry.m_id);
     if (answer != scheduling::StartAnswer::Started)
         state->m_planSignal.notify();
@@ -91,16 +89,15 @@
     logOf("orders").info("event=stop task={} run={} executor={} reason=\"{}\" outcome={}", taskText(action.m_task),
         action.m_run, executor.m_entry.m_id, action.m_reason, static_cast<int>(outcome));
     if (outcome == CallOutcome::Answered)
-        scheduling::applyStopAnswer(
-            state->m_scheduler, action.m_executor, action.m_task, action.m_run, monotonicNow());
+        scheduling::applyStopAnswer(state->m_scheduler, action.m_executor, action.m_task, action.m_run, monotonicNow());
     wakeWatch(*state, executor.m_entry.m_id);
 }
 
 auto sendPace(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[action.m_executor];
-    const auto outcome = co_await state->m_ports.m_executors->pace(executor.m_entry.m_address,
-        executor.m_entry.m_id, action.m_task, action.m_run, action.m_percent, state->m_epoch);
+    const auto outcome = co_await state->m_ports.m_executors->pace(executor.m_entry.m_address, executor.m_entry.m_id,
+        action.m_task, action.m_run, action.m_percent, state->m_epoch);
     logOf("orders").info("event=pace task={} run={} executor={} percent={} reason=\"{}\" outcome={}",
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, action.m_percent, action.m_reason,
         static_cast<int>(outcome));
@@ -116,8 +113,7 @@
         action.m_candidates.size(), answer ? static_cast<int>(answer->m_tickets.size()) : -1,
         answer ? answer->m_validFor.count() : 0, (monotonicNow() - askedAt).count());
     auto given = answer.value_or(AdviceAnswer {});
-    scheduling::applyAdvice(
-        state->m_scheduler, action.m_task, std::move(given.m_tickets), given.m_validFor, askedAt);
+    scheduling::applyAdvice(state->m_scheduler, action.m_task, std::move(given.m_tickets), given.m_validFor, askedAt);
     state->m_planSignal.notify();
 }
 
@@ -127,9 +123,9 @@
 {
     for (auto& action : actions) {
         const auto send = action.m_kind == scheduling::ActionKind::Start ? sendStart
-            : action.m_kind == scheduling::ActionKind::Stop               ? sendStop
-            : action.m_kind == scheduling::ActionKind::Pace               ? sendPace
-                                                                          : askAdvice;
+            : action.m_kind == scheduling::ActionKind::Stop              ? sendStop
+            : action.m_kind == scheduling::ActionKind::Pace              ? sendPace
+                                                                         : askAdvice;
         asio::co_spawn(state->m_context, send(state, std::move(action)), asio::detached);
     }
 }
--- a/src/detail/coordinator/OwnerElection.cpp
+++ b/src/detail/coordinator/OwnerElection.cpp
@@ -1,10 +1,11 @@
 #include "hemlockvane/detail/coordinator/OwnerElection.h"
 
-#include "hemlockvane/scheduling.pb.h"
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/PredecessorLeases.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -53,6 +54,7 @@
     bool m_isOwner = false;
     bool m_isLeaving = false;
     std::uint64_t m_epoch = 0;
+    PredecessorLeases m_predecessors;
     Instant m_renewedAt;
     std::optional<Instant> m_unansweredSince; // When the oldest append was sent of which the outcome is not known.
 };
@@ -77,11 +79,13 @@
         return;
     }
     if (record.epoch() != m_view.m_epoch || record.released() != m_view.m_isReleased)
-        logOf("election").info("event=seen instance={} epoch={} released={}", record.instance(), record.epoch(),
-            record.released());
+        logOf("election")
+            .info("event=seen instance={} epoch={} released={}", record.instance(), record.epoch(), record.released());
     m_view = { record.instance(), record.released() ? std::string() : record.address(), record.epoch(), record.nonce(),
         record.released() };
     const auto isOwn = record.nonce() == m_nonce && !record.released();
+    if (record.nonce() != m_nonce)
+        noteRecord(m_predecessors, record.epoch(), record.released(), m_lastNewsAt);
     if (isOwn && m_unansweredSince) {
         m_renewedAt = *m_unansweredSince;
         m_unansweredSince.reset();
@@ -178,8 +182,8 @@
     }
 }
 
-OwnerElection::OwnerElection(asio::io_context& context, RecordStore& store, std::string instance,
-    std::string address, std::uint64_t nonce, ElectionTiming timing, std::function<void(bool)> onChange)
+OwnerElection::OwnerElection(asio::io_context& context, RecordStore& store, std::string instance, std::string address,
+    std::uint64_t nonce, ElectionTiming timing, std::function<void(bool)> onChange)
     : m_impl(std::make_shared<Impl>(context, store, timing))
 {
     m_impl->m_instance = std::move(instance);
@@ -212,6 +216,7 @@
 auto OwnerElection::isOwner() const -> bool { return m_impl->m_isOwner; }
 auto OwnerElection::epoch() const -> std::uint64_t { return m_impl->m_epoch; }
 auto OwnerElection::owner() const -> const OwnerView& { return m_impl->m_view; }
+auto OwnerElection::earlierLeasesLapsedBy() const -> Instant { return lapsedBy(m_impl->m_predecessors); }
 auto OwnerElection::renewedAt() const -> Instant { return m_impl->m_renewedAt; }
 
 } // namespace hemlockvane::detail
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -98,8 +98,7 @@
     for (const auto& row : record.tasks())
         progress.m_tasks.push_back(decodeTask(row));
     for (const auto& row : record.runs())
-        progress.m_runs.push_back(
-            { { id, row.occurrence(), row.step(), row.index() }, row.run(), row.executor_id() });
+        progress.m_runs.push_back({ { id, row.occurrence(), row.step(), row.index() }, row.run(), row.executor_id() });
     return progress;
 }
 
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -1,11 +1,11 @@
 #include "hemlockvane/detail/coordinator/Submissions.h"
 
-#include "hemlockvane/scheduling.pb.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling.pb.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 
 namespace hemlockvane::detail {
@@ -30,8 +30,8 @@
     spec->m_workspace = record.workspace();
     spec->m_submittedAt = record.submitted_at_ms();
     if (scheduling::addJob(state.m_scheduler, std::move(*spec), monotonicNow()))
-        logOf("jobs").info("event=job job={} queue={} age_ms={}", jobIdText(id), record.queue(),
-            wallNow() - record.submitted_at_ms());
+        logOf("jobs").info(
+            "event=job job={} queue={} age_ms={}", jobIdText(id), record.queue(), wallNow() - record.submitted_at_ms());
 }
 
 } // namespace
--- a/src/detail/intake/JobIntake.cpp
+++ b/src/detail/intake/JobIntake.cpp
@@ -1,6 +1,5 @@
 #include "hemlockvane/detail/intake/JobIntake.h"
 
-#include "hemlockvane/scheduling.pb.h"
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/Coordinator.h"
@@ -10,6 +9,7 @@
 #include "hemlockvane/detail/http/HttpPool.h"
 #include "hemlockvane/detail/intake/OwnerApi.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling.pb.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/detail/intake/OwnerApi.cpp
+++ b/src/detail/intake/OwnerApi.cpp
@@ -38,8 +38,8 @@
     const auto answer = co_await coordinator->statusOf(*id);
     if (!answer)
         co_return textResponse(statusUnavailable, {});
-    co_return textResponse(statusOk,
-        answer->m_isKnown ? std::to_string(static_cast<int>(answer->m_phase)) : std::string(unknownJob));
+    co_return textResponse(
+        statusOk, answer->m_isKnown ? std::to_string(static_cast<int>(answer->m_phase)) : std::string(unknownJob));
 }
 
 } // namespace hemlockvane::detail
--- a/src/detail/rules/RulesFollower.cpp
+++ b/src/detail/rules/RulesFollower.cpp
@@ -51,8 +51,8 @@
     }
     auto decoded = m_source.m_decode(record.m_value);
     if (!decoded) {
-        logOf("rules").error("event=unreadable_configuration offset={} bytes={}", record.m_offset,
-            record.m_value.size());
+        logOf("rules").error(
+            "event=unreadable_configuration offset={} bytes={}", record.m_offset, record.m_value.size());
         return;
     }
     if (m_rules && decoded->m_fleet.m_version <= m_rules->m_fleet.m_version)
@@ -112,8 +112,8 @@
             continue;
         }
         if (m_isReading)
-            logOf("rules").warn("event=store_lost end={} confirmed_ms_ago={}", m_end,
-                (monotonicNow() - m_confirmedAt).count());
+            logOf("rules").warn(
+                "event=store_lost end={} confirmed_ms_ago={}", m_end, (monotonicNow() - m_confirmedAt).count());
         m_isReading = false;
         co_await sleepFor(retryPause);
     }
--- a/src/fleet/PlanWaves.cpp
+++ b/src/fleet/PlanWaves.cpp
@@ -73,8 +73,7 @@
     for (const auto* machine : pending) {
         const auto isEmpty = machine->m_runs == 0 || (isLate && machine->m_lastingRuns == 0);
         const auto mayGo = machine->m_isReserved || machine->m_isSpare;
-        if (slots == 0 || !mayGo || !isEmpty || machine->m_isOrdered
-            || machine->m_machine.m_state != MachineState::Up)
+        if (slots == 0 || !mayGo || !isEmpty || machine->m_isOrdered || machine->m_machine.m_state != MachineState::Up)
             continue;
         actions.push_back({ FleetActionKind::Maintain, machine->m_machine.m_id, wave.m_order.m_number, {}, "empty" });
         --slots;
--- a/src/ingress/MatchRequest.cpp
+++ b/src/ingress/MatchRequest.cpp
@@ -19,9 +19,8 @@
 auto addRoute(IngressRules& rules, IngressRoute route) -> void
 {
     auto& routes = rules.m_routesByHost[route.m_host];
-    const auto place = std::find_if(routes.begin(), routes.end(), [&](const IngressRoute& other) {
-        return other.m_pathPrefix.size() < route.m_pathPrefix.size();
-    });
+    const auto place = std::find_if(routes.begin(), routes.end(),
+        [&](const IngressRoute& other) { return other.m_pathPrefix.size() < route.m_pathPrefix.size(); });
     routes.insert(place, std::move(route));
 }
 
--- a/src/scheduling/Evacuate.cpp
+++ b/src/scheduling/Evacuate.cpp
@@ -23,8 +23,8 @@
 
 auto countAway(const Scheduler& scheduler, const StepState& step) -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
-        [&](const TaskState& task) { return !isAtWork(scheduler, task); }));
+    return static_cast<std::size_t>(std::count_if(
+        step.m_tasks.begin(), step.m_tasks.end(), [&](const TaskState& task) { return !isAtWork(scheduler, task); }));
 }
 
 } // namespace
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -101,8 +101,7 @@
         return most > 0 && have + more * tasks > most;
     };
     return !isOver(limit.m_cpuMillis, sum.m_cpuMillis, need.m_cpuMillis)
-        && !isOver(limit.m_memoryMb, sum.m_memoryMb, need.m_memoryMb)
-        && !isOver(limit.m_gpus, sum.m_gpus, need.m_gpus);
+        && !isOver(limit.m_memoryMb, sum.m_memoryMb, need.m_memoryMb) && !isOver(limit.m_gpus, sum.m_gpus, need.m_gpus);
 }
 
 auto hasTicket(const StartCandidate& candidate, const Executor& executor) -> bool
@@ -115,8 +114,7 @@
 {
     const auto& spec = *candidate.m_spec;
     const auto& labels = executor.m_entry.m_labels;
-    if (!spec.m_requiredLabel.empty()
-        && std::find(labels.begin(), labels.end(), spec.m_requiredLabel) == labels.end())
+    if (!spec.m_requiredLabel.empty() && std::find(labels.begin(), labels.end(), spec.m_requiredLabel) == labels.end())
         return false;
     const auto onIt = candidate.m_state->m_runsByExecutor.find(index);
     if (spec.m_perExecutorLimit > 0 && onIt != candidate.m_state->m_runsByExecutor.end()
@@ -215,8 +213,8 @@
     std::vector<Action>& actions) -> void
 {
     auto& tasks = candidate.m_state->m_tasks;
-    const auto isFree = std::all_of(tasks.begin(), tasks.end(),
-        [](const TaskState& task) { return task.m_runs.empty() && !task.m_isDone; });
+    const auto isFree = std::all_of(
+        tasks.begin(), tasks.end(), [](const TaskState& task) { return task.m_runs.empty() && !task.m_isDone; });
     if (!isFree || !isWithinLimit(scheduler, candidate, static_cast<std::uint32_t>(tasks.size())))
         return;
     std::vector<ExecutorIndex> chosen;
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -34,8 +34,8 @@
         const auto& tasks = occurrence.m_steps[step].m_tasks;
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             for (const auto& run : tasks[index].m_runs)
-                progress.m_runs.push_back({ { id, number, step, index }, run.m_run,
-                    scheduler.m_executors[run.m_executor]->m_entry.m_id });
+                progress.m_runs.push_back(
+                    { { id, number, step, index }, run.m_run, scheduler.m_executors[run.m_executor]->m_entry.m_id });
         }
     }
 }
@@ -48,8 +48,8 @@
         || findRun(scheduler, row.m_task, row.m_run, executor->second) != nullptr)
         return;
     const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone;
-    beginRun(scheduler, row.m_task, row.m_run, executor->second, isNeeded ? RunPhase::Running : RunPhase::Stopping,
-        now);
+    beginRun(
+        scheduler, row.m_task, row.m_run, executor->second, isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
 }
 
 auto restoreTask(Scheduler& scheduler, JobId id, const TaskProgress& row) -> void
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -45,10 +45,10 @@
     }
     const auto& job = *findJob(scheduler, reported.m_task.m_job);
     const auto& spec = job.m_spec.m_steps[reported.m_task.m_step];
-    const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone
-        && (task->m_runs.empty() || (spec.m_allowsCopies && !spec.m_isGang));
-    auto& run = beginRun(scheduler, reported.m_task, reported.m_run, index,
-        isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
+    const auto isNeeded
+        = !isFinal(job.m_phase) && !task->m_isDone && (task->m_runs.empty() || (spec.m_allowsCopies && !spec.m_isGang));
+    auto& run = beginRun(
+        scheduler, reported.m_task, reported.m_run, index, isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
     run.m_percent = reported.m_percent;
     run.m_figure = reported.m_figure;
     if (!reported.m_checkpoint.empty())
@@ -125,7 +125,8 @@
     }
     auto& executor = *scheduler.m_executors[found->second];
     // A record that is older than what the executor itself said is left out.
-    if (entry.m_bornMs < executor.m_entry.m_bornMs || (executor.m_isGone && entry.m_bornMs == executor.m_entry.m_bornMs))
+    if (entry.m_bornMs < executor.m_entry.m_bornMs
+        || (executor.m_isGone && entry.m_bornMs == executor.m_entry.m_bornMs))
         return found->second;
     if (entry.m_bornMs > executor.m_entry.m_bornMs)
         resetIncarnation(scheduler, found->second);
@@ -153,8 +154,8 @@
     executor.m_isSettled = true;
 }
 
-auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now,
-    WallMillis wall, std::vector<Action>& actions) -> void
+auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now, WallMillis wall,
+    std::vector<Action>& actions) -> void
 {
     auto& executor = *scheduler.m_executors[index];
     if (report.m_bornMs != 0 && report.m_bornMs < executor.m_entry.m_bornMs)
--- /dev/null
+++ b/tests/core/fleetplan/PlanWavesTest.cpp
@@ -0,0 +1,164 @@
+#include "hemlockvane/fleet/PlanWaves.h"
+#include "hemlockvane/fleet/FleetTiming.h"
+#include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/fleet/PlanPoolMoves.h"
+#include "hemlockvane/fleet/WaveState.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace hemlockvane::fleet {
+
+class PlanWavesTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PlanWavesTest);
+    CPPUNIT_TEST(wave_emptyReservedMachine_isMaintained);
+    CPPUNIT_TEST(wave_machineWithLastingTask_isNotMaintainedEvenLate);
+    CPPUNIT_TEST(wave_mostAtOnceDown_beginsNoOther);
+    CPPUNIT_TEST(wave_busyPool_keepsMostMachines);
+    CPPUNIT_TEST(wave_machineNotBegun_isNotCompleted);
+    CPPUNIT_TEST(moves_rush_takesSpareMachinesFirst);
+    CPPUNIT_TEST(moves_machineWithTasks_stays);
+    CPPUNIT_TEST(moves_poolInNeed_givesNothing);
+    CPPUNIT_TEST(moves_idleForLong_isParked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        m_view = {};
+        m_view.m_pools["a"] = { "a", false, 4 * coreMillis, 0, 0, 0, 0 };
+        m_view.m_pools["b"] = { "b", false, 4 * coreMillis, 0, 0, 0, 0 };
+        m_view.m_pools["spare"] = { "spare", true, coreMillis, 0, 0, 0, 0 };
+        for (const auto* pool : { "a", "b" }) {
+            for (int index = 0; index < 4; ++index)
+                addMachine(std::string(pool) + std::to_string(index), pool);
+        }
+        addMachine("s0", "spare").m_isSpare = true;
+        m_wave = {};
+        m_wave.m_order = { 1, { "a0", "a1", "a2", "a3" }, Duration(20000), 2 };
+        m_wave.m_seenAt = m_now;
+    }
+
+    auto wave_emptyReservedMachine_isMaintained() -> void
+    {
+        machine("a0").m_isReserved = true;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, count(wave(), FleetActionKind::Maintain));
+    }
+
+    auto wave_machineWithLastingTask_isNotMaintainedEvenLate() -> void
+    {
+        machine("a0").m_isReserved = true;
+        machine("a0").m_runs = 1;
+        machine("a0").m_lastingRuns = 1;
+        m_now += Duration(19500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(wave(), FleetActionKind::Maintain));
+    }
+
+    auto wave_mostAtOnceDown_beginsNoOther() -> void
+    {
+        machine("a0").m_isReserved = true;
+        m_wave.m_downSince = { { "x", m_now }, { "y", m_now } };
+        CPPUNIT_ASSERT(wave().empty());
+    }
+
+    auto wave_busyPool_keepsMostMachines() -> void
+    {
+        m_view.m_pools["a"].m_usedMillis = 4 * coreMillis;
+        CPPUNIT_ASSERT(count(wave(), FleetActionKind::Reserve) <= 1);
+    }
+
+    auto wave_machineNotBegun_isNotCompleted() -> void
+    {
+        m_wave.m_begun = { "a0", "a1", "a2" };
+        CPPUNIT_ASSERT(!isWaveCompleted(m_view, m_wave));
+        m_wave.m_begun.insert("a3");
+        CPPUNIT_ASSERT(isWaveCompleted(m_view, m_wave));
+    }
+
+    auto moves_rush_takesSpareMachinesFirst() -> void
+    {
+        m_view.m_pools["a"].m_usedMillis = 4 * coreMillis;
+        m_view.m_pools["a"].m_waitingMillis = coreMillis / 2;
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("s0"), actions.front().m_machine);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), actions.front().m_pool);
+    }
+
+    auto moves_machineWithTasks_stays() -> void
+    {
+        m_view.m_pools["a"].m_waitingMillis = 20 * coreMillis;
+        for (auto& item : m_view.m_machines)
+            item.m_runs = 1;
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    auto moves_poolInNeed_givesNothing() -> void
+    {
+        m_view.m_pools["a"].m_waitingMillis = 20 * coreMillis;
+        m_view.m_pools["b"].m_waitingMillis = 20 * coreMillis;
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("s0"), actions.front().m_machine);
+    }
+
+    auto moves_idleForLong_isParked() -> void
+    {
+        m_now += Duration(60000);
+        const auto actions = moves();
+        // Each pool keeps three of its four.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, actions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("spare"), actions.front().m_pool);
+    }
+
+private:
+    static constexpr std::int64_t coreMillis = 32000;
+
+    auto addMachine(const std::string& id, const std::string& pool) -> MachineView&
+    {
+        MachineView added;
+        added.m_machine.m_id = id;
+        added.m_machine.m_pool = pool;
+        added.m_machine.m_state = MachineState::Up;
+        added.m_machine.m_capacity.m_cpuMillis = coreMillis;
+        added.m_hasExecutor = true;
+        added.m_idleSince = m_now;
+        m_view.m_machines.push_back(added);
+        return m_view.m_machines.back();
+    }
+
+    auto machine(const std::string& id) -> MachineView&
+    {
+        return *std::find_if(m_view.m_machines.begin(), m_view.m_machines.end(),
+            [&](const MachineView& item) { return item.m_machine.m_id == id; });
+    }
+
+    auto wave() -> std::vector<FleetAction>
+    {
+        std::vector<FleetAction> actions;
+        planWave(m_view, m_wave, {}, m_now, actions);
+        return actions;
+    }
+
+    auto moves() -> std::vector<FleetAction>
+    {
+        std::vector<FleetAction> actions;
+        planPoolMoves(m_view, {}, m_now, actions);
+        return actions;
+    }
+
+    static auto count(const std::vector<FleetAction>& actions, FleetActionKind kind) -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(
+            actions.begin(), actions.end(), [&](const FleetAction& action) { return action.m_kind == kind; }));
+    }
+
+    FleetView m_view;
+    WaveState m_wave;
+    Instant m_now { Duration(100000) };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlanWavesTest);
+
+} // namespace hemlockvane::fleet
