Stop lasting tasks only beside others at work; count no silent machine as room; copy overdue tasks

Crashed machines counted as room, so none came for them. Ruled out: two owners; the report's order (one look at a time).

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -22,6 +22,7 @@
     Instant m_settledBy; ///< When leases given by earlier owners must have lapsed.
     bool m_isSilent = false; ///< Its last calls were not answered.
     bool m_isReserved = false; ///< Set aside for a move or an upkeep: nothing is placed there.
+    bool m_isDueUpkeep = false; ///< Its machine is to have its upkeep soon: lasting tasks go elsewhere if they can.
     Instant m_restsUntil; ///< Nothing is placed there before, after it failed what it was given.
     std::uint32_t m_failuresInRow = 0; ///< Ends failed, of different jobs, since the last end done.
     JobId m_lastFailedJob = 0;
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -4,6 +4,8 @@
 #include "hemlockvane/scheduling/MeasureDemand.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace {
@@ -26,6 +28,15 @@
     return lasting;
 }
 
+auto isDueUpkeep(const OwnedFleet& owned, const std::string& machine) -> bool
+{
+    return std::any_of(owned.m_waves.begin(), owned.m_waves.end(), [&](const auto& item) {
+        const auto& wave = item.second;
+        const auto& listed = wave.m_order.m_machines;
+        return !wave.m_begun.contains(machine) && std::find(listed.begin(), listed.end(), machine) != listed.end();
+    });
+}
+
 auto viewMachine(CoordinatorState& state, const fleet::Machine& machine, Instant now) -> fleet::MachineView
 {
     auto& owned = state.m_fleet;
@@ -37,6 +48,7 @@
     auto* executor = findExecutor(state, machine.m_executorId);
     if (executor != nullptr) {
         executor->m_isReserved = view.m_isReserved;
+        executor->m_isDueUpkeep = isDueUpkeep(owned, machine.m_id);
         view.m_hasExecutor = executor->m_isListed && !executor->m_isSilent && !executor->m_entry.m_isDraining;
         view.m_runs = static_cast<std::uint32_t>(executor->m_runs.size());
         view.m_lastingRuns = countLasting(state, *executor);
@@ -81,7 +93,10 @@
         view.m_machines.push_back(viewMachine(state, machine, now));
         // A machine on its way is listed in the pool where it goes.
         const auto& added = view.m_machines.back();
-        if (machine.m_state != fleet::MachineState::Down && !added.m_isReserved)
+        const auto isComing
+            = machine.m_state == fleet::MachineState::Moving || machine.m_state == fleet::MachineState::Upkeep;
+        const auto isServing = machine.m_state == fleet::MachineState::Up && added.m_hasExecutor;
+        if ((isComing || isServing || added.m_isSpare) && !added.m_isReserved)
             view.m_pools[machine.m_pool].m_capacityMillis += machine.m_capacity.m_cpuMillis;
     }
     return view;
--- a/src/detail/coordinator/OrderSender.cpp
+++ b/src/detail/coordinator/OrderSender.cpp
@@ -26,6 +26,8 @@
 
 constexpr int startAttempts = 3; // The same start again is the same run; most lost answers are one call's.
 
+constexpr Duration restAfterSilence { 400 }; // Until a look has told whether the executor is lost.
+
 auto taskText(const scheduling::TaskKey& key) -> std::string
 {
     return jobIdText(key.m_job) + "." + std::to_string(key.m_occurrence) + "." + std::to_string(key.m_step) + "."
@@ -65,6 +67,7 @@
         answer = co_await state->m_ports.m_executors->start(executor.m_entry.m_address, executor.m_entry.m_id, order);
         if (answer != scheduling::StartAnswer::Unknown)
             break;
+        executor.m_restsUntil = std::max(executor.m_restsUntil, monotonicNow() + restAfterSilence);
     }
     if (state->m_isStopped)
         co_return;
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -80,10 +80,10 @@
         if (machine.m_isSpare)
             return true;
         const auto& pool = m_pools[from];
+        const auto inHand = pool.m_usedMillis + pool.m_followingMillis / 2;
         const auto after = pool.m_capacityMillis - machine.m_machine.m_capacity.m_cpuMillis;
         return pool.m_waitingMillis == 0 && pool.m_arrivingMillis <= after && m_machines[from] > leastMachines
-            && static_cast<double>(pool.m_usedMillis + pool.m_followingMillis / 2)
-            <= giverLoad * static_cast<double>(after);
+            && static_cast<double>(inHand) <= giverLoad * static_cast<double>(after);
     }
 
     auto move(const MachineView& machine, const std::string& to, const char* reason) -> void
--- a/src/scheduling/Evacuate.cpp
+++ b/src/scheduling/Evacuate.cpp
@@ -21,10 +21,15 @@
     });
 }
 
-auto countAway(const Scheduler& scheduler, const StepState& step) -> std::size_t
+// Others of the step that are away. The reports are up to a second old: the task itself may be at work by now.
+auto countOthersAway(const Scheduler& scheduler, const StepState& step, std::uint32_t index) -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(
-        step.m_tasks.begin(), step.m_tasks.end(), [&](const TaskState& task) { return !isAtWork(scheduler, task); }));
+    std::size_t away = 0;
+    for (std::uint32_t other = 0; other < step.m_tasks.size(); ++other) {
+        if (other != index && !isAtWork(scheduler, step.m_tasks[other]))
+            ++away;
+    }
+    return away;
 }
 
 } // namespace
@@ -40,7 +45,7 @@
             continue;
         const auto& step = *findStep(scheduler, item.m_task);
         const auto mayMiss = std::max<std::size_t>(spec.m_mayMiss, 1);
-        if (run->m_percent >= atWorkPercent && countAway(scheduler, step) >= mayMiss)
+        if (countOthersAway(scheduler, step, item.m_task.m_index) >= mayMiss)
             continue;
         run->m_phase = RunPhase::Stopping;
         ++stopped;
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr std::int64_t overdueEstimates = 2; // A run that takes this many times its estimate is overdue.
 constexpr std::size_t mostAdviceCandidates = 100; // The advice service takes no more in one question.
 
 enum CandidateClass : std::int32_t {
@@ -26,6 +27,7 @@
     std::vector<ExecutorIndex> m_usable;
 };
 
+using PlacementRank = std::tuple<bool, bool, bool, std::int64_t>;
 using Pools = std::map<std::string_view, Pool>;
 
 auto poolsOf(const Scheduler& scheduler, Instant now) -> Pools
@@ -48,10 +50,25 @@
     });
 }
 
-auto hasWaitingTask(const StepState& step) -> bool
+// A copy is worth its room when the only run is on an executor that does not answer, or takes far too long.
+auto needsCopy(const Scheduler& scheduler, const StepSpec& spec, const TaskState& task, Instant now) -> bool
+{
+    if (!spec.m_allowsCopies || spec.m_isGang || task.m_runs.size() != 1)
+        return false;
+    const auto& run = task.m_runs.front();
+    const auto longest = Duration(spec.m_estimateMs * overdueEstimates) + scheduler.m_timing.m_placementMargin;
+    return scheduler.m_executors[run.m_executor]->m_isSilent || now - run.m_orderedAt > longest;
+}
+
+auto needsRun(const Scheduler& scheduler, const StepSpec& spec, const TaskState& task, Instant now) -> bool
+{
+    return !task.m_isDone && (task.m_runs.empty() || needsCopy(scheduler, spec, task, now));
+}
+
+auto hasWaitingTask(const Scheduler& scheduler, const StepSpec& spec, const StepState& step, Instant now) -> bool
 {
     return std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
-        [](const TaskState& task) { return !task.m_isDone && task.m_runs.empty(); });
+        [&](const TaskState& task) { return needsRun(scheduler, spec, task, now); });
 }
 
 auto dueOf(const Job& job, const Occurrence& occurrence, const QueueRules& queue) -> std::int64_t
@@ -61,8 +78,8 @@
     return begin + static_cast<std::int64_t>(queue.m_stretch * static_cast<double>(longest)) + queue.m_latencyTargetMs;
 }
 
-auto collectFromJob(const Scheduler& scheduler, Job& job, WallMillis wall, std::vector<StartCandidate>& candidates)
-    -> void
+auto collectFromJob(
+    const Scheduler& scheduler, Job& job, Instant now, WallMillis wall, std::vector<StartCandidate>& candidates) -> void
 {
     const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
     if (isFinal(job.m_phase) || queue == scheduler.m_rules.m_queues.end())
@@ -71,7 +88,7 @@
     for (auto& [number, occurrence] : job.m_occurrences) {
         for (std::uint32_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
             auto& state = occurrence.m_steps[step];
-            if (!isStepOpen(job, occurrence, step) || !hasWaitingTask(state))
+            if (!isStepOpen(job, occurrence, step) || !hasWaitingTask(scheduler, job.m_spec.m_steps[step], state, now))
                 continue;
             StartCandidate candidate { &job, &queue->second, number, step, &state, &job.m_spec.m_steps[step] };
             candidate.m_dueMs = dueOf(job, occurrence, queue->second);
@@ -125,24 +142,28 @@
     return fitsWithin(roomNeeded(spec), used, executor.m_entry.m_capacity) && hasTicket(candidate, executor);
 }
 
-// Smaller is better: not failed there before, near its data, then the fullest; lasting tasks spread instead.
+// Smaller is better: not failed there before, near its data, then the fullest; lasting tasks spread
+// instead, over machines that stay.
 auto placementRank(const StartCandidate& candidate, const TaskState& task, const Executor& executor,
-    ExecutorIndex index) -> std::tuple<bool, bool, std::int64_t>
+    ExecutorIndex index) -> PlacementRank
 {
     const auto hasFailed = std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end();
     const auto isFar = !candidate.m_spec->m_dataRack.empty() && candidate.m_spec->m_dataRack != executor.m_rack;
     const auto load = executor.m_used.m_cpuMillis;
-    return { hasFailed, isFar, candidate.m_spec->m_isLasting ? load : -load };
+    const auto mustMoveOn = candidate.m_spec->m_isLasting && executor.m_isDueUpkeep;
+    return { hasFailed, isFar, mustMoveOn, candidate.m_spec->m_isLasting ? load : -load };
 }
 
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
     const Pool& pool) -> std::optional<ExecutorIndex>
 {
     std::optional<ExecutorIndex> best;
-    std::tuple<bool, bool, std::int64_t> bestRank;
+    PlacementRank bestRank;
     for (const auto index : pool.m_usable) {
         const auto& executor = *scheduler.m_executors[index];
-        if (!mayHold(candidate, executor, index, {}))
+        const auto hasRun = std::any_of(
+            task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) { return run.m_executor == index; });
+        if (hasRun || !mayHold(candidate, executor, index, {}))
             continue;
         const auto rank = placementRank(candidate, task, executor, index);
         if (!best || rank < bestRank) {
@@ -244,7 +265,7 @@
 {
     for (std::uint32_t index = 0; index < candidate.m_state->m_tasks.size(); ++index) {
         auto& task = candidate.m_state->m_tasks[index];
-        if (task.m_isDone || !task.m_runs.empty())
+        if (!needsRun(scheduler, *candidate.m_spec, task, now))
             continue;
         if (!isWithinLimit(scheduler, candidate, 1))
             return;
@@ -274,7 +295,7 @@
 {
     std::vector<StartCandidate> candidates;
     for (const auto id : scheduler.m_active)
-        collectFromJob(scheduler, *scheduler.m_jobs.at(id), wall, candidates);
+        collectFromJob(scheduler, *scheduler.m_jobs.at(id), now, wall, candidates);
     if (candidates.empty())
         return;
     const auto pools = poolsOf(scheduler, now);
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t failuresBeforeRest = 3; // Ends failed in a row, of different jobs.
+constexpr std::uint32_t failuresBeforeRest = 2; // Ends failed in a row, of different jobs.
 constexpr Duration restAfterRefusal { 200 }; // Before an executor that had no room is asked again.
 
 auto endBit(std::uint32_t run) -> std::uint64_t { return std::uint64_t { 1 } << (run % 64U); }
