--- /dev/null
+++ b/tests/core/scheduling/PlanStartsTest.cpp
@@ -0,0 +1,248 @@
+#include "core/scheduling/SchedulerFixture.h"
+
+#include "hemlockvane/scheduling/Evacuate.h"
+#include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace hemlockvane::scheduling {
+
+class PlanStartsTest : public SchedulerFixture {
+    CPPUNIT_TEST_SUITE(PlanStartsTest);
+    CPPUNIT_TEST(tasks_withRoom_startOnce);
+    CPPUNIT_TEST(tasks_beyondRoom_wait);
+    CPPUNIT_TEST(tasks_beyondWorkspaceLimit_wait);
+    CPPUNIT_TEST(step_afterAnother_waitsForAllItsTasks);
+    CPPUNIT_TEST(step_perExecutorLimit_spreads);
+    CPPUNIT_TEST(step_requiredLabel_goesOnlyThere);
+    CPPUNIT_TEST(gang_withoutRoomForAll_startsNone);
+    CPPUNIT_TEST(gang_withRoom_sharesRunAndEndsTogether);
+    CPPUNIT_TEST(task_failedAtEveryAttempt_failsItsJob);
+    CPPUNIT_TEST(task_failed_goesElsewhereNext);
+    CPPUNIT_TEST(job_cancelled_stopsItsRuns);
+    CPPUNIT_TEST(job_cancelledBeforeItIsSeen_startsNothing);
+    CPPUNIT_TEST(executor_draining_getsNothing);
+    CPPUNIT_TEST(executor_failingDifferentJobs_rests);
+    CPPUNIT_TEST(queue_withAdvice_asksAndUsesTickets);
+    CPPUNIT_TEST(occurrence_beforeItsTime_waits);
+    CPPUNIT_TEST(job_pastItsObjective_comesAfterOthers);
+    CPPUNIT_TEST(copy_onSilentExecutor_startsElsewhere);
+    CPPUNIT_TEST(lasting_ended_startsAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto tasks_withRoom_startOnce() -> void
+    {
+        submit({ step(4, 1000) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, plan().size());
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    auto tasks_beyondRoom_wait() -> void
+    {
+        submit({ step(5, 4000) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, plan().size());
+    }
+
+    auto tasks_beyondWorkspaceLimit_wait() -> void
+    {
+        m_scheduler.m_rules.m_workspaces["team"].m_limit.m_cpuMillis = 2500;
+        submit({ step(4, 1000) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan().size());
+    }
+
+    auto step_afterAnother_waitsForAllItsTasks() -> void
+    {
+        auto second = step(1, 1000);
+        second.m_after = { 0 };
+        submit({ step(2, 1000), second });
+        const auto first = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, first.size());
+        end(first[0], EndKind::Done);
+        CPPUNIT_ASSERT(plan().empty());
+        end(first[1], EndKind::Done);
+        const auto last = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, last.size());
+        end(last[0], EndKind::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Completed);
+    }
+
+    auto step_perExecutorLimit_spreads() -> void
+    {
+        auto spread = step(3, 100);
+        spread.m_perExecutorLimit = 1;
+        submit({ spread });
+        const auto starts = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, starts.size());
+        CPPUNIT_ASSERT(starts[0].m_executor != starts[1].m_executor);
+    }
+
+    auto step_requiredLabel_goesOnlyThere() -> void
+    {
+        auto bound = step(2, 100);
+        bound.m_requiredLabel = "rack-e1";
+        submit({ bound });
+        for (const auto& start : plan())
+            CPPUNIT_ASSERT_EQUAL(ExecutorIndex { 1 }, start.m_executor);
+    }
+
+    auto gang_withoutRoomForAll_startsNone() -> void
+    {
+        auto gang = step(5, 4000);
+        gang.m_isGang = true;
+        submit({ gang });
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    auto gang_withRoom_sharesRunAndEndsTogether() -> void
+    {
+        auto gang = step(3, 4000);
+        gang.m_isGang = true;
+        submit({ gang });
+        const auto starts = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, starts.size());
+        CPPUNIT_ASSERT_EQUAL(starts[0].m_run, starts[2].m_run);
+        end(starts[0], EndKind::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Completed);
+    }
+
+    auto task_failedAtEveryAttempt_failsItsJob() -> void
+    {
+        submit({ step(1, 1000) });
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            const auto starts = plan();
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts.size());
+            end(starts[0], EndKind::Failed);
+        }
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    auto task_failed_goesElsewhereNext() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto first = plan();
+        end(first[0], EndKind::Failed);
+        CPPUNIT_ASSERT(plan()[0].m_executor != first[0].m_executor);
+    }
+
+    auto job_cancelled_stopsItsRuns() -> void
+    {
+        submit({ step(2, 1000) });
+        answerStarts(plan());
+        cancelJob(m_scheduler, job, m_wall);
+        const auto actions = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == ActionKind::Stop);
+    }
+
+    auto job_cancelledBeforeItIsSeen_startsNothing() -> void
+    {
+        cancelJob(m_scheduler, job, m_wall);
+        submit({ step(2, 1000) });
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Cancelled);
+    }
+
+    auto executor_draining_getsNothing() -> void
+    {
+        m_scheduler.m_executors[0]->m_entry.m_isDraining = true;
+        submit({ step(4, 1000) });
+        for (const auto& start : plan())
+            CPPUNIT_ASSERT_EQUAL(ExecutorIndex { 1 }, start.m_executor);
+    }
+
+    auto executor_failingDifferentJobs_rests() -> void
+    {
+        for (JobId other = 1; other <= 2; ++other)
+            report(0, {}, { { ++m_ends[0], { other, 0, 0, 0 }, 1, EndKind::Failed, "" } });
+        submit({ step(4, 1000) });
+        for (const auto& start : plan())
+            CPPUNIT_ASSERT_EQUAL(ExecutorIndex { 1 }, start.m_executor);
+    }
+
+    auto queue_withAdvice_asksAndUsesTickets() -> void
+    {
+        m_scheduler.m_rules.m_queues["checks"].m_needsAdvice = true;
+        submit({ step(2, 1000) });
+        const auto question = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, question.size());
+        CPPUNIT_ASSERT(question[0].m_kind == ActionKind::AskAdvice);
+        CPPUNIT_ASSERT(plan().empty());
+        applyAdvice(m_scheduler, question[0].m_task, { { "e1", "ticket" } }, Duration(3000), m_now);
+        const auto starts = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, starts.size());
+        CPPUNIT_ASSERT_EQUAL(ExecutorIndex { 1 }, starts[0].m_executor);
+        CPPUNIT_ASSERT_EQUAL(std::string("ticket"), starts[0].m_ticket);
+    }
+
+    auto occurrence_beforeItsTime_waits() -> void
+    {
+        JobSpec spec;
+        spec.m_id = job;
+        spec.m_queue = "checks";
+        spec.m_steps = { step(1, 1000) };
+        spec.m_occurrences = 2;
+        spec.m_firstDue = m_wall + 100;
+        spec.m_intervalMs = 1000;
+        addJob(m_scheduler, spec, m_now);
+        CPPUNIT_ASSERT(plan().empty());
+        m_wall += 100;
+        const auto first = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, first.size());
+        end(first[0], EndKind::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+        m_wall += 1000;
+        end(plan().at(0), EndKind::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Completed);
+    }
+
+    auto job_pastItsObjective_comesAfterOthers() -> void
+    {
+        submit({ step(1, 8000) });
+        m_wall += 5000; // The first job's objective is 1.6 s.
+        JobSpec fresh;
+        fresh.m_id = job + 1;
+        fresh.m_queue = "checks";
+        fresh.m_steps = { step(2, 8000) };
+        fresh.m_submittedAt = m_wall;
+        addJob(m_scheduler, fresh, m_now);
+        const auto starts = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, starts.size());
+        CPPUNIT_ASSERT_EQUAL(job + 1, starts[0].m_task.m_job);
+        CPPUNIT_ASSERT_EQUAL(job + 1, starts[1].m_task.m_job);
+    }
+
+    auto copy_onSilentExecutor_startsElsewhere() -> void
+    {
+        auto copied = step(1, 1000);
+        copied.m_allowsCopies = true;
+        submit({ copied });
+        const auto first = plan();
+        m_scheduler.m_executors[first[0].m_executor]->m_isSilent = true;
+        const auto second = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, second.size());
+        CPPUNIT_ASSERT(second[0].m_executor != first[0].m_executor);
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    auto lasting_ended_startsAgain() -> void
+    {
+        auto lasting = step(1, 1000);
+        lasting.m_isLasting = true;
+        submit({ lasting });
+        for (int round = 0; round < 5; ++round)
+            end(plan().at(0), round % 2 == 0 ? EndKind::Failed : EndKind::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan().size());
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlanStartsTest);
+
+} // namespace hemlockvane::scheduling
--- /dev/null
+++ b/tests/core/scheduling/SchedulerFixture.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "hemlockvane/scheduling/Action.h"
+#include "hemlockvane/scheduling/EndKind.h"
+#include "hemlockvane/scheduling/ExecutorReport.h"
+#include "hemlockvane/scheduling/Scheduler.h"
+
+#include <cppunit/TestFixture.h>
+
+#include <string>
+#include <vector>
+
+namespace hemlockvane::scheduling {
+
+/// @brief A scheduler with two executors of one service, driven on virtual time.
+class SchedulerFixture : public CppUnit::TestFixture {
+public:
+    auto setUp() -> void override;
+
+protected:
+    static constexpr JobId job = 7;
+
+    auto addExecutor(const std::string& id) -> ExecutorIndex;
+    auto submit(std::vector<StepSpec> steps) -> void;
+    static auto step(std::uint32_t tasks, std::int64_t cpuMillis) -> StepSpec;
+    auto plan() -> std::vector<Action>;
+    auto answerStarts(const std::vector<Action>& actions) -> void;
+    auto end(const Action& start, EndKind kind) -> void;
+    auto report(ExecutorIndex index, std::vector<ReportedRun> runs, std::vector<ReportedEnd> ends = {})
+        -> std::vector<Action>;
+    auto phase() -> JobPhase;
+
+    Scheduler m_scheduler;
+    Instant m_now { Duration(1000000) };
+    WallMillis m_wall = 5000000;
+    std::vector<std::uint64_t> m_ends; ///< Ends reported so far, by executor.
+};
+
+} // namespace hemlockvane::scheduling
