--- a/app/ServePlatform.cpp
+++ b/app/ServePlatform.cpp
@@ -23,6 +23,6 @@
         std::fprintf(stderr, "%s\n", reason.m_text.c_str());
         return exitRefused;
     }
-    detail::startLogging(settings->m_instance, "info");
+    detail::startBoundedLogging(settings->m_instance, "info");
     return platform::servePlatform(*settings);
 }
--- a/include/hemlockvane/detail/logging/Log.h
+++ b/include/hemlockvane/detail/logging/Log.h
@@ -12,6 +12,12 @@
 /// @param level spdlog's name of a level, for example "info"
 auto startLogging(std::string_view instance, std::string_view level) -> void;
 
+/// @brief Like startLogging, but to standard output, with a bound and without ever blocking; call flushLogging often.
+auto startBoundedLogging(std::string_view instance, std::string_view level) -> void;
+
+/// @brief Writes what the standard output takes at once.
+auto flushLogging() -> void;
+
 /// @brief The log of one part; each of its lines begins with the part's name.
 /// @param part for example "routing"
 auto logOf(std::string_view part) -> spdlog::logger&;
--- a/src/detail/logging/Log.cpp
+++ b/src/detail/logging/Log.cpp
@@ -1,18 +1,23 @@
 #include "hemlockvane/detail/logging/Log.h"
 
+#include "hemlockvane/detail/logging/BoundedSink.h"
+
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <memory>
 #include <mutex>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace hemlockvane::detail {
 
 namespace {
 
-auto sharedSink() -> std::shared_ptr<spdlog::sinks::stderr_sink_mt>
+constexpr std::size_t mostPendingBytes = 256UL * 1024; // About a second of the busiest instance.
+
+auto sharedSink() -> spdlog::sink_ptr&
 {
-    static const auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    static spdlog::sink_ptr sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     return sink;
 }
 
@@ -36,6 +41,14 @@
         "%Y-%m-%dT%H:%M:%S.%eZ %L " + std::string(instance) + " %n: %v", spdlog::pattern_time_type::utc);
 }
 
+auto startBoundedLogging(std::string_view instance, std::string_view level) -> void
+{
+    sharedSink() = std::make_shared<BoundedSink>(STDOUT_FILENO, mostPendingBytes);
+    startLogging(instance, level);
+}
+
+auto flushLogging() -> void { sharedSink()->flush(); }
+
 auto logOf(std::string_view part) -> spdlog::logger&
 {
     thread_local std::unordered_map<std::string, std::shared_ptr<spdlog::logger>> loggers;
