--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/DropJobs.h"
 #include "hemlockvane/detail/coordinator/ExecutorLooks.h"
 #include "hemlockvane/detail/coordinator/FleetKeeper.h"
 #include "hemlockvane/detail/coordinator/Journal.h"
@@ -9,6 +10,7 @@
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -51,6 +53,7 @@
     std::vector<scheduling::Action> actions;
     scheduling::planStops(scheduler, now, actions);
     scheduling::planStarts(scheduler, now, wallNow(), actions);
+    scheduling::paceFillers(scheduler, now, actions);
     if (!scheduler.m_dirtyJobs.empty())
         state->m_journalSignal.notify();
     // A start is ordered only once the store holds its run: a new owner must know where each task may be.
@@ -141,6 +144,7 @@
     asio::co_spawn(state->m_context, followSubmissions(state), asio::detached);
     asio::co_spawn(state->m_context, followExecutors(state), asio::detached);
     asio::co_spawn(state->m_context, writeJournal(state), asio::detached);
+    asio::co_spawn(state->m_context, dropOldJobs(state), asio::detached);
     if (state->m_ports.m_machines != nullptr)
         asio::co_spawn(state->m_context, keepFleet(state), asio::detached);
     co_await planAlways(state);
--- /dev/null
+++ b/src/detail/coordinator/DropJobs.cpp
@@ -0,0 +1,61 @@
+#include "hemlockvane/detail/coordinator/DropJobs.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/Journal.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration dropInterval { 5000 };
+constexpr Duration keptLonger { 30000 }; // Beyond the time promised: clocks differ, and submissions come late.
+constexpr std::size_t mostDropped = 500; // In one append.
+constexpr Duration appendTimeout { 1000 };
+
+auto oldJobs(const CoordinatorState& state) -> std::vector<scheduling::JobId>
+{
+    std::vector<scheduling::JobId> old;
+    const auto before = wallNow() - (state.m_ports.m_statusKept + keptLonger).count();
+    for (const auto& [id, job] : state.m_scheduler.m_jobs) {
+        const auto isOver = scheduling::isFinal(job->m_durablePhase) && !state.m_scheduler.m_active.contains(id);
+        if (isOver && job->m_endedAt < before && old.size() < mostDropped)
+            old.push_back(id);
+    }
+    return old;
+}
+
+} // namespace
+
+auto dropOldJobs(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
+{
+    while (!state->m_isStopped) {
+        co_await sleepFor(dropInterval);
+        const auto old = oldJobs(*state);
+        if (old.empty() || state->m_isStopped)
+            continue;
+        StoreAppend order;
+        order.m_topic = submissionTopic;
+        for (const auto id : old) {
+            order.m_records.push_back(keyedRecord(submissionPrefix + jobIdText(id), {}));
+            order.m_records.push_back(keyedRecord(cancellationPrefix + jobIdText(id), {}));
+        }
+        const auto result = co_await state->m_ports.m_store->append(std::move(order), appendTimeout);
+        if (result.m_kind != StoreAppendKind::Stored || state->m_isStopped)
+            continue;
+        for (const auto id : old) {
+            state->m_rows[progressPrefix + jobIdText(id)] = std::string();
+            scheduling::dropJob(state->m_scheduler, id);
+        }
+        logOf("jobs").info("event=dropped jobs={} left={}", old.size(), state->m_scheduler.m_jobs.size());
+    }
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/src/scheduling/PaceFillers.cpp
@@ -0,0 +1,77 @@
+#include "hemlockvane/scheduling/PaceFillers.h"
+
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <algorithm>
+
+namespace hemlockvane::scheduling {
+
+namespace {
+
+constexpr double slowDownAt = 0.85; // Of a target: figures are rough and half a second old.
+constexpr double speedUpBelow = 0.6; // Of a target.
+constexpr std::int32_t fullPace = 100;
+constexpr std::int32_t speedUpStep = 15; // Percent points; slowing halves, so that trouble ends within two steps.
+constexpr Duration pacePause { 700 }; // Until the figures show what the last pace did.
+
+// Highest tail over target among the serving tasks of an executor; empty without any at work.
+auto worstTail(Scheduler& scheduler, ExecutorIndex index) -> std::optional<double>
+{
+    std::optional<double> worst;
+    for (const auto& item : scheduler.m_executors[index]->m_runs) {
+        const auto* job = findJob(scheduler, item.m_task.m_job);
+        const auto target = job->m_spec.m_steps[item.m_task.m_step].m_targetMs;
+        const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        if (target <= 0 || run->m_phase != RunPhase::Running)
+            continue;
+        worst = std::max(worst.value_or(0), static_cast<double>(run->m_figure) / static_cast<double>(target));
+    }
+    return worst;
+}
+
+auto nextPace(std::int32_t pace, std::optional<double> worst) -> std::int32_t
+{
+    if (worst && *worst > slowDownAt)
+        return pace <= 10 ? 0 : pace / 2;
+    if (!worst || *worst < speedUpBelow)
+        return std::min(pace + speedUpStep, fullPace);
+    return pace;
+}
+
+} // namespace
+
+auto paceFillers(Scheduler& scheduler, Instant now, std::vector<Action>& actions) -> void
+{
+    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+        const auto& executor = *scheduler.m_executors[index];
+        if (executor.m_isSilent || executor.m_runs.empty())
+            continue;
+        std::optional<std::optional<double>> worst; // Worked out for the first filler.
+        for (const auto& item : executor.m_runs) {
+            const auto* job = findJob(scheduler, item.m_task.m_job);
+            auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+            const auto isFiller = job->m_spec.m_steps[item.m_task.m_step].m_isFiller;
+            if (!isFiller || run->m_phase != RunPhase::Running || run->m_nextOrderAt > now)
+                continue;
+            if (!worst)
+                worst = worstTail(scheduler, index);
+            const auto pace = nextPace(run->m_pace, *worst);
+            if (pace == run->m_pace)
+                continue;
+            run->m_pace = pace;
+            run->m_nextOrderAt = now + pacePause;
+            Action action;
+            action.m_kind = ActionKind::Pace;
+            action.m_executor = index;
+            action.m_task = item.m_task;
+            action.m_run = item.m_run;
+            action.m_percent = pace;
+            action.m_reason = worst->value_or(0) > slowDownAt ? "a serving task nears its target" : "room again";
+            actions.push_back(std::move(action));
+        }
+    }
+}
+
+} // namespace hemlockvane::scheduling
