--- /dev/null
+++ b/tests/shell/coordinator/OwnerElectionTest.cpp
@@ -0,0 +1,151 @@
+#include "hemlockvane/detail/coordinator/OwnerElection.h"
+
+#include "hemlockvane/detail/coordinator/PredecessorLeases.h"
+#include "shell/coordinator/MemoryStore.h"
+#include "shell/coordinator/SwitchedStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+
+namespace hemlockvane::detail {
+
+class OwnerElectionTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OwnerElectionTest);
+    CPPUNIT_TEST(instances_threeStarted_oneOwns);
+    CPPUNIT_TEST(owner_released_isFollowedAtOnce);
+    CPPUNIT_TEST(owner_cutFromTheStore_isFollowedWithAHigherEpoch);
+    CPPUNIT_TEST(store_downForAll_changesNoOwner);
+    CPPUNIT_TEST(owner_answersLost_staysOwner);
+    CPPUNIT_TEST(leases_ofReleasedOwner_lapseEarlier);
+    CPPUNIT_TEST(leases_ofOwnerThatHeldBriefly_countFromTheLongest);
+    CPPUNIT_TEST(leases_withoutPredecessor_haveLapsed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        m_context = std::make_unique<boost::asio::io_context>();
+        m_memory = std::make_unique<MemoryStore>();
+        m_stores.clear();
+        m_elections.clear();
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            m_stores.push_back(std::make_unique<SwitchedStore>(*m_memory));
+            const auto name = "n" + std::to_string(number);
+            m_elections.push_back(std::make_unique<OwnerElection>(
+                *m_context, *m_stores.back(), name, name, number, quick(), [](bool) {}));
+            m_elections.back()->start();
+        }
+        runUntil([this] { return owners() == 1; });
+    }
+
+    auto instances_threeStarted_oneOwns() -> void
+    {
+        m_context->run_for(Duration(200));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 1 }, owners());
+    }
+
+    auto owner_released_isFollowedAtOnce() -> void
+    {
+        const auto first = owner();
+        const auto epoch = m_elections[first]->epoch();
+        boost::asio::co_spawn(*m_context, m_elections[first]->release(), boost::asio::detached);
+        runUntil([&] { return owners() == 1 && !m_elections[first]->isOwner(); });
+        CPPUNIT_ASSERT(m_elections[owner()]->epoch() > epoch);
+    }
+
+    auto owner_cutFromTheStore_isFollowedWithAHigherEpoch() -> void
+    {
+        const auto first = owner();
+        const auto epoch = m_elections[first]->epoch();
+        m_stores[first]->m_isCut = true;
+        runUntil([&] { return owners() == 2; }); // The first cannot know yet.
+        m_stores[first]->m_isCut = false;
+        runUntil([&] { return owners() == 1; });
+        CPPUNIT_ASSERT(!m_elections[first]->isOwner());
+        CPPUNIT_ASSERT(m_elections[owner()]->epoch() > epoch);
+    }
+
+    auto store_downForAll_changesNoOwner() -> void
+    {
+        const auto first = owner();
+        m_memory->m_isDown = true;
+        m_context->run_for(quick().m_silence * 4);
+        m_memory->m_isDown = false;
+        m_context->run_for(quick().m_silence / 2);
+        CPPUNIT_ASSERT_EQUAL(first, owner());
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 1 }, owners());
+    }
+
+    auto owner_answersLost_staysOwner() -> void
+    {
+        const auto first = owner();
+        const auto epoch = m_elections[first]->epoch();
+        m_memory->m_losesAnswers = true;
+        m_context->run_for(quick().m_silence);
+        m_memory->m_losesAnswers = false;
+        m_context->run_for(quick().m_silence);
+        CPPUNIT_ASSERT_EQUAL(first, owner());
+        CPPUNIT_ASSERT_EQUAL(epoch, m_elections[first]->epoch());
+    }
+
+    auto leases_ofReleasedOwner_lapseEarlier() -> void
+    {
+        PredecessorLeases leases;
+        noteRecord(leases, 5, false, Instant(Duration(1000)));
+        noteRecord(leases, 5, true, Instant(Duration(21000)));
+        CPPUNIT_ASSERT(lapsedBy(leases) >= Instant(Duration(21000)) + leases.m_lease);
+        CPPUNIT_ASSERT(lapsedBy(leases) < Instant(Duration(21000)) + leases.m_longest);
+    }
+
+    auto leases_ofOwnerThatHeldBriefly_countFromTheLongest() -> void
+    {
+        PredecessorLeases leases;
+        noteRecord(leases, 4, false, Instant(Duration(1000)));
+        noteRecord(leases, 5, false, Instant(Duration(3000)));
+        noteRecord(leases, 5, true, Instant(Duration(4000)));
+        CPPUNIT_ASSERT(lapsedBy(leases) >= Instant(Duration(4000)) + leases.m_longest);
+    }
+
+    auto leases_withoutPredecessor_haveLapsed() -> void { CPPUNIT_ASSERT(lapsedBy({}) == Instant {}); }
+
+private:
+    static auto quick() -> ElectionTiming { return { Duration(40), Duration(300), Duration(20), Duration(60) }; }
+
+    // Runs until something holds; fails after a time far beyond what it takes.
+    auto runUntil(const std::function<bool()>& holds) -> void
+    {
+        constexpr int mostRounds = 1000;
+        for (int round = 0; round < mostRounds && !holds(); ++round)
+            m_context->run_for(Duration(10));
+        CPPUNIT_ASSERT(holds());
+    }
+
+    auto owners() -> std::ptrdiff_t
+    {
+        return std::count_if(
+            m_elections.begin(), m_elections.end(), [](const auto& election) { return election->isOwner(); });
+    }
+
+    auto owner() -> std::size_t
+    {
+        const auto found = std::find_if(
+            m_elections.begin(), m_elections.end(), [](const auto& election) { return election->isOwner(); });
+        CPPUNIT_ASSERT(found != m_elections.end());
+        return static_cast<std::size_t>(found - m_elections.begin());
+    }
+
+    std::unique_ptr<MemoryStore> m_memory;
+    std::vector<std::unique_ptr<SwitchedStore>> m_stores;
+    std::unique_ptr<boost::asio::io_context> m_context;
+    std::vector<std::unique_ptr<OwnerElection>> m_elections;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerElectionTest);
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/tests/shell/coordinator/SwitchedStore.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+
+namespace hemlockvane::detail {
+
+/// @brief One instance's way to a store, which can be cut.
+class SwitchedStore : public RecordStore {
+public:
+    explicit SwitchedStore(RecordStore& store)
+        : m_store(store)
+    {
+    }
+
+    auto append(StoreAppend order, Duration timeout) -> boost::asio::awaitable<StoreAppendResult> override
+    {
+        if (!m_isCut)
+            co_return co_await m_store.append(std::move(order), timeout);
+        co_await sleepFor(timeout);
+        co_return StoreAppendResult {};
+    }
+
+    auto read(std::string topic, std::uint64_t from, Duration wait)
+        -> boost::asio::awaitable<std::optional<StoreRead>> override
+    {
+        auto result = co_await m_store.read(std::move(topic), from, wait);
+        co_return m_isCut ? std::nullopt : std::move(result);
+    }
+
+    auto newest(std::string topic)
+        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> override
+    {
+        auto result = co_await m_store.newest(std::move(topic));
+        co_return m_isCut ? std::nullopt : std::move(result);
+    }
+
+    bool m_isCut = false;
+
+private:
+    RecordStore& m_store;
+};
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -0,0 +1,117 @@
+#include "DecodeConfiguration.h"
+#include "DecodeExecutorEntry.h"
+#include "DecodeJob.h"
+#include "DecodeWave.h"
+#include "LoadPlatformSettings.h"
+#include "PlatformSettings.h"
+#include "TaskName.h"
+
+#include "hemlockvane/ingress/MatchRequest.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hemlockvane::platform {
+
+class DecodeTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DecodeTest);
+    CPPUNIT_TEST(job_whole_isRead);
+    CPPUNIT_TEST(job_bad_isRefusedWithItsReason);
+    CPPUNIT_TEST(executor_ofForeignMake_isLeftOut);
+    CPPUNIT_TEST(configuration_routes_longestPrefixWins);
+    CPPUNIT_TEST(configuration_unreadable_isNone);
+    CPPUNIT_TEST(wave_otherKey_isNone);
+    CPPUNIT_TEST(taskName_bad_isNone);
+    CPPUNIT_TEST(settings_missingFields_areNamed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto job_whole_isRead() -> void
+    {
+        LastReason reason;
+        const auto job = decodeJob(R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900},
+            {"count":20,"cpu":2000,"after":[0],"savesProgress":true,"antiAffinity":2,"mayMiss":1}]})",
+            reason);
+        CPPUNIT_ASSERT(job);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, job->m_steps.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2000 }, job->m_steps[1].m_perTask.m_cpuMillis);
+        CPPUNIT_ASSERT_EQUAL(2U, job->m_steps[1].m_perExecutorLimit);
+        CPPUNIT_ASSERT(job->m_steps[1].m_savesCheckpoints);
+    }
+
+    auto job_bad_isRefusedWithItsReason() -> void
+    {
+        for (const auto* body :
+            { "", "no json", "[]", "{}", R"({"steps":[]})", R"({"steps":[1]})", R"({"steps":[{"count":0}]})",
+                R"({"steps":[{"count":9000000}]})", R"({"steps":[{"after":[0]}]})", R"({"steps":[{},{"after":[1]}]})",
+                R"({"steps":[{},{"after":["0"]}]})", R"({"steps":[{"cpu":-1}]})", R"({"steps":[{}],"runCount":-1})" }) {
+            LastReason reason;
+            CPPUNIT_ASSERT_MESSAGE(body, !decodeJob(body, reason));
+            CPPUNIT_ASSERT_MESSAGE(body, !reason.m_text.empty());
+        }
+    }
+
+    auto executor_ofForeignMake_isLeftOut() -> void
+    {
+        const std::string good
+            = R"({"service":"s","address":"1.2.3.4:5","state":"ready","born":7,"capacity":{"cpu":1}})";
+        CPPUNIT_ASSERT(decodeExecutorEntry("e", good));
+        for (const auto* text :
+            { "", "\xff\xfe", "{}", R"({"service":7,"address":"a","state":"ready","born":7,"capacity":{}})",
+                R"({"service":"s","address":"a","state":"lost","born":7,"capacity":{}})",
+                R"({"service":"s","address":"a","state":"ready","capacity":{}})",
+                R"({"service":"s","address":"a","state":"ready","born":"7","capacity":{}})",
+                R"({"service":"s","address":"a","state":"ready","born":7,"capacity":4})" })
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeExecutorEntry("e", text));
+    }
+
+    auto configuration_routes_longestPrefixWins() -> void
+    {
+        const auto rules = decodeConfiguration(R"({"version":3,"routes":[
+            {"name":"short","host":"h","pathPrefix":"/a/","service":"s"},
+            {"name":"long","host":"h","pathPrefix":"/a/b/","service":"s","public":true}],
+            "tenants":[{"name":"t","apiKeys":["k"],"maxCount":{"cpu":5}}],
+            "services":[{"name":"s"},{"name":"p","spare":true}]})");
+        CPPUNIT_ASSERT(rules);
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), ingress::findRoute(rules->m_ingress, "h:80", "/a/b/c")->m_queue);
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), ingress::findRoute(rules->m_ingress, "h", "/a/c")->m_queue);
+        CPPUNIT_ASSERT(ingress::findRoute(rules->m_ingress, "other", "/a/c") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("t"), rules->m_ingress.m_workspaceByKey.at("k"));
+        CPPUNIT_ASSERT(rules->m_fleet.m_spareServices.contains("p"));
+    }
+
+    auto configuration_unreadable_isNone() -> void
+    {
+        CPPUNIT_ASSERT(!decodeConfiguration("x"));
+        CPPUNIT_ASSERT(!decodeConfiguration("{}"));
+    }
+
+    auto wave_otherKey_isNone() -> void
+    {
+        const std::string text = R"({"wave":1,"machines":["m"],"durationS":2.5,"maxCount":3})";
+        CPPUNIT_ASSERT(decodeWaveOrder("wave/1", text)->m_timeLimit == Duration(2500));
+        CPPUNIT_ASSERT(!decodeWaveOrder("other/1", text));
+        CPPUNIT_ASSERT(!decodeWaveOrder("wave/1", ""));
+    }
+
+    auto taskName_bad_isNone() -> void
+    {
+        const scheduling::TaskKey key { 0x5c0e7a21d94b36f8, 0, 1, 17 };
+        CPPUNIT_ASSERT(parseTaskName(taskName(key)) == key);
+        for (const auto* name : { "", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.x",
+                 "5c0e7a21d94b36f8.0.1.2.3", "xx.0.1.2" })
+            CPPUNIT_ASSERT_MESSAGE(name, !parseTaskName(name));
+    }
+
+    auto settings_missingFields_areNamed() -> void
+    {
+        LastReason reason;
+        CPPUNIT_ASSERT(!parsePlatformSettings("node=n\nbounds.moveS=fast\n", reason));
+        CPPUNIT_ASSERT(reason.m_text.find("zone is missing") != std::string::npos);
+        CPPUNIT_ASSERT(reason.m_text.find("bounds.moveS is no number") != std::string::npos);
+        CPPUNIT_ASSERT(reason.m_text.find("node is missing") == std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DecodeTest);
+
+} // namespace hemlockvane::platform
