Ask in one place whether a step is open, drop what nothing reads

The planner and the measure of demand each worked out whether the steps before a step are done; StepState::m_hasBegun and hasBegun were written and never read. Behaviour is unchanged: the 332 core tests pass, format, lint of the files touched and the check of wire names are clean.

--- a/include/hemlockvane/scheduling/StepState.h
+++ b/include/hemlockvane/scheduling/StepState.h
@@ -19,7 +19,6 @@
     Instant m_ticketsUntil; ///< When the tickets expire.
     bool m_isAdviceAsked = false;
     Instant m_nextAdviceAt; ///< Earliest time of the next question.
-    bool m_hasBegun = false; ///< Any task was ever started.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/TrackJobs.h
+++ b/include/hemlockvane/scheduling/TrackJobs.h
@@ -48,7 +48,7 @@
 /// @brief Takes jobs that have ended and have no run left out of the active ones.
 auto retireJobs(Scheduler& scheduler) -> void;
 
-/// @brief True when any task of the job was ever started.
-auto hasBegun(const Job& job) -> bool;
+/// @brief True when all steps that a step comes after are done.
+auto isStepOpen(const StepSpec& spec, const Occurrence& occurrence) -> bool;
 
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -1,10 +1,9 @@
 #include "hemlockvane/scheduling/MeasureDemand.h"
 
 #include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
 
-#include <algorithm>
-
 namespace hemlockvane::scheduling {
 
 namespace {
@@ -16,10 +15,7 @@
 auto addStep(PoolDemand& demand, const Occurrence& occurrence, const StepState& state, const StepSpec& spec) -> void
 {
     const auto need = roomNeeded(spec).m_cpuMillis;
-    const auto isOpen = std::all_of(spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
-        const auto& before = occurrence.m_steps[earlier];
-        return before.m_doneCount == before.m_tasks.size();
-    });
+    const auto isOpen = isStepOpen(spec, occurrence);
     for (const auto& task : state.m_tasks) {
         if (task.m_isDone)
             continue;
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -41,15 +41,6 @@
     return pools;
 }
 
-auto isStepOpen(const Job& job, const Occurrence& occurrence, std::uint32_t step) -> bool
-{
-    const auto& spec = job.m_spec.m_steps[step];
-    return std::all_of(spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
-        const auto& state = occurrence.m_steps[earlier];
-        return state.m_doneCount == state.m_tasks.size();
-    });
-}
-
 // A copy is worth its room when the only run is on an executor that does not answer, or takes far too long.
 auto needsCopy(const Scheduler& scheduler, const StepSpec& spec, const TaskState& task, Instant now) -> bool
 {
@@ -88,7 +79,8 @@
     for (auto& [number, occurrence] : job.m_occurrences) {
         for (std::uint32_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
             auto& state = occurrence.m_steps[step];
-            if (!isStepOpen(job, occurrence, step) || !hasWaitingTask(scheduler, job.m_spec.m_steps[step], state, now))
+            if (!isStepOpen(job.m_spec.m_steps[step], occurrence)
+                || !hasWaitingTask(scheduler, job.m_spec.m_steps[step], state, now))
                 continue;
             StartCandidate candidate { &job, &queue->second, number, step, &state, &job.m_spec.m_steps[step] };
             candidate.m_dueMs = dueOf(job, occurrence, queue->second);
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -67,7 +67,6 @@
     task->m_endedRuns = row.m_endedRuns;
     task->m_checkpoint = row.m_checkpoint;
     step.m_gangFailures = std::max(step.m_gangFailures, row.m_gangFailures);
-    step.m_hasBegun = true;
 }
 
 } // namespace
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -198,6 +198,12 @@
     });
 }
 
-auto hasBegun(const Job& job) -> bool { return job.m_phase != JobPhase::Queued; }
+auto isStepOpen(const StepSpec& spec, const Occurrence& occurrence) -> bool
+{
+    return std::all_of(spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
+        const auto& state = occurrence.m_steps[earlier];
+        return state.m_doneCount == state.m_tasks.size();
+    });
+}
 
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -99,7 +99,6 @@
     added.m_phase = phase;
     added.m_orderedAt = now;
     task.m_runs.push_back(added);
-    step.m_hasBegun = true;
     ++step.m_runsByExecutor[executor];
     target.m_runs.push_back({ key, run });
     addTo(target.m_used, roomNeeded(spec));
