Pack lasting tasks on few machines

Serving tasks still spread, as they slow each other. Ruled out: a limit per executor in the jobs (most allow two or any number).

--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -2,7 +2,6 @@
 
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/scheduling/MeasureDemand.h"
-#include "hemlockvane/scheduling/TrackJobs.h"
 
 #include <algorithm>
 
@@ -17,17 +16,6 @@
                                                            : state.m_scheduler.m_executors[found->second].get();
 }
 
-auto countLasting(const CoordinatorState& state, const scheduling::Executor& executor) -> std::uint32_t
-{
-    std::uint32_t lasting = 0;
-    for (const auto& run : executor.m_runs) {
-        const auto* job = scheduling::findJob(state.m_scheduler, run.m_task.m_job);
-        if (job != nullptr && job->m_spec.m_steps[run.m_task.m_step].m_isLasting)
-            ++lasting;
-    }
-    return lasting;
-}
-
 auto isDueUpkeep(const OwnedFleet& owned, const std::string& machine) -> bool
 {
     return std::any_of(owned.m_waves.begin(), owned.m_waves.end(), [&](const auto& item) {
@@ -51,7 +39,7 @@
         executor->m_isDueUpkeep = isDueUpkeep(owned, machine.m_id);
         view.m_hasExecutor = executor->m_isListed && !executor->m_isSilent && !executor->m_entry.m_isDraining;
         view.m_runs = static_cast<std::uint32_t>(executor->m_runs.size());
-        view.m_lastingRuns = countLasting(state, *executor);
+        view.m_lastingRuns = executor->m_lastingRuns;
         view.m_usedCpuMillis = executor->m_used.m_cpuMillis;
     }
     auto [idle, isNew] = owned.m_idleSince.try_emplace(machine.m_id, now);
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/PlanStarts.h"
 
+#include "hemlockvane/scheduling/RankPlacement.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/StartCandidate.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -27,7 +28,6 @@
     std::vector<ExecutorIndex> m_usable;
 };
 
-using PlacementRank = std::tuple<bool, bool, bool, std::int64_t>;
 using Pools = std::map<std::string_view, Pool>;
 
 auto poolsOf(const Scheduler& scheduler, Instant now) -> Pools
@@ -134,18 +134,6 @@
     return fitsWithin(roomNeeded(spec), used, executor.m_entry.m_capacity) && hasTicket(candidate, executor);
 }
 
-// Smaller is better: not failed there before, near its data, then the fullest; lasting tasks spread
-// instead, over machines that stay.
-auto placementRank(const StartCandidate& candidate, const TaskState& task, const Executor& executor,
-    ExecutorIndex index) -> PlacementRank
-{
-    const auto hasFailed = std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end();
-    const auto isFar = !candidate.m_spec->m_dataRack.empty() && candidate.m_spec->m_dataRack != executor.m_rack;
-    const auto load = executor.m_used.m_cpuMillis;
-    const auto mustMoveOn = candidate.m_spec->m_isLasting && executor.m_isDueUpkeep;
-    return { hasFailed, isFar, mustMoveOn, candidate.m_spec->m_isLasting ? load : -load };
-}
-
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
     const Pool& pool) -> std::optional<ExecutorIndex>
 {
@@ -157,7 +145,7 @@
             task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) { return run.m_executor == index; });
         if (hasRun || !mayHold(candidate, executor, index, {}))
             continue;
-        const auto rank = placementRank(candidate, task, executor, index);
+        const auto rank = rankPlacement(scheduler, candidate, task, index);
         if (!best || rank < bestRank) {
             best = index;
             bestRank = rank;
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -101,6 +101,7 @@
     task.m_runs.push_back(added);
     ++step.m_runsByExecutor[executor];
     target.m_runs.push_back({ key, run });
+    target.m_lastingRuns += spec.m_isLasting ? 1 : 0;
     addTo(target.m_used, roomNeeded(spec));
     addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
     enterPhase(scheduler, job, JobPhase::Running, 0);
@@ -122,6 +123,7 @@
     if (--step.m_runsByExecutor[executor] == 0)
         step.m_runsByExecutor.erase(executor);
     std::erase(target.m_runs, ExecutorRun { key, run });
+    target.m_lastingRuns -= spec.m_isLasting ? 1 : 0;
     subtractFrom(target.m_used, roomNeeded(spec));
     subtractFrom(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
 }
--- a/tests/core/scheduling/PlanStartsTest.cpp
+++ b/tests/core/scheduling/PlanStartsTest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(job_pastItsObjective_comesAfterOthers);
     CPPUNIT_TEST(copy_onSilentExecutor_startsElsewhere);
     CPPUNIT_TEST(lasting_ended_startsAgain);
+    CPPUNIT_TEST(lasting_manyExecutors_shareFewAcrossRacks);
+    CPPUNIT_TEST(lastingThatServes_manyExecutors_spreads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,6 +243,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan().size());
         CPPUNIT_ASSERT(phase() == JobPhase::Running);
     }
+
+    auto lasting_manyExecutors_shareFewAcrossRacks() -> void
+    {
+        for (int index = 2; index < 8; ++index)
+            addExecutor("e" + std::to_string(index));
+        auto lasting = step(6, 1000);
+        lasting.m_isLasting = true;
+        lasting.m_mayMiss = 1;
+        submit({ lasting });
+        const auto counts = countByExecutor(plan());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, counts.size());
+        for (const auto& [executor, count] : counts)
+            CPPUNIT_ASSERT_EQUAL(2, count);
+    }
+
+    auto lastingThatServes_manyExecutors_spreads() -> void
+    {
+        for (int index = 2; index < 6; ++index)
+            addExecutor("e" + std::to_string(index));
+        auto serving = step(6, 1000);
+        serving.m_isLasting = true;
+        serving.m_targetMs = 50;
+        submit({ serving });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 6 }, countByExecutor(plan()).size());
+    }
+
+private:
+    static auto countByExecutor(const std::vector<Action>& actions) -> std::map<ExecutorIndex, int>
+    {
+        std::map<ExecutorIndex, int> counts;
+        for (const auto& action : actions)
+            ++counts[action.m_executor];
+        return counts;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlanStartsTest);
