--- a/include/hemlockvane/detail/coordinator/OwnedFleet.h
+++ b/include/hemlockvane/detail/coordinator/OwnedFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/detail/coordinator/MachineOrder.h"
 #include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/fleet/Machine.h"
 #include "hemlockvane/fleet/WaveState.h"
@@ -19,7 +20,7 @@
     std::vector<fleet::Machine> m_machines; ///< As last listed.
     Instant m_listedAt; ///< When the last list was asked for.
     std::map<std::uint64_t, fleet::WaveState> m_waves;
-    std::map<std::string, Instant> m_ordered; ///< Machines with an order that the list may not show yet.
+    std::map<std::string, MachineOrder> m_ordered; ///< By machine, until the list shows what came of it.
     std::set<std::string> m_reserved;
     std::map<std::string, Instant> m_idleSince;
     std::set<std::string> m_statusWritten; ///< Wave number and state, as last told to the operators.
--- a/include/hemlockvane/fleet/MachineView.h
+++ b/include/hemlockvane/fleet/MachineView.h
@@ -15,6 +15,7 @@
     bool m_isReserved = false; ///< It takes no new tasks.
     bool m_isOrdered = false; ///< An order for it is on its way, or the list does not show it yet.
     bool m_isSpare = false; ///< Its pool is a spare one.
+    std::string m_comingTo; ///< Pool that it is on its way to; empty when it stays.
     std::uint32_t m_runs = 0;
     std::uint32_t m_lastingRuns = 0;
     std::int64_t m_usedCpuMillis = 0;
--- a/include/hemlockvane/fleet/PoolView.h
+++ b/include/hemlockvane/fleet/PoolView.h
@@ -3,6 +3,7 @@
 #include "hemlockvane/time/Time.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace hemlockvane::fleet {
@@ -16,6 +17,7 @@
     std::int64_t m_waitingMillis = 0; ///< Tasks that could start now if there were room.
     std::int64_t m_arrivingMillis = 0; ///< What work at the rate of the last moment keeps busy.
     std::int64_t m_followingMillis = 0; ///< Tasks whose turn comes once others are done.
+    std::set<std::string> m_waitingLabels; ///< Labels that waiting tasks require; an empty one for any machine.
 };
 
 } // namespace hemlockvane::fleet
--- a/include/hemlockvane/scheduling/PoolDemand.h
+++ b/include/hemlockvane/scheduling/PoolDemand.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
+#include <string>
 
 namespace hemlockvane::scheduling {
 
@@ -10,6 +12,7 @@
     std::int64_t m_waitingMillis = 0; ///< Could start now if there were room.
     std::int64_t m_arrivingMillis = 0; ///< What work at the rate of the last moment keeps busy.
     std::int64_t m_followingMillis = 0; ///< Wait for other steps.
+    std::set<std::string> m_waitingLabels; ///< Labels that waiting tasks require; an empty one for any executor.
 };
 
 } // namespace hemlockvane::scheduling
--- /dev/null
+++ b/include/hemlockvane/scheduling/WorkspaceLimits.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace hemlockvane::scheduling {
+
+struct Resources;
+struct Scheduler;
+
+/// @brief Whether a workspace may have so many more tasks running beside what it has, over all executors.
+[[nodiscard]] auto isWithinLimit(
+    const Scheduler& scheduler, const std::string& workspace, const Resources& need, std::uint32_t tasks) -> bool;
+
+} // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -20,6 +20,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -41,7 +43,7 @@
     for (const auto& machine : machines) {
         const auto ordered = owned.m_ordered.find(machine.m_id);
         if (machine.m_state != fleet::MachineState::Up || ordered == owned.m_ordered.end()
-            || askedAt < ordered->second + listedAfterOrder)
+            || askedAt < ordered->second.m_at + listedAfterOrder)
             continue;
         owned.m_ordered.erase(ordered);
         for (auto& [number, wave] : owned.m_waves)
@@ -128,6 +130,13 @@
     applyOutcome(*state, action, outcome);
 }
 
+auto poolOf(const OwnedFleet& owned, const std::string& machine) -> std::string
+{
+    const auto found = std::find_if(owned.m_machines.begin(), owned.m_machines.end(),
+        [&](const fleet::Machine& listed) { return listed.m_id == machine; });
+    return found == owned.m_machines.end() ? std::string() : found->m_pool;
+}
+
 auto perform(const std::shared_ptr<CoordinatorState>& state, FleetAction action, Instant now) -> void
 {
     if (action.m_kind == FleetActionKind::Reserve || action.m_kind == FleetActionKind::Release) {
@@ -138,7 +147,8 @@
     }
     // Nothing is started on it any more, whatever becomes of the order.
     setReserved(*state, action.m_machine, true);
-    state->m_fleet.m_ordered[action.m_machine] = now;
+    const auto pool = action.m_kind == FleetActionKind::Move ? action.m_pool : poolOf(state->m_fleet, action.m_machine);
+    state->m_fleet.m_ordered[action.m_machine] = { now, pool };
     if (action.m_kind == FleetActionKind::Maintain)
         state->m_fleet.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
     asio::co_spawn(state->m_context, sendOrder(state, std::move(action)), asio::detached);
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -31,7 +31,13 @@
     fleet::MachineView view;
     view.m_machine = machine;
     view.m_isReserved = owned.m_reserved.contains(machine.m_id);
-    view.m_isOrdered = owned.m_ordered.contains(machine.m_id);
+    const auto ordered = owned.m_ordered.find(machine.m_id);
+    view.m_isOrdered = ordered != owned.m_ordered.end();
+    // The list names the new pool of a machine that moves, but shows an order only a moment later.
+    if (machine.m_state == fleet::MachineState::Moving || machine.m_state == fleet::MachineState::Upkeep)
+        view.m_comingTo = machine.m_pool;
+    else if (view.m_isOrdered)
+        view.m_comingTo = ordered->second.m_pool;
     view.m_isSpare = state.m_scheduler.m_rules.m_spareServices.contains(machine.m_pool);
     auto* executor = findExecutor(state, machine.m_executorId);
     if (executor != nullptr) {
@@ -76,16 +82,16 @@
         pool.m_waitingMillis = demand.m_waitingMillis;
         pool.m_arrivingMillis = demand.m_arrivingMillis;
         pool.m_followingMillis = demand.m_followingMillis;
+        pool.m_waitingLabels = demand.m_waitingLabels;
     }
     for (const auto& machine : state.m_fleet.m_machines) {
         view.m_machines.push_back(viewMachine(state, machine, now));
-        // A machine on its way is listed in the pool where it goes.
         const auto& added = view.m_machines.back();
-        const auto isComing
-            = machine.m_state == fleet::MachineState::Moving || machine.m_state == fleet::MachineState::Upkeep;
         const auto isServing = machine.m_state == fleet::MachineState::Up && added.m_hasExecutor;
-        if ((isComing || isServing || added.m_isSpare) && !added.m_isReserved)
-            view.m_pools[machine.m_pool].m_capacityMillis += machine.m_capacity.m_cpuMillis;
+        const auto isThere = (isServing || added.m_isSpare) && !added.m_isReserved;
+        if (!added.m_comingTo.empty() || isThere)
+            view.m_pools[added.m_comingTo.empty() ? machine.m_pool : added.m_comingTo].m_capacityMillis
+                += machine.m_capacity.m_cpuMillis;
     }
     return view;
 }
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -88,7 +88,7 @@
     // Those that an earlier owner sent may still be down: they count until a list shows them up.
     for (const auto& machine : stored.m_begun) {
         wave.m_downSince[machine] = monotonicNow();
-        state.m_fleet.m_ordered[machine] = monotonicNow();
+        state.m_fleet.m_ordered[machine] = { monotonicNow(), {} };
     }
 }
 
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 constexpr double roomPerDemand = 1.1; // Room wanted for each core that is asked for; packing leaves gaps.
-constexpr double giverLoad = 0.6; // Demand over room up to which a pool gives machines away.
-constexpr std::int64_t leastMachines = 3; // A pool keeps these for what comes at once.
+constexpr double giverLoad = 0.8; // Demand over room up to which a pool gives machines away.
+constexpr std::int64_t leastMachines = 2; // A pool keeps these: one of them may fail.
 
 // Room that a pool lacks, in thousandths of a core; negative: it has that much to give.
 auto lackOf(const PoolView& pool) -> double
 {
-    const auto inHand = pool.m_usedMillis + pool.m_waitingMillis + pool.m_followingMillis / 2;
+    const auto inHand = pool.m_usedMillis + pool.m_waitingMillis + pool.m_followingMillis / 4;
     const auto demand = std::max(inHand, pool.m_arrivingMillis);
     return static_cast<double>(demand) * roomPerDemand - static_cast<double>(pool.m_capacityMillis);
 }
@@ -31,7 +31,8 @@
 class MovePlan {
 public:
     MovePlan(const FleetView& view, std::vector<FleetAction>& actions)
-        : m_actions(actions)
+        : m_view(view)
+        , m_actions(actions)
         , m_pools(view.m_pools)
     {
         for (const auto& machine : view.m_machines) {
@@ -61,6 +62,22 @@
         }
     }
 
+    // Tasks wait although the pool's processors would do: no machine has the label, or each holds as many of the step
+    // as it may. One machine more ends that.
+    auto unblock(const std::string& name) -> void
+    {
+        for (const auto& label : m_pools[name].m_waitingLabels) {
+            if (isComing(name, label))
+                continue;
+            const auto found = std::find_if(m_free.begin(), m_free.end(), [&](const MachineView* machine) {
+                return !m_taken.contains(machine->m_machine.m_id) && hasLabel(*machine, label)
+                    && mayGive(*machine, name);
+            });
+            if (found != m_free.end())
+                move(**found, name, "no machine for a waiting task");
+        }
+    }
+
     auto park(const FleetTiming& timing, Instant now, const std::string& spare) -> void
     {
         for (const auto* machine : m_free) {
@@ -72,6 +89,22 @@
     }
 
 private:
+    static auto hasLabel(const MachineView& machine, const std::string& label) -> bool
+    {
+        const auto& labels = machine.m_machine.m_labels;
+        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
+
+    auto isComing(const std::string& pool, const std::string& label) const -> bool
+    {
+        return std::any_of(m_view.m_machines.begin(), m_view.m_machines.end(), [&](const MachineView& machine) {
+            const auto taken = m_taken.find(machine.m_machine.m_id);
+            const auto isTaken = taken != m_taken.end() && taken->second == pool;
+            const auto isIdleThere = isFree(machine) && !machine.m_isSpare && machine.m_machine.m_pool == pool;
+            return (isTaken || machine.m_comingTo == pool || isIdleThere) && hasLabel(machine, label);
+        });
+    }
+
     auto mayGive(const MachineView& machine, const std::string& to) -> bool
     {
         const auto& from = machine.m_machine.m_pool;
@@ -80,7 +113,7 @@
         if (machine.m_isSpare)
             return true;
         const auto& pool = m_pools[from];
-        const auto inHand = pool.m_usedMillis + pool.m_followingMillis / 2;
+        const auto inHand = pool.m_usedMillis + pool.m_followingMillis / 4;
         const auto after = pool.m_capacityMillis - machine.m_machine.m_capacity.m_cpuMillis;
         return pool.m_waitingMillis == 0 && pool.m_arrivingMillis <= after && m_machines[from] > leastMachines
             && static_cast<double>(inHand) <= giverLoad * static_cast<double>(after);
@@ -91,14 +124,15 @@
         const auto& from = machine.m_machine.m_pool;
         m_pools[from].m_capacityMillis -= machine.m_isSpare ? 0 : machine.m_machine.m_capacity.m_cpuMillis;
         --m_machines[from];
-        m_taken[machine.m_machine.m_id] = true;
+        m_taken[machine.m_machine.m_id] = to;
         m_actions.push_back({ FleetActionKind::Move, machine.m_machine.m_id, 0, to, reason });
     }
 
+    const FleetView& m_view;
     std::vector<FleetAction>& m_actions;
     std::map<std::string, PoolView> m_pools;
     std::map<std::string, std::int64_t> m_machines;
-    std::map<std::string, bool> m_taken;
+    std::map<std::string, std::string> m_taken; // Machine to the pool that it goes to.
     std::vector<const MachineView*> m_free;
 };
 
@@ -120,6 +154,10 @@
         [](const PoolView* left, const PoolView* right) { return lackOf(*left) > lackOf(*right); });
     for (const auto* pool : wanting)
         plan.fill(pool->m_name);
+    for (const auto& [name, pool] : view.m_pools) {
+        if (!pool.m_isSpare)
+            plan.unblock(name);
+    }
     if (!spare.empty())
         plan.park(timing, now, spare);
 }
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -3,16 +3,29 @@
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
+#include "hemlockvane/scheduling/WorkspaceLimits.h"
+
+#include <algorithm>
+#include <cmath>
 
 namespace hemlockvane::scheduling {
 
 namespace {
 
-constexpr std::int64_t millisPerSecond = 1000;
+constexpr double millisPerSecond = 1000;
 constexpr Duration rateWindow { 700 }; // Half a move's time: a rush is seen while machines can still come for it.
+constexpr Duration shortestSpan { 100 }; // Jobs that come together make no rate.
 constexpr std::size_t leastJobsForRate = 4;
 
-auto addStep(PoolDemand& demand, const Occurrence& occurrence, const StepState& state, const StepSpec& spec) -> void
+auto addWaiting(PoolDemand& demand, const StepSpec& spec) -> void
+{
+    demand.m_waitingMillis += roomNeeded(spec).m_cpuMillis;
+    demand.m_waitingLabels.insert(spec.m_requiredLabel);
+}
+
+// Tasks beyond a workspace's limit are left out: more machines would not start them.
+auto addStep(PoolDemand& demand, const Occurrence& occurrence, const StepState& state, const StepSpec& spec,
+    bool isWithinLimit) -> void
 {
     const auto need = roomNeeded(spec).m_cpuMillis;
     const auto isOpen = isStepOpen(spec, occurrence);
@@ -21,25 +34,34 @@
             continue;
         if (!task.m_runs.empty())
             demand.m_runningMillis += need;
-        else if (isOpen)
-            demand.m_waitingMillis += need;
-        else
+        else if (isOpen && isWithinLimit)
+            addWaiting(demand, spec);
+        else if (!isOpen)
             demand.m_followingMillis += need;
     }
 }
 
+// The rate that the youngest `count` arrivals show, less what chance adds to so few.
+auto cautiousRate(std::int64_t work, std::size_t count, Duration span) -> std::int64_t
+{
+    const auto jobs = static_cast<double>(count);
+    const auto sure = 1 - 1 / std::sqrt(jobs);
+    const auto seconds = static_cast<double>(std::max(span, shortestSpan).count()) / millisPerSecond;
+    return static_cast<std::int64_t>(static_cast<double>(work) * sure / seconds);
+}
+
 // Processors that arrivals at the present rate keep busy; 0 for a few jobs, which make no rate.
 auto arrivingMillis(const std::deque<Arrival>& arrivals, Instant now) -> std::int64_t
 {
     std::int64_t work = 0;
+    std::int64_t most = 0;
     std::size_t jobs = 0;
-    for (const auto& arrival : arrivals) {
-        if (arrival.m_at + rateWindow < now)
-            continue;
-        work += arrival.m_work;
-        ++jobs;
+    for (auto arrival = arrivals.rbegin(); arrival != arrivals.rend() && now - arrival->m_at <= rateWindow; ++arrival) {
+        work += arrival->m_work;
+        if (++jobs >= leastJobsForRate)
+            most = std::max(most, cautiousRate(work, jobs, now - arrival->m_at));
     }
-    return jobs < leastJobsForRate ? 0 : work * millisPerSecond / rateWindow.count();
+    return most;
 }
 
 } // namespace
@@ -54,8 +76,11 @@
             continue;
         auto& demand = demands[queue->second.m_service];
         for (const auto& [number, occurrence] : job.m_occurrences) {
-            for (std::size_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step)
-                addStep(demand, occurrence, occurrence.m_steps[step], job.m_spec.m_steps[step]);
+            for (std::size_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
+                const auto& spec = job.m_spec.m_steps[step];
+                addStep(demand, occurrence, occurrence.m_steps[step], spec,
+                    isWithinLimit(scheduler, job.m_spec.m_workspace, spec.m_perTask, 1));
+            }
         }
     }
     for (const auto& [name, arrivals] : scheduler.m_arrivals) {
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
+#include "hemlockvane/scheduling/WorkspaceLimits.h"
 
 #include <algorithm>
 #include <optional>
@@ -97,22 +98,6 @@
         < std::tuple(right.m_queue->m_priority, right.m_class, right.m_dueMs, right.m_job->m_spec.m_id, right.m_step);
 }
 
-auto isWithinLimit(const Scheduler& scheduler, const StartCandidate& candidate, std::uint32_t tasks) -> bool
-{
-    const auto rules = scheduler.m_rules.m_workspaces.find(candidate.m_job->m_spec.m_workspace);
-    if (rules == scheduler.m_rules.m_workspaces.end())
-        return true;
-    const auto used = scheduler.m_usedByWorkspace.find(candidate.m_job->m_spec.m_workspace);
-    const auto& limit = rules->second.m_limit;
-    const auto sum = used == scheduler.m_usedByWorkspace.end() ? Resources {} : used->second;
-    const auto& need = candidate.m_spec->m_perTask;
-    const auto isOver = [&](std::int64_t most, std::int64_t have, std::int64_t more) {
-        return most > 0 && have + more * tasks > most;
-    };
-    return !isOver(limit.m_cpuMillis, sum.m_cpuMillis, need.m_cpuMillis)
-        && !isOver(limit.m_memoryMb, sum.m_memoryMb, need.m_memoryMb) && !isOver(limit.m_gpus, sum.m_gpus, need.m_gpus);
-}
-
 auto hasTicket(const StartCandidate& candidate, const Executor& executor) -> bool
 {
     return !candidate.m_queue->m_needsAdvice || candidate.m_state->m_tickets.contains(executor.m_entry.m_id);
@@ -216,7 +201,9 @@
     auto& tasks = candidate.m_state->m_tasks;
     const auto isFree = std::all_of(
         tasks.begin(), tasks.end(), [](const TaskState& task) { return task.m_runs.empty() && !task.m_isDone; });
-    if (!isFree || !isWithinLimit(scheduler, candidate, static_cast<std::uint32_t>(tasks.size())))
+    if (!isFree
+        || !isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask,
+            static_cast<std::uint32_t>(tasks.size())))
         return;
     std::vector<ExecutorIndex> chosen;
     std::set<std::string> racks;
@@ -247,7 +234,7 @@
         auto& task = candidate.m_state->m_tasks[index];
         if (!needsRun(scheduler, *candidate.m_spec, task, now))
             continue;
-        if (!isWithinLimit(scheduler, candidate, 1))
+        if (!isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask, 1))
             return;
         const auto executor = chooseExecutor(scheduler, candidate, task, pool);
         if (!executor)
--- a/src/scheduling/RankPlacement.cpp
+++ b/src/scheduling/RankPlacement.cpp
@@ -11,10 +11,7 @@
 
 constexpr std::uint32_t evacuationRounds = 2; // An upkeep's machine is emptied in so many rounds of its tasks.
 
-auto isSpread(const StepSpec& spec) -> bool
-{
-    return spec.m_isLasting && (spec.m_targetMs > 0 || spec.m_isFiller);
-}
+auto isSpread(const StepSpec& spec) -> bool { return spec.m_isLasting && (spec.m_targetMs > 0 || spec.m_isFiller); }
 
 auto runsOnRack(const Scheduler& scheduler, const StepState& step, const std::string& rack) -> std::uint32_t
 {
--- /dev/null
+++ b/tests/core/scheduling/MeasureDemandTest.cpp
@@ -0,0 +1,66 @@
+#include "core/scheduling/SchedulerFixture.h"
+
+#include "hemlockvane/scheduling/MeasureDemand.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hemlockvane::scheduling {
+
+class MeasureDemandTest : public SchedulerFixture {
+    CPPUNIT_TEST_SUITE(MeasureDemandTest);
+    CPPUNIT_TEST(demand_taskWithoutRoom_waitsWithItsLabel);
+    CPPUNIT_TEST(demand_taskBeyondTheLimit_isNotCounted);
+    CPPUNIT_TEST(rate_fewArrivals_isZero);
+    CPPUNIT_TEST(rate_rush_isSeenWithinFractionOfWindow);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto demand_taskWithoutRoom_waitsWithItsLabel() -> void
+    {
+        auto labelled = step(1, 1000);
+        labelled.m_requiredLabel = "gpu";
+        submit({ labelled });
+        plan();
+        const auto demand = measure();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1000 }, demand.m_waitingMillis);
+        CPPUNIT_ASSERT(demand.m_waitingLabels == std::set<std::string> { "gpu" });
+    }
+
+    auto demand_taskBeyondTheLimit_isNotCounted() -> void
+    {
+        m_scheduler.m_rules.m_workspaces["team"].m_limit.m_cpuMillis = 1500;
+        submit({ step(2, 1000) });
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1000 }, measure().m_runningMillis);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, measure().m_waitingMillis);
+    }
+
+    auto rate_fewArrivals_isZero() -> void
+    {
+        arrive(3, Duration(20));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, measure().m_arrivingMillis);
+    }
+
+    auto rate_rush_isSeenWithinFractionOfWindow() -> void
+    {
+        // 50 jobs a second of half a core-second each keep 25 cores busy.
+        arrive(10, Duration(20));
+        CPPUNIT_ASSERT(measure().m_arrivingMillis > 12000);
+        CPPUNIT_ASSERT(measure().m_arrivingMillis < 25000);
+    }
+
+private:
+    auto measure() -> PoolDemand { return measureDemand(m_scheduler, m_now)["counter"]; }
+
+    auto arrive(int jobs, Duration gap) -> void
+    {
+        for (int number = 0; number < jobs; ++number) {
+            m_now += gap;
+            m_scheduler.m_arrivals["checks"].push_back({ m_now, 500 });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MeasureDemandTest);
+
+} // namespace hemlockvane::scheduling
