Store orders for machines before they are sent, so that a new owner waits only for those

Ruled out: the load (28 ms) and the executors' settling (starts went out at once). A move that was refused, or given up as the ownership was not renewed, now gives its machine back; before, it stayed reserved. Tests: MachineOrdersTest.

--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/coordinator/CoordinatorPorts.h"
 #include "hemlockvane/detail/coordinator/OwnedFleet.h"
+#include "hemlockvane/fleet/FleetAction.h"
 #include "hemlockvane/scheduling/Action.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 
@@ -41,6 +42,7 @@
     std::map<std::string, std::string> m_rows; ///< Rows about executors and waves that wait for the journal, by key.
     std::set<std::string> m_storedExecutors; ///< Executors with a row in the store.
     std::vector<scheduling::Action> m_pendingStarts; ///< Sent once their runs are stored.
+    std::vector<fleet::FleetAction> m_pendingOrders; ///< For machines; sent once they are stored.
     OwnedFleet m_fleet;
 };
 
--- a/include/hemlockvane/detail/coordinator/MachineOrder.h
+++ b/include/hemlockvane/detail/coordinator/MachineOrder.h
@@ -10,6 +10,7 @@
 struct MachineOrder {
     Instant m_at; ///< When it was decided, or found in the store.
     std::string m_pool; ///< Where the machine will be.
+    bool m_isMove = false; ///< Otherwise an upkeep.
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/coordinator/OwnedFleet.h
+++ b/include/hemlockvane/detail/coordinator/OwnedFleet.h
@@ -24,7 +24,7 @@
     std::set<std::string> m_reserved;
     std::map<std::string, Instant> m_idleSince;
     std::set<std::string> m_statusWritten; ///< Wave number and state, as last told to the operators.
-    Instant m_ordersFrom; ///< No order before: an earlier owner's may be on their way.
+    std::map<std::string, Instant> m_noOrderUntil; ///< By machine, after an earlier owner's order for it.
 };
 
 } // namespace hemlockvane::detail
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -27,7 +27,6 @@
 constexpr Duration planInterval { 100 }; // Longest time between two plans: leases, stops and due times.
 constexpr Duration planSpacing { 8 }; // Between two plans: one plan takes in what arrives meanwhile.
 constexpr Duration loadRetry { 100 }; // After a load that the store did not answer.
-constexpr Duration orderSlack { 500 }; // For an earlier owner's orders for machines on their way.
 
 // Rows of executors that can hold no run any more are dropped from the store.
 auto dropExecutorRows(CoordinatorState& state) -> void
@@ -133,7 +132,6 @@
     const auto begunAt = monotonicNow();
     state->m_settledBy = state->m_ports.m_earlierLeasesLapsedBy;
     state->m_fleet.m_timing = state->m_ports.m_fleetTiming;
-    state->m_fleet.m_ordersFrom = begunAt + state->m_ports.m_orderSpacing + orderSlack;
     const auto isLoaded = co_await load(state);
     if (!isLoaded)
         co_return;
--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -4,9 +4,9 @@
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/ExecutorLooks.h"
 #include "hemlockvane/detail/coordinator/FleetViews.h"
+#include "hemlockvane/detail/coordinator/MachineOrders.h"
 #include "hemlockvane/detail/coordinator/WaveRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
-#include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/MachinePort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/fleet/EndedExecutors.h"
@@ -17,11 +17,6 @@
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
-#include <algorithm>
-
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -34,17 +29,20 @@
 constexpr Duration listInterval { 400 }; // Between two lists while anything changes.
 constexpr Duration idleListInterval { 2000 };
 constexpr Duration listedAfterOrder { 300 }; // A list asked for this long after an order shows what came of it.
-constexpr Duration freshRenewal { 900 }; // Orders for machines go out only while the ownership was just renewed.
 constexpr Duration statusTimeout { 700 };
 
 // An order is settled once a list that was asked for after it shows the machine up again.
-auto settleOrders(OwnedFleet& owned, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
+auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
 {
+    auto& owned = state.m_fleet;
     for (const auto& machine : machines) {
         const auto ordered = owned.m_ordered.find(machine.m_id);
         if (machine.m_state != fleet::MachineState::Up || ordered == owned.m_ordered.end()
             || askedAt < ordered->second.m_at + listedAfterOrder)
             continue;
+        // A move of which the outcome is not known: done or not, the machine takes tasks where it is.
+        if (ordered->second.m_isMove)
+            setReserved(state, machine.m_id, false);
         owned.m_ordered.erase(ordered);
         for (auto& [number, wave] : owned.m_waves)
             wave.m_downSince.erase(machine.m_id);
@@ -71,87 +69,21 @@
     auto machines = co_await state->m_ports.m_machines->list();
     if (state->m_isStopped || !machines)
         co_return;
-    settleOrders(state->m_fleet, *machines, askedAt);
+    settleOrders(*state, *machines, askedAt);
     loseEndedExecutors(*state, *machines);
     state->m_fleet.m_machines = std::move(*machines);
     state->m_fleet.m_listedAt = askedAt;
 }
 
-auto setReserved(CoordinatorState& state, const std::string& machine, bool isReserved) -> void
-{
-    if (isReserved)
-        state.m_fleet.m_reserved.insert(machine);
-    else
-        state.m_fleet.m_reserved.erase(machine);
-    if (auto* executor = executorOf(state, machine))
-        executor->m_isReserved = isReserved;
-}
-
-auto storeWave(CoordinatorState& state, const fleet::WaveState& wave) -> void
-{
-    state.m_rows[wavePrefix + std::to_string(wave.m_order.m_number)] = encodeWave(wave);
-    state.m_journalSignal.notify();
-}
-
-auto applyOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
-{
-    auto& owned = state.m_fleet;
-    const auto isTaken = outcome == MachineOutcome::Done;
-    // Unknown: it may have been taken; the list will tell.
-    if (!isTaken && outcome != MachineOutcome::Unknown)
-        owned.m_ordered.erase(action.m_machine);
-    if (action.m_kind == FleetActionKind::Maintain) {
-        auto& wave = owned.m_waves.at(action.m_wave);
-        if (isTaken || outcome == MachineOutcome::NotInWave || outcome == MachineOutcome::Impossible) {
-            wave.m_begun.insert(action.m_machine);
-            storeWave(state, wave);
-        } else if (outcome != MachineOutcome::Unknown) {
-            wave.m_downSince.erase(action.m_machine);
-        }
-    }
-    if (isTaken || outcome == MachineOutcome::NotInWave || outcome == MachineOutcome::Impossible)
-        setReserved(state, action.m_machine, false);
-}
-
-auto sendOrder(std::shared_ptr<CoordinatorState> state, FleetAction action) -> asio::awaitable<void>
-{
-    const auto sentAt = monotonicNow();
-    auto outcome = MachineOutcome::Unknown;
-    if (action.m_kind == FleetActionKind::Maintain)
-        outcome = co_await state->m_ports.m_machines->maintain(action.m_machine, action.m_wave, state->m_epoch);
-    else
-        outcome = co_await state->m_ports.m_machines->move(action.m_machine, action.m_pool, state->m_epoch);
-    if (state->m_isStopped)
-        co_return;
-    logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}", action.m_machine,
-        action.m_wave, action.m_pool, action.m_reason, static_cast<int>(outcome), (monotonicNow() - sentAt).count());
-    state->m_ports.m_metrics->count(
-        "machine_orders_total{outcome=\"" + std::to_string(static_cast<int>(outcome)) + "\"}");
-    applyOutcome(*state, action, outcome);
-}
-
-auto poolOf(const OwnedFleet& owned, const std::string& machine) -> std::string
-{
-    const auto found = std::find_if(owned.m_machines.begin(), owned.m_machines.end(),
-        [&](const fleet::Machine& listed) { return listed.m_id == machine; });
-    return found == owned.m_machines.end() ? std::string() : found->m_pool;
-}
-
-auto perform(const std::shared_ptr<CoordinatorState>& state, FleetAction action, Instant now) -> void
+auto perform(CoordinatorState& state, FleetAction action) -> void
 {
-    if (action.m_kind == FleetActionKind::Reserve || action.m_kind == FleetActionKind::Release) {
-        logOf("fleet").info(
-            "event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave, action.m_reason);
-        setReserved(*state, action.m_machine, action.m_kind == FleetActionKind::Reserve);
+    if (action.m_kind != FleetActionKind::Reserve && action.m_kind != FleetActionKind::Release) {
+        placeOrder(state, std::move(action));
         return;
     }
-    // Nothing is started on it any more, whatever becomes of the order.
-    setReserved(*state, action.m_machine, true);
-    const auto pool = action.m_kind == FleetActionKind::Move ? action.m_pool : poolOf(state->m_fleet, action.m_machine);
-    state->m_fleet.m_ordered[action.m_machine] = { now, pool };
-    if (action.m_kind == FleetActionKind::Maintain)
-        state->m_fleet.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
-    asio::co_spawn(state->m_context, sendOrder(state, std::move(action)), asio::detached);
+    logOf("fleet").info(
+        "event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave, action.m_reason);
+    setReserved(state, action.m_machine, action.m_kind == FleetActionKind::Reserve);
 }
 
 auto tellWave(const std::shared_ptr<CoordinatorState>& state, const fleet::WaveState& wave) -> asio::awaitable<void>
@@ -200,7 +132,7 @@
     std::set<std::string> taken;
     for (auto& action : actions) {
         if (taken.insert(action.m_machine).second)
-            perform(state, std::move(action), now);
+            perform(*state, std::move(action));
     }
     evacuateReserved(*state);
 }
@@ -235,8 +167,7 @@
         for (auto& [number, wave] : state->m_fleet.m_waves)
             co_await tellWave(state, wave);
         const auto now = monotonicNow();
-        const auto mayOrder = now >= state->m_fleet.m_ordersFrom && now - state->m_ports.m_renewedAt() < freshRenewal;
-        if (!state->m_isStopped && mayOrder && !state->m_fleet.m_machines.empty())
+        if (!state->m_isStopped && mayOrderMachines(*state) && !state->m_fleet.m_machines.empty())
             planOnce(state, now);
         co_await sleepFor(planInterval);
     }
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -32,11 +32,13 @@
     view.m_machine = machine;
     view.m_isReserved = owned.m_reserved.contains(machine.m_id);
     const auto ordered = owned.m_ordered.find(machine.m_id);
-    view.m_isOrdered = ordered != owned.m_ordered.end();
+    const auto blocked = owned.m_noOrderUntil.find(machine.m_id);
+    const auto isBlocked = blocked != owned.m_noOrderUntil.end() && now < blocked->second;
+    view.m_isOrdered = ordered != owned.m_ordered.end() || isBlocked;
     // The list names the new pool of a machine that moves, but shows an order only a moment later.
     if (machine.m_state == fleet::MachineState::Moving || machine.m_state == fleet::MachineState::Upkeep)
         view.m_comingTo = machine.m_pool;
-    else if (view.m_isOrdered)
+    else if (ordered != owned.m_ordered.end())
         view.m_comingTo = ordered->second.m_pool;
     view.m_isSpare = state.m_scheduler.m_rules.m_spareServices.contains(machine.m_pool);
     auto* executor = findExecutor(state, machine.m_executorId);
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/MachineOrders.h"
 #include "hemlockvane/detail/coordinator/OrderSender.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
@@ -79,41 +80,56 @@
     co_return false;
 }
 
-auto restoreWave(CoordinatorState& state, const fleet::WaveState& stored) -> void
+auto restoreWave(CoordinatorState& state, std::string_view bytes) -> bool
 {
-    auto& wave = state.m_fleet.m_waves[stored.m_order.m_number];
-    wave.m_order.m_number = stored.m_order.m_number;
-    wave.m_begun = stored.m_begun;
-    wave.m_isCompleted = stored.m_isCompleted;
+    const auto stored = decodeWave(bytes);
+    if (!stored)
+        return false;
+    auto& wave = state.m_fleet.m_waves[stored->m_order.m_number];
+    wave.m_order.m_number = stored->m_order.m_number;
+    wave.m_begun = stored->m_begun;
+    wave.m_isCompleted = stored->m_isCompleted;
     // Those that an earlier owner sent may still be down: they count until a list shows them up.
-    for (const auto& machine : stored.m_begun) {
+    for (const auto& machine : stored->m_begun) {
         wave.m_downSince[machine] = monotonicNow();
-        state.m_fleet.m_ordered[machine] = { monotonicNow(), {} };
+        state.m_fleet.m_ordered[machine] = { monotonicNow(), {}, false };
     }
+    return true;
 }
 
-auto restoreExecutor(CoordinatorState& state, const scheduling::ExecutorEntry& entry) -> void
+auto restoreExecutor(CoordinatorState& state, std::string_view bytes) -> bool
 {
-    const auto index = scheduling::listExecutor(state.m_scheduler, entry, state.m_settledBy, monotonicNow());
+    const auto entry = decodeExecutor(bytes);
+    if (!entry)
+        return false;
+    const auto index = scheduling::listExecutor(state.m_scheduler, *entry, state.m_settledBy, monotonicNow());
     state.m_scheduler.m_executors[index]->m_isListed = false; // Until the list names it.
-    state.m_storedExecutors.insert(entry.m_id);
+    state.m_storedExecutors.insert(entry->m_id);
+    return true;
 }
 
-auto restoreRecord(CoordinatorState& state, const KeyedRecord& record) -> void
+auto restoreJob(CoordinatorState& state, std::string_view idText, std::string_view bytes) -> bool
 {
-    const auto prefix = record.m_key.front();
-    const auto id = parseJobId(std::string_view(record.m_key).substr(1));
-    const auto progress = prefix == progressPrefix && id ? decodeProgress(*id, record.m_value) : std::nullopt;
-    const auto entry = prefix == executorPrefix ? decodeExecutor(record.m_value) : std::nullopt;
-    const auto wave = prefix == wavePrefix ? decodeWave(record.m_value) : std::nullopt;
-    if (wave)
-        restoreWave(state, *wave);
-    else if (progress)
-        scheduling::restoreProgress(state.m_scheduler, *id, *progress, monotonicNow());
-    else if (entry)
-        restoreExecutor(state, *entry);
-    else
-        logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
+    const auto id = parseJobId(idText);
+    const auto progress = id ? decodeProgress(*id, bytes) : std::nullopt;
+    if (!progress)
+        return false;
+    scheduling::restoreProgress(state.m_scheduler, *id, *progress, monotonicNow());
+    return true;
+}
+
+auto restoreRecord(CoordinatorState& state, char prefix, std::string_view name, std::string_view bytes) -> bool
+{
+    switch (prefix) {
+    case executorPrefix:
+        return restoreExecutor(state, bytes);
+    case machineOrderPrefix:
+        return restoreOrder(state, std::string(name), bytes);
+    case wavePrefix:
+        return restoreWave(state, bytes);
+    default:
+        return restoreJob(state, name, bytes);
+    }
 }
 
 auto noteBatchStored(CoordinatorState& state, const std::vector<PhaseInBatch>& phases, std::uint64_t batch) -> void
@@ -147,10 +163,12 @@
     if (!newest)
         co_return false;
     // Executors first: runs are put back on them.
-    for (const auto prefix : { executorPrefix, wavePrefix, progressPrefix }) {
+    for (const auto prefix : { executorPrefix, machineOrderPrefix, wavePrefix, progressPrefix }) {
         for (const auto& record : newest->first) {
-            if (!record.m_key.empty() && !record.m_value.empty() && record.m_key.front() == prefix)
-                restoreRecord(state, record);
+            if (record.m_key.empty() || record.m_value.empty() || record.m_key.front() != prefix)
+                continue;
+            if (!restoreRecord(state, prefix, std::string_view(record.m_key).substr(1), record.m_value))
+                logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
         }
     }
     co_return true;
@@ -167,7 +185,9 @@
         std::vector<PhaseInBatch> phases;
         auto order = takeBatch(*state, phases);
         auto starts = std::move(state->m_pendingStarts);
+        auto orders = std::move(state->m_pendingOrders);
         state->m_pendingStarts.clear();
+        state->m_pendingOrders.clear();
         const auto batch = state->m_scheduler.m_openBatch++;
         order.m_sequence = sequence++;
         const auto isStored = co_await appendUntilStored(*state, order);
@@ -175,7 +195,9 @@
             co_return;
         noteBatchStored(*state, phases, batch);
         sendActions(state, std::move(starts));
-        co_await sleepFor(state->m_pendingStarts.empty() ? batchSpacing : startSpacing);
+        sendOrders(state, std::move(orders));
+        const auto isWaitedFor = !state->m_pendingStarts.empty() || !state->m_pendingOrders.empty();
+        co_await sleepFor(isWaitedFor ? startSpacing : batchSpacing);
     }
 }
 
--- /dev/null
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -0,0 +1,151 @@
+#include "hemlockvane/detail/coordinator/MachineOrders.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/FleetViews.h"
+#include "hemlockvane/detail/coordinator/WaveRecords.h"
+#include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/ports/MachinePort.h"
+#include "hemlockvane/scheduling.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+using fleet::FleetAction;
+using fleet::FleetActionKind;
+
+namespace {
+
+constexpr Duration freshRenewal { 900 }; // Below the silence after which another instance takes over.
+constexpr Duration orderSlack { 500 }; // For an earlier owner's orders that are still on their way.
+constexpr Duration clockDifference { 6000 }; // Instances' times of day may be apart, and may be set anew.
+
+auto poolOf(const OwnedFleet& owned, const std::string& machine) -> std::string
+{
+    const auto found = std::find_if(owned.m_machines.begin(), owned.m_machines.end(),
+        [&](const fleet::Machine& listed) { return listed.m_id == machine; });
+    return found == owned.m_machines.end() ? std::string() : found->m_pool;
+}
+
+auto encodeOrder(WallMillis orderedAt) -> std::string
+{
+    wire::MachineOrderRecord record;
+    record.set_ordered_at_ms(orderedAt);
+    return record.SerializeAsString();
+}
+
+// Done, or never to be done: the machine's upkeep needs no further order.
+auto isSettledUpkeep(MachineOutcome outcome) -> bool
+{
+    return outcome == MachineOutcome::Done || outcome == MachineOutcome::NotInWave
+        || outcome == MachineOutcome::Impossible;
+}
+
+auto applyUpkeepOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
+{
+    auto& wave = state.m_fleet.m_waves.at(action.m_wave);
+    if (isSettledUpkeep(outcome)) {
+        wave.m_begun.insert(action.m_machine);
+        storeWave(state, wave);
+        setReserved(state, action.m_machine, false);
+    } else if (outcome != MachineOutcome::Unknown) {
+        wave.m_downSince.erase(action.m_machine);
+    }
+}
+
+auto applyOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
+{
+    // Unknown: it may have been taken; the list will tell.
+    if (outcome != MachineOutcome::Done && outcome != MachineOutcome::Unknown)
+        state.m_fleet.m_ordered.erase(action.m_machine);
+    if (action.m_kind == FleetActionKind::Maintain)
+        applyUpkeepOutcome(state, action, outcome);
+    else if (outcome != MachineOutcome::Unknown)
+        setReserved(state, action.m_machine, false);
+}
+
+auto sendOrder(std::shared_ptr<CoordinatorState> state, FleetAction action) -> asio::awaitable<void>
+{
+    const auto sentAt = monotonicNow();
+    auto outcome = MachineOutcome::Unknown;
+    if (action.m_kind == FleetActionKind::Maintain)
+        outcome = co_await state->m_ports.m_machines->maintain(action.m_machine, action.m_wave, state->m_epoch);
+    else
+        outcome = co_await state->m_ports.m_machines->move(action.m_machine, action.m_pool, state->m_epoch);
+    if (state->m_isStopped)
+        co_return;
+    logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}", action.m_machine,
+        action.m_wave, action.m_pool, action.m_reason, static_cast<int>(outcome), (monotonicNow() - sentAt).count());
+    state->m_ports.m_metrics->count(
+        "machine_orders_total{outcome=\"" + std::to_string(static_cast<int>(outcome)) + "\"}");
+    applyOutcome(*state, action, outcome);
+}
+
+} // namespace
+
+auto setReserved(CoordinatorState& state, const std::string& machine, bool isReserved) -> void
+{
+    if (isReserved)
+        state.m_fleet.m_reserved.insert(machine);
+    else
+        state.m_fleet.m_reserved.erase(machine);
+    if (auto* executor = executorOf(state, machine))
+        executor->m_isReserved = isReserved;
+}
+
+auto storeWave(CoordinatorState& state, const fleet::WaveState& wave) -> void
+{
+    state.m_rows[wavePrefix + std::to_string(wave.m_order.m_number)] = encodeWave(wave);
+    state.m_journalSignal.notify();
+}
+
+auto mayOrderMachines(const CoordinatorState& state) -> bool
+{
+    return monotonicNow() - state.m_ports.m_renewedAt() < freshRenewal;
+}
+
+auto placeOrder(CoordinatorState& state, FleetAction action) -> void
+{
+    auto& owned = state.m_fleet;
+    const auto now = monotonicNow();
+    const auto isMove = action.m_kind == FleetActionKind::Move;
+    setReserved(state, action.m_machine, true);
+    owned.m_ordered[action.m_machine] = { now, isMove ? action.m_pool : poolOf(owned, action.m_machine), isMove };
+    if (!isMove)
+        owned.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
+    state.m_rows[machineOrderPrefix + action.m_machine] = encodeOrder(wallNow());
+    state.m_pendingOrders.push_back(std::move(action));
+    state.m_journalSignal.notify();
+}
+
+auto sendOrders(const std::shared_ptr<CoordinatorState>& state, std::vector<FleetAction> orders) -> void
+{
+    for (auto& order : orders) {
+        if (mayOrderMachines(*state)) {
+            asio::co_spawn(state->m_context, sendOrder(state, std::move(order)), asio::detached);
+            continue;
+        }
+        logOf("fleet").warn("event=order_given_up machine={} wave={} pool={} reason=\"ownership not renewed\"",
+            order.m_machine, order.m_wave, order.m_pool);
+        applyOutcome(*state, order, MachineOutcome::Refused);
+    }
+}
+
+auto restoreOrder(CoordinatorState& state, const std::string& machine, std::string_view bytes) -> bool
+{
+    wire::MachineOrderRecord record;
+    if (!record.ParseFromString(std::string(bytes)))
+        return false;
+    const auto spacing = state.m_ports.m_orderSpacing + orderSlack;
+    if (wallNow() - record.ordered_at_ms() < (spacing + clockDifference).count())
+        state.m_fleet.m_noOrderUntil[machine] = monotonicNow() + spacing;
+    return true;
+}
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -0,0 +1,117 @@
+#include "hemlockvane/detail/coordinator/MachineOrders.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/FleetViews.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "shell/coordinator/RecordingMachines.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace hemlockvane::detail {
+
+class MachineOrdersTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(MachineOrdersTest);
+    CPPUNIT_TEST(order_placed_isNotSentBeforeItIsStored);
+    CPPUNIT_TEST(order_placedByAnEarlierOwner_keepsOnlyThatMachineWaiting);
+    CPPUNIT_TEST(order_placedLongAgo_keepsNoMachineWaiting);
+    CPPUNIT_TEST(order_refused_givesTheMachineBack);
+    CPPUNIT_TEST(order_withOwnershipNotRenewed_isGivenUp);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        m_machines = {};
+        m_renewedAt = monotonicNow();
+        m_state = makeState();
+    }
+
+    auto order_placed_isNotSentBeforeItIsStored() -> void
+    {
+        placeOrder(*m_state, move());
+        m_context.poll();
+        CPPUNIT_ASSERT(m_machines.m_moved.empty());
+        CPPUNIT_ASSERT(m_state->m_rows.contains("mm1"));
+        send();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_machines.m_moved.size());
+    }
+
+    auto order_placedByAnEarlierOwner_keepsOnlyThatMachineWaiting() -> void
+    {
+        placeOrder(*m_state, move());
+        const auto stored = m_state->m_rows.at("mm1");
+        m_state = makeState();
+        CPPUNIT_ASSERT(restoreOrder(*m_state, "m1", stored));
+        CPPUNIT_ASSERT(isHeldBack("m1"));
+        CPPUNIT_ASSERT(!isHeldBack("m2"));
+    }
+
+    auto order_placedLongAgo_keepsNoMachineWaiting() -> void
+    {
+        CPPUNIT_ASSERT(restoreOrder(*m_state, "m1", {}));
+        CPPUNIT_ASSERT(!isHeldBack("m1"));
+    }
+
+    auto order_refused_givesTheMachineBack() -> void
+    {
+        m_machines.m_outcome = MachineOutcome::Refused;
+        placeOrder(*m_state, move());
+        CPPUNIT_ASSERT(m_state->m_fleet.m_reserved.contains("m1"));
+        send();
+        CPPUNIT_ASSERT(!m_state->m_fleet.m_reserved.contains("m1"));
+        CPPUNIT_ASSERT(!isHeldBack("m1"));
+    }
+
+    auto order_withOwnershipNotRenewed_isGivenUp() -> void
+    {
+        m_renewedAt = monotonicNow() - Duration(5000);
+        placeOrder(*m_state, move());
+        send();
+        CPPUNIT_ASSERT(m_machines.m_moved.empty());
+        CPPUNIT_ASSERT(!m_state->m_fleet.m_reserved.contains("m1"));
+    }
+
+private:
+    auto makeState() -> std::shared_ptr<CoordinatorState>
+    {
+        CoordinatorPorts ports;
+        ports.m_machines = &m_machines;
+        ports.m_metrics = &m_metrics;
+        ports.m_renewedAt = [this] { return m_renewedAt; };
+        auto state = std::make_shared<CoordinatorState>(m_context, ports, 1);
+        for (const auto* id : { "m1", "m2" })
+            state->m_fleet.m_machines.push_back({ id, "spare", fleet::MachineState::Up, "z", {}, {}, {} });
+        return state;
+    }
+
+    static auto move() -> fleet::FleetAction { return { fleet::FleetActionKind::Move, "m1", 0, "counter", "test" }; }
+
+    auto send() -> void
+    {
+        sendOrders(m_state, std::move(m_state->m_pendingOrders));
+        m_context.restart();
+        m_context.poll();
+    }
+
+    auto isHeldBack(const std::string& id) -> bool
+    {
+        const auto view = viewFleet(*m_state, monotonicNow());
+        return std::any_of(view.m_machines.begin(), view.m_machines.end(),
+            [&](const fleet::MachineView& machine) { return machine.m_machine.m_id == id && machine.m_isOrdered; });
+    }
+
+    boost::asio::io_context m_context;
+    Metrics m_metrics;
+    RecordingMachines m_machines;
+    Instant m_renewedAt;
+    std::shared_ptr<CoordinatorState> m_state;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MachineOrdersTest);
+
+} // namespace hemlockvane::detail
--- /dev/null
+++ b/tests/shell/coordinator/RecordingMachines.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "hemlockvane/detail/ports/MachinePort.h"
+
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief Machines that note what they are ordered and answer as a field says.
+class RecordingMachines : public MachinePort {
+public:
+    auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> override
+    {
+        co_return std::nullopt;
+    }
+
+    auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/)
+        -> boost::asio::awaitable<MachineOutcome> override
+    {
+        m_moved.push_back(std::move(machine));
+        co_return m_outcome;
+    }
+
+    auto maintain(std::string /*machine*/, std::uint64_t /*wave*/, std::uint64_t /*epoch*/)
+        -> boost::asio::awaitable<MachineOutcome> override
+    {
+        co_return m_outcome;
+    }
+
+    std::vector<std::string> m_moved;
+    MachineOutcome m_outcome = MachineOutcome::Done;
+};
+
+} // namespace hemlockvane::detail
