Tell the age of an earlier owner's orders by renewals read, keep two machines a pool

The record of an order now names the newest renewal that its owner knew, and each instance knows when it read that renewal, so no clocks are compared.

--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -29,6 +29,8 @@
     std::function<std::string(std::uint64_t number, bool isCompleted)> m_waveStatus; ///< Record for that topic.
     fleet::FleetTiming m_fleetTiming;
     Duration m_orderSpacing { 3000 }; ///< Between the orders of two owners for one machine.
+    std::function<std::uint64_t()> m_newestRenewal; ///< Position in the owner's topic, see OwnerElection.
+    std::function<Instant(std::uint64_t)> m_renewalWrittenBy; ///< When that position had been reached.
     std::function<Instant()> m_renewedAt; ///< When the newest renewal of the ownership was sent.
     Instant m_earlierLeasesLapsedBy; ///< When the leases of earlier owners must have lapsed.
     Duration m_longestLease { 6500 }; ///< No lease goes beyond this after the newest renewal.
--- a/include/hemlockvane/detail/coordinator/OwnerElection.h
+++ b/include/hemlockvane/detail/coordinator/OwnerElection.h
@@ -40,6 +40,12 @@
     [[nodiscard]] auto epoch() const -> std::uint64_t;
     [[nodiscard]] auto owner() const -> const OwnerView&;
 
+    /// @brief Offset of the newest record of the owner's topic that is known; 0 before any.
+    [[nodiscard]] auto newestRenewal() const -> std::uint64_t;
+
+    /// @brief A time at which the record of an offset had been written, on this instance's clock.
+    [[nodiscard]] auto renewalWrittenBy(std::uint64_t offset) const -> Instant;
+
     /// @brief When the newest renewal that the store took was sent.
     [[nodiscard]] auto renewedAt() const -> Instant;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -86,8 +86,11 @@
             isLoaded = co_await loadJournal(*state);
         if (isLoaded)
             isLoaded = co_await loadExecutors(state);
-        if (isLoaded)
+        if (isLoaded) {
+            // Jobs that were accepted long ago are no rush.
+            state->m_scheduler.m_arrivals.clear();
             co_return true;
+        }
         co_await sleepFor(loadRetry);
     }
     co_return false;
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -24,7 +24,6 @@
 
 constexpr Duration freshRenewal { 900 }; // Below the silence after which another instance takes over.
 constexpr Duration orderSlack { 500 }; // For an earlier owner's orders that are still on their way.
-constexpr Duration clockDifference { 6000 }; // Instances' times of day may be apart, and may be set anew.
 
 auto poolOf(const OwnedFleet& owned, const std::string& machine) -> std::string
 {
@@ -33,10 +32,10 @@
     return found == owned.m_machines.end() ? std::string() : found->m_pool;
 }
 
-auto encodeOrder(WallMillis orderedAt) -> std::string
+auto encodeOrder(std::uint64_t renewal) -> std::string
 {
     wire::MachineOrderRecord record;
-    record.set_ordered_at_ms(orderedAt);
+    record.set_renewal(renewal);
     return record.SerializeAsString();
 }
 
@@ -119,7 +118,7 @@
     owned.m_ordered[action.m_machine] = { now, isMove ? action.m_pool : poolOf(owned, action.m_machine), isMove };
     if (!isMove)
         owned.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
-    state.m_rows[machineOrderPrefix + action.m_machine] = encodeOrder(wallNow());
+    state.m_rows[machineOrderPrefix + action.m_machine] = encodeOrder(state.m_ports.m_newestRenewal());
     state.m_pendingOrders.push_back(std::move(action));
     state.m_journalSignal.notify();
 }
@@ -142,9 +141,9 @@
     wire::MachineOrderRecord record;
     if (!record.ParseFromString(std::string(bytes)))
         return false;
-    const auto spacing = state.m_ports.m_orderSpacing + orderSlack;
-    if (wallNow() - record.ordered_at_ms() < (spacing + clockDifference).count())
-        state.m_fleet.m_noOrderUntil[machine] = monotonicNow() + spacing;
+    // It was sent only while the renewal that it names was fresh.
+    const auto sentBy = state.m_ports.m_renewalWrittenBy(record.renewal()) + freshRenewal;
+    state.m_fleet.m_noOrderUntil[machine] = sentBy + state.m_ports.m_orderSpacing + orderSlack;
     return true;
 }
 
--- a/src/detail/coordinator/OwnerElection.cpp
+++ b/src/detail/coordinator/OwnerElection.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/PredecessorLeases.h"
+#include "hemlockvane/detail/coordinator/SeenRenewals.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling.pb.h"
@@ -55,6 +56,7 @@
     bool m_isLeaving = false;
     std::uint64_t m_epoch = 0;
     PredecessorLeases m_predecessors;
+    SeenRenewals m_renewals;
     Instant m_renewedAt;
     std::optional<Instant> m_unansweredSince; // When the oldest append was sent of which the outcome is not known.
 };
@@ -74,6 +76,7 @@
     wire::OwnerRecord record;
     ++m_end;
     m_lastNewsAt = monotonicNow();
+    noteRenewal(m_renewals, m_end - 1, m_lastNewsAt);
     if (!record.ParseFromString(bytes)) {
         logOf("election").warn("event=unreadable_record offset={}", m_end - 1);
         return;
@@ -132,6 +135,7 @@
     if (result.m_kind == StoreAppendKind::Stored) {
         m_renewedAt = *m_unansweredSince;
         m_unansweredSince.reset();
+        noteRenewal(m_renewals, result.m_end - 1, monotonicNow());
     }
     co_return result;
 }
@@ -217,6 +221,11 @@
 auto OwnerElection::epoch() const -> std::uint64_t { return m_impl->m_epoch; }
 auto OwnerElection::owner() const -> const OwnerView& { return m_impl->m_view; }
 auto OwnerElection::earlierLeasesLapsedBy() const -> Instant { return lapsedBy(m_impl->m_predecessors); }
+auto OwnerElection::newestRenewal() const -> std::uint64_t { return m_impl->m_end == 0 ? 0 : m_impl->m_end - 1; }
+auto OwnerElection::renewalWrittenBy(std::uint64_t offset) const -> Instant
+{
+    return writtenBy(m_impl->m_renewals, offset, monotonicNow());
+}
 auto OwnerElection::renewedAt() const -> Instant { return m_impl->m_renewedAt; }
 
 } // namespace hemlockvane::detail
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -38,7 +38,7 @@
         for (const auto& machine : view.m_machines) {
             if (isFree(machine))
                 m_free.push_back(&machine);
-            if (machine.m_machine.m_state == MachineState::Up)
+            if (machine.m_machine.m_state == MachineState::Up && machine.m_comingTo.empty())
                 ++m_machines[machine.m_machine.m_pool];
         }
         // Spare ones first, then those of the pool that asks for least.
--- a/tests/core/fleetplan/PlanWavesTest.cpp
+++ b/tests/core/fleetplan/PlanWavesTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(moves_machineWithTasks_stays);
     CPPUNIT_TEST(moves_poolInNeed_givesNothing);
     CPPUNIT_TEST(moves_idleForLong_isParked);
+    CPPUNIT_TEST(moves_machinesLeavingAlready_keepTwo);
     CPPUNIT_TEST(moves_waitingTaskThatFitsNowhere_bringsOneMachine);
     CPPUNIT_TEST(moves_machineOnItsWay_bringsNoOther);
     CPPUNIT_TEST(moves_waitingTaskWithLabel_bringsMachineThatHasIt);
@@ -115,6 +116,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("spare"), actions.front().m_pool);
     }
 
+    auto moves_machinesLeavingAlready_keepTwo() -> void
+    {
+        m_now += Duration(60000);
+        for (const auto* id : { "a0", "a1", "b0", "b1" }) {
+            machine(id).m_isOrdered = true;
+            machine(id).m_comingTo = "spare";
+        }
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
     auto moves_waitingTaskThatFitsNowhere_bringsOneMachine() -> void
     {
         waitInBusyPool({});
--- a/tests/shell/coordinator/MachineOrdersTest.cpp
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -28,6 +28,7 @@
     {
         m_machines = {};
         m_renewedAt = monotonicNow();
+        m_writtenBy = m_renewedAt;
         m_state = makeState();
     }
 
@@ -53,6 +54,7 @@
 
     auto order_placedLongAgo_keepsNoMachineWaiting() -> void
     {
+        m_writtenBy = monotonicNow() - Duration(10000);
         CPPUNIT_ASSERT(restoreOrder(*m_state, "m1", {}));
         CPPUNIT_ASSERT(!isHeldBack("m1"));
     }
@@ -82,6 +84,8 @@
         CoordinatorPorts ports;
         ports.m_machines = &m_machines;
         ports.m_metrics = &m_metrics;
+        ports.m_newestRenewal = [] { return 7; };
+        ports.m_renewalWrittenBy = [this](std::uint64_t) { return m_writtenBy; };
         ports.m_renewedAt = [this] { return m_renewedAt; };
         auto state = std::make_shared<CoordinatorState>(m_context, ports, 1);
         for (const auto* id : { "m1", "m2" })
@@ -109,6 +113,7 @@
     Metrics m_metrics;
     RecordingMachines m_machines;
     Instant m_renewedAt;
+    Instant m_writtenBy;
     std::shared_ptr<CoordinatorState> m_state;
 };
 
--- a/tests/shell/coordinator/OwnerElectionTest.cpp
+++ b/tests/shell/coordinator/OwnerElectionTest.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/coordinator/OwnerElection.h"
 
 #include "hemlockvane/detail/coordinator/PredecessorLeases.h"
+#include "hemlockvane/detail/coordinator/SeenRenewals.h"
 #include "shell/coordinator/MemoryStore.h"
 #include "shell/coordinator/SwitchedStore.h"
 
@@ -25,6 +26,8 @@
     CPPUNIT_TEST(leases_ofReleasedOwner_lapseEarlier);
     CPPUNIT_TEST(leases_ofOwnerThatHeldBriefly_countFromTheLongest);
     CPPUNIT_TEST(leases_withoutPredecessor_haveLapsed);
+    CPPUNIT_TEST(renewal_readLater_wasWrittenByTheFirstReading);
+    CPPUNIT_TEST(renewal_neverRead_mayBeNew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,6 +115,22 @@
         CPPUNIT_ASSERT(lapsedBy(leases) >= Instant(Duration(4000)) + leases.m_longest);
     }
 
+    auto renewal_readLater_wasWrittenByTheFirstReading() -> void
+    {
+        const Instant start { Duration(100000) };
+        SeenRenewals renewals;
+        noteRenewal(renewals, 5, start);
+        noteRenewal(renewals, 8, start + Duration(400));
+        CPPUNIT_ASSERT(writtenBy(renewals, 4, start + Duration(900)) == start);
+        CPPUNIT_ASSERT(writtenBy(renewals, 6, start + Duration(900)) == start + Duration(400));
+    }
+
+    auto renewal_neverRead_mayBeNew() -> void
+    {
+        const Instant now { Duration(100000) };
+        CPPUNIT_ASSERT(writtenBy({}, 4, now) == now);
+    }
+
     auto leases_withoutPredecessor_haveLapsed() -> void { CPPUNIT_ASSERT(lapsedBy({}) == Instant {}); }
 
 private:
