--- a/include/hemlockvane/detail/coordinator/ExecutorLooks.h
+++ b/include/hemlockvane/detail/coordinator/ExecutorLooks.h
@@ -2,6 +2,8 @@
 
 #include "hemlockvane/scheduling/TaskRun.h"
 
+#include "hemlockvane/detail/coordinator/TopicContent.h"
+
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
@@ -12,8 +14,7 @@
 struct CoordinatorState;
 
 /// @brief Takes in the whole list of executors.
-/// @result false when the store did not answer
-auto loadExecutors(const std::shared_ptr<CoordinatorState>& state) -> boost::asio::awaitable<bool>;
+auto takeExecutors(const std::shared_ptr<CoordinatorState>& state, const TopicContent& content) -> void;
 
 /// @brief Follows the list of executors until the ownership ends.
 auto followExecutors(std::shared_ptr<CoordinatorState> state) -> boost::asio::awaitable<void>;
--- a/include/hemlockvane/detail/coordinator/Journal.h
+++ b/include/hemlockvane/detail/coordinator/Journal.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "hemlockvane/detail/coordinator/TopicContent.h"
+
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
@@ -23,8 +25,7 @@
 auto fenceJournal(CoordinatorState& state) -> boost::asio::awaitable<bool>;
 
 /// @brief Puts stored progress back into the jobs that were loaded, and the executors that were in use.
-/// @result false when the store did not answer
-auto loadJournal(CoordinatorState& state) -> boost::asio::awaitable<bool>;
+auto takeJournal(CoordinatorState& state, const TopicContent& content) -> void;
 
 /// @brief Stores progress in batches until the ownership ends.
 auto writeJournal(std::shared_ptr<CoordinatorState> state) -> boost::asio::awaitable<void>;
--- a/include/hemlockvane/detail/coordinator/Submissions.h
+++ b/include/hemlockvane/detail/coordinator/Submissions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockvane/detail/ports/KeyedRecord.h"
+#include "hemlockvane/detail/coordinator/TopicContent.h"
 #include "hemlockvane/time/Time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -27,8 +27,7 @@
 auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record) -> void;
 
 /// @brief Takes in all that is stored.
-/// @result false when the store did not answer
-auto loadSubmissions(CoordinatorState& state) -> boost::asio::awaitable<bool>;
+auto takeSubmissions(CoordinatorState& state, const TopicContent& content) -> void;
 
 /// @brief Reads on from where the last read ended.
 /// @param wait how long the store may wait for a record
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/detail/coordinator/ExecutorLooks.h"
 #include "hemlockvane/detail/coordinator/FleetKeeper.h"
 #include "hemlockvane/detail/coordinator/Journal.h"
+#include "hemlockvane/detail/coordinator/LoadState.h"
 #include "hemlockvane/detail/coordinator/OrderSender.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -26,7 +27,6 @@
 
 constexpr Duration planInterval { 100 }; // Longest time between two plans: leases, stops and due times.
 constexpr Duration planSpacing { 8 }; // Between two plans: one plan takes in what arrives meanwhile.
-constexpr Duration loadRetry { 100 }; // After a load that the store did not answer.
 
 // Rows of executors that can hold no run any more are dropped from the store.
 auto dropExecutorRows(CoordinatorState& state) -> void
@@ -75,27 +75,6 @@
     }
 }
 
-auto load(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<bool>
-{
-    const auto isFenced = co_await fenceJournal(*state);
-    if (!isFenced)
-        co_return false;
-    while (!state->m_isStopped) {
-        auto isLoaded = co_await loadSubmissions(*state);
-        if (isLoaded)
-            isLoaded = co_await loadJournal(*state);
-        if (isLoaded)
-            isLoaded = co_await loadExecutors(state);
-        if (isLoaded) {
-            // Jobs that were accepted long ago are no rush.
-            state->m_scheduler.m_arrivals.clear();
-            co_return true;
-        }
-        co_await sleepFor(loadRetry);
-    }
-    co_return false;
-}
-
 } // namespace
 
 Coordinator::Coordinator(asio::io_context& context, const CoordinatorPorts& ports, std::uint64_t epoch)
@@ -135,9 +114,11 @@
     const auto begunAt = monotonicNow();
     state->m_settledBy = state->m_ports.m_earlierLeasesLapsedBy;
     state->m_fleet.m_timing = state->m_ports.m_fleetTiming;
-    const auto isLoaded = co_await load(state);
+    const auto isLoaded = co_await loadState(state);
     if (!isLoaded)
         co_return;
+    // Jobs that were accepted long ago are no rush.
+    state->m_scheduler.m_arrivals.clear();
     state->m_isLoaded = true;
     logOf("owner").info("event=loaded epoch={} jobs={} executors={} took_ms={}", state->m_epoch,
         state->m_scheduler.m_jobs.size(), state->m_scheduler.m_executors.size(), (monotonicNow() - begunAt).count());
--- a/src/detail/coordinator/ExecutorLooks.cpp
+++ b/src/detail/coordinator/ExecutorLooks.cpp
@@ -76,8 +76,12 @@
     const auto read = co_await state->m_ports.m_store->read(state->m_ports.m_executorTopic, offset, Duration { 0 });
     if (!read || state->m_isStopped)
         co_return false;
-    if (read->m_isExpired)
-        co_return co_await loadExecutors(state);
+    if (read->m_isExpired) {
+        const auto content = co_await state->m_ports.m_store->newest(state->m_ports.m_executorTopic);
+        if (content && !state->m_isStopped)
+            takeExecutors(state, *content);
+        co_return content.has_value();
+    }
     // Heartbeats repeat an entry: only the newest of each executor counts.
     std::map<std::string, KeyedRecord> newest;
     for (const auto& bytes : read->m_records) {
@@ -164,13 +168,10 @@
         found->second->notify();
 }
 
-auto loadExecutors(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<bool>
+auto takeExecutors(const std::shared_ptr<CoordinatorState>& state, const TopicContent& content) -> void
 {
-    const auto newest = co_await state->m_ports.m_store->newest(state->m_ports.m_executorTopic);
-    if (!newest || state->m_isStopped)
-        co_return false;
     std::set<std::string> listed;
-    for (const auto& record : newest->first) {
+    for (const auto& record : content.first) {
         applyEntry(state, record);
         if (!record.m_value.empty())
             listed.insert(record.m_key);
@@ -183,8 +184,7 @@
         executor.m_isListed = false;
         spawnWatch(state, index);
     }
-    state->m_executorsEnd = newest->second;
-    co_return true;
+    state->m_executorsEnd = content.second;
 }
 
 auto followExecutors(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -157,21 +157,17 @@
     co_return co_await appendUntilStored(state, order);
 }
 
-auto loadJournal(CoordinatorState& state) -> asio::awaitable<bool>
+auto takeJournal(CoordinatorState& state, const TopicContent& content) -> void
 {
-    const auto newest = co_await state.m_ports.m_store->newest(progressTopic);
-    if (!newest)
-        co_return false;
     // Executors first: runs are put back on them.
     for (const auto prefix : { executorPrefix, machineOrderPrefix, wavePrefix, progressPrefix }) {
-        for (const auto& record : newest->first) {
+        for (const auto& record : content.first) {
             if (record.m_key.empty() || record.m_value.empty() || record.m_key.front() != prefix)
                 continue;
             if (!restoreRecord(state, prefix, std::string_view(record.m_key).substr(1), record.m_value))
                 logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
         }
     }
-    co_return true;
 }
 
 auto writeJournal(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
--- /dev/null
+++ b/src/detail/coordinator/LoadState.cpp
@@ -0,0 +1,85 @@
+#include "hemlockvane/detail/coordinator/LoadState.h"
+
+#include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/ExecutorLooks.h"
+#include "hemlockvane/detail/coordinator/Journal.h"
+#include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/coordinator/TopicContent.h"
+#include "hemlockvane/detail/ports/RecordStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration readRetry { 100 }; // After a read that the store did not answer.
+constexpr Duration longestWait { 1000 }; // Until the state is looked at again while reads are on their way.
+
+struct TopicRead {
+    TopicRead(asio::io_context& context, std::string topic)
+        : m_topic(std::move(topic))
+        , m_done(context)
+    {
+    }
+
+    std::string m_topic;
+    std::optional<TopicContent> m_content;
+    Signal m_done;
+};
+
+using SharedState = std::shared_ptr<CoordinatorState>;
+using SharedRead = std::shared_ptr<TopicRead>;
+
+auto readTopic(SharedState state, SharedRead read) -> asio::awaitable<void>
+{
+    while (!state->m_isStopped && !read->m_content) {
+        read->m_content = co_await state->m_ports.m_store->newest(read->m_topic);
+        if (!read->m_content)
+            co_await sleepFor(readRetry);
+    }
+    read->m_done.notify();
+}
+
+auto beginRead(const SharedState& state, const std::string& topic) -> SharedRead
+{
+    auto read = std::make_shared<TopicRead>(state->m_context, topic);
+    asio::co_spawn(state->m_context, readTopic(state, read), asio::detached);
+    return read;
+}
+
+auto awaitRead(SharedState state, SharedRead read) -> asio::awaitable<bool>
+{
+    while (!state->m_isStopped && !read->m_content)
+        co_await read->m_done.wait(longestWait);
+    co_return !state->m_isStopped;
+}
+
+} // namespace
+
+auto loadState(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<bool>
+{
+    const auto submissions = beginRead(state, submissionTopic);
+    const auto executors = beginRead(state, state->m_ports.m_executorTopic);
+    const auto isFenced = co_await fenceJournal(*state);
+    if (!isFenced)
+        co_return false;
+    // Only behind the fence: an earlier owner may append until then.
+    const auto journal = beginRead(state, progressTopic);
+    for (const auto& read : { submissions, executors, journal }) {
+        const auto isRead = co_await awaitRead(state, read);
+        if (!isRead)
+            co_return false;
+    }
+    takeSubmissions(*state, *submissions->m_content);
+    takeJournal(*state, *journal->m_content);
+    takeExecutors(state, *executors->m_content);
+    co_return true;
+}
+
+} // namespace hemlockvane::detail
--- a/src/detail/coordinator/OwnerElection.cpp
+++ b/src/detail/coordinator/OwnerElection.cpp
@@ -160,7 +160,7 @@
 auto OwnerElection::Impl::whyVacant() const -> const char*
 {
     if (m_view.m_isReleased)
-        return "released";
+        return m_view.m_epoch == 0 ? "no owner yet" : "released";
     // An instance has one process at a time: the one that wrote the record is no more.
     if (m_view.m_instance == m_instance && m_view.m_nonce != m_nonce)
         return "this instance's earlier process owned it";
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -53,15 +53,11 @@
     scheduling::cancelJob(state.m_scheduler, *id, wallNow());
 }
 
-auto loadSubmissions(CoordinatorState& state) -> asio::awaitable<bool>
+auto takeSubmissions(CoordinatorState& state, const TopicContent& content) -> void
 {
-    const auto newest = co_await state.m_ports.m_store->newest(submissionTopic);
-    if (!newest)
-        co_return false;
-    for (const auto& record : newest->first)
+    for (const auto& record : content.first)
         applySubmissionRecord(state, record);
-    state.m_jobsEnd = newest->second;
-    co_return true;
+    state.m_jobsEnd = content.second;
 }
 
 auto readSubmissions(CoordinatorState& state, Duration wait) -> asio::awaitable<bool>
@@ -70,8 +66,12 @@
     const auto read = co_await state.m_ports.m_store->read(submissionTopic, from, wait);
     if (!read || state.m_isStopped)
         co_return false;
-    if (read->m_isExpired)
-        co_return co_await loadSubmissions(state);
+    if (read->m_isExpired) {
+        const auto content = co_await state.m_ports.m_store->newest(submissionTopic);
+        if (content)
+            takeSubmissions(state, *content);
+        co_return content.has_value();
+    }
     auto offset = from;
     for (const auto& bytes : read->m_records) {
         const auto record = splitKeyedRecord(bytes, offset++);
--- a/tests/shell/coordinator/SwitchedStore.h
+++ b/tests/shell/coordinator/SwitchedStore.h
@@ -3,6 +3,8 @@
 #include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 /// @brief One instance's way to a store, which can be cut.
@@ -31,14 +33,18 @@
     auto newest(std::string topic)
         -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> override
     {
+        m_mostReadsAtOnce = std::max(m_mostReadsAtOnce, ++m_readsNow);
         auto result = co_await m_store.newest(std::move(topic));
+        --m_readsNow;
         co_return m_isCut ? std::nullopt : std::move(result);
     }
 
     bool m_isCut = false;
+    int m_mostReadsAtOnce = 0; ///< Reads of whole topics that were on their way together.
 
 private:
     RecordStore& m_store;
+    int m_readsNow = 0;
 };
 
 } // namespace hemlockvane::detail
