Let small instances own the work only if no larger one does

Cause: on the grown sites 31 of 39 instances have 0.12 cores and 10 Mbit/s. Also: the lines of all loaded jobs pushed the line of the load itself out of the log. Ruled out: the store (the same load took 0.08 s on an instance of 0.5 cores).

--- a/src/detail/coordinator/OwnerElection.cpp
+++ b/src/detail/coordinator/OwnerElection.cpp
@@ -156,15 +156,17 @@
         co_await sleepFor(m_timing.m_retry);
 }
 
-// Null while somebody may own the work.
+// Null while somebody may own the work, or a larger instance is to come first.
 auto OwnerElection::Impl::whyVacant() const -> const char*
 {
-    if (m_view.m_isReleased)
+    const auto quietFor = monotonicNow() - m_lastNewsAt;
+    if (m_view.m_isReleased && quietFor >= m_timing.m_handicap)
         return m_view.m_epoch == 0 ? "no owner yet" : "released";
     // An instance has one process at a time: the one that wrote the record is no more.
-    if (m_view.m_instance == m_instance && m_view.m_nonce != m_nonce)
+    const auto wasOwn = m_view.m_instance == m_instance && m_view.m_nonce != m_nonce;
+    if (wasOwn && quietFor >= m_timing.m_handicap)
         return "this instance's earlier process owned it";
-    return monotonicNow() - m_lastNewsAt > m_timing.m_silence ? "no renewal" : nullptr;
+    return quietFor > m_timing.m_silence + m_timing.m_handicap ? "no renewal" : nullptr;
 }
 
 auto OwnerElection::Impl::takeOver(const char* reason) -> asio::awaitable<void>
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -29,7 +29,9 @@
     spec->m_queue = record.queue();
     spec->m_workspace = record.workspace();
     spec->m_submittedAt = record.submitted_at_ms();
-    if (scheduling::addJob(state.m_scheduler, std::move(*spec), monotonicNow()))
+    // At a takeover the count of loaded jobs is told instead.
+    const auto isNew = scheduling::addJob(state.m_scheduler, std::move(*spec), monotonicNow());
+    if (isNew && state.m_isLoaded)
         logOf("jobs").info(
             "event=job job={} queue={} age_ms={}", jobIdText(id), record.queue(), wallNow() - record.submitted_at_ms());
 }
--- a/tests/shell/coordinator/OwnerElectionTest.cpp
+++ b/tests/shell/coordinator/OwnerElectionTest.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/detail/coordinator/OwnerElection.h"
 
+#include "hemlockvane/detail/coordinator/OwnerHandicap.h"
 #include "hemlockvane/detail/coordinator/PredecessorLeases.h"
 #include "hemlockvane/detail/coordinator/SeenRenewals.h"
 #include "shell/coordinator/MemoryStore.h"
@@ -22,6 +23,8 @@
     CPPUNIT_TEST(owner_released_isFollowedAtOnce);
     CPPUNIT_TEST(owner_cutFromTheStore_isFollowedWithAHigherEpoch);
     CPPUNIT_TEST(owner_processReplaced_takesOverWithoutSilence);
+    CPPUNIT_TEST(owner_released_smallInstanceComesAfterLarger);
+    CPPUNIT_TEST(handicap_smallOrNarrow_waits);
     CPPUNIT_TEST(store_downForAll_changesNoOwner);
     CPPUNIT_TEST(owner_answersLost_staysOwner);
     CPPUNIT_TEST(leases_ofReleasedOwner_lapseEarlier);
@@ -92,6 +95,28 @@
         store.m_isCut = true;
     }
 
+    auto owner_released_smallInstanceComesAfterLarger() -> void
+    {
+        SwitchedStore store(*m_memory);
+        auto small = quick();
+        small.m_handicap = Duration(3600000);
+        OwnerElection last(*m_context, store, "small", "small", 98, small, [](bool) {});
+        last.start();
+        const auto first = owner();
+        boost::asio::co_spawn(*m_context, m_elections[first]->release(), boost::asio::detached);
+        runUntil([&] { return owners() == 1 && !m_elections[first]->isOwner(); });
+        CPPUNIT_ASSERT(!last.isOwner());
+        store.m_isCut = true;
+    }
+
+    auto handicap_smallOrNarrow_waits() -> void
+    {
+        CPPUNIT_ASSERT(ownerHandicap(0.12, 1000) > Duration { 0 });
+        CPPUNIT_ASSERT(ownerHandicap(0.5, 10) > Duration { 0 });
+        CPPUNIT_ASSERT(ownerHandicap(0.25, 1000) == Duration { 0 });
+        CPPUNIT_ASSERT(ownerHandicap(0, 0) == Duration { 0 });
+    }
+
     auto store_downForAll_changesNoOwner() -> void
     {
         const auto first = owner();
