Count upkeeps that an earlier owner ordered as down, and keep a wave's begin over takeovers

The stored order now names its wave; while it may still be carried out, the machine counts as down. Ruled out: the list of machines (it was read before the first order).

--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -31,21 +31,34 @@
 constexpr Duration listedAfterOrder { 300 }; // A list asked for this long after an order shows what came of it.
 constexpr Duration statusTimeout { 700 };
 
+// A wave of which only the journal tells has no machines yet: nothing can be said of it.
+auto isKnown(const fleet::WaveState& wave) -> bool { return !wave.m_order.m_machines.empty(); }
+
+// Whether an order for the machine may be carried out after the list was asked for.
+auto mayStillArrive(const OwnedFleet& owned, const std::string& machine, Instant askedAt) -> bool
+{
+    const auto ordered = owned.m_ordered.find(machine);
+    const auto earlier = owned.m_noOrderUntil.find(machine);
+    return (ordered != owned.m_ordered.end() && askedAt < ordered->second.m_at + listedAfterOrder)
+        || (earlier != owned.m_noOrderUntil.end() && askedAt < earlier->second);
+}
+
 // An order is settled once a list that was asked for after it shows the machine up again.
 auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
 {
     auto& owned = state.m_fleet;
     for (const auto& machine : machines) {
         const auto ordered = owned.m_ordered.find(machine.m_id);
-        if (machine.m_state != fleet::MachineState::Up || ordered == owned.m_ordered.end()
-            || askedAt < ordered->second.m_at + listedAfterOrder)
+        if (machine.m_state != fleet::MachineState::Up || mayStillArrive(owned, machine.m_id, askedAt))
+            continue;
+        for (auto& [number, wave] : owned.m_waves)
+            wave.m_downSince.erase(machine.m_id);
+        if (ordered == owned.m_ordered.end())
             continue;
         // A move of which the outcome is not known: done or not, the machine takes tasks where it is.
         if (ordered->second.m_isMove)
             setReserved(state, machine.m_id, false);
         owned.m_ordered.erase(ordered);
-        for (auto& [number, wave] : owned.m_waves)
-            wave.m_downSince.erase(machine.m_id);
     }
 }
 
@@ -121,7 +134,7 @@
     const auto view = viewFleet(*state, now);
     std::vector<FleetAction> actions;
     for (auto& [number, wave] : owned.m_waves) {
-        if (wave.m_isCompleted)
+        if (wave.m_isCompleted || !isKnown(wave))
             continue;
         fleet::planWave(view, wave, owned.m_timing, now, actions);
         wave.m_isCompleted = fleet::isWaveCompleted(view, wave);
@@ -153,6 +166,7 @@
     auto [place, isNew] = state.m_fleet.m_waves.try_emplace(wave.m_order.m_number, wave);
     // Loaded from the journal without its order, or before it.
     place->second.m_order = wave.m_order;
+    place->second.m_seenAt = wave.m_seenAt;
     if (isNew)
         logOf("fleet").info("event=wave_ordered wave={} machines={} limit_ms={} at_once={}", wave.m_order.m_number,
             wave.m_order.m_machines.size(), wave.m_order.m_timeLimit.count(), wave.m_order.m_mostAtOnce);
@@ -164,8 +178,10 @@
         const auto interval = isChanging(state->m_fleet) ? listInterval : idleListInterval;
         if (monotonicNow() - state->m_fleet.m_listedAt >= interval)
             co_await readMachines(state);
-        for (auto& [number, wave] : state->m_fleet.m_waves)
-            co_await tellWave(state, wave);
+        for (auto& [number, wave] : state->m_fleet.m_waves) {
+            if (isKnown(wave))
+                co_await tellWave(state, wave);
+        }
         const auto now = monotonicNow();
         if (!state->m_isStopped && mayOrderMachines(*state) && !state->m_fleet.m_machines.empty())
             planOnce(state, now);
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -32,10 +32,11 @@
     return found == owned.m_machines.end() ? std::string() : found->m_pool;
 }
 
-auto encodeOrder(std::uint64_t renewal) -> std::string
+auto encodeOrder(std::uint64_t renewal, std::uint64_t wave) -> std::string
 {
     wire::MachineOrderRecord record;
     record.set_renewal(renewal);
+    record.set_wave(wave);
     return record.SerializeAsString();
 }
 
@@ -118,7 +119,7 @@
     owned.m_ordered[action.m_machine] = { now, isMove ? action.m_pool : poolOf(owned, action.m_machine), isMove };
     if (!isMove)
         owned.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
-    state.m_rows[machineOrderPrefix + action.m_machine] = encodeOrder(state.m_ports.m_newestRenewal());
+    state.m_rows[machineOrderPrefix + action.m_machine] = encodeOrder(state.m_ports.m_newestRenewal(), action.m_wave);
     state.m_pendingOrders.push_back(std::move(action));
     state.m_journalSignal.notify();
 }
@@ -143,7 +144,11 @@
         return false;
     // It was sent only while the renewal that it names was fresh.
     const auto sentBy = state.m_ports.m_renewalWrittenBy(record.renewal()) + freshRenewal;
-    state.m_fleet.m_noOrderUntil[machine] = sentBy + state.m_ports.m_orderSpacing + orderSlack;
+    const auto until = sentBy + state.m_ports.m_orderSpacing + orderSlack;
+    state.m_fleet.m_noOrderUntil[machine] = until;
+    // Whether it was taken is not known: it counts as down while it may still be on its way.
+    if (record.wave() != 0 && monotonicNow() < until)
+        state.m_fleet.m_waves[record.wave()].m_downSince[machine] = monotonicNow();
     return true;
 }
 
--- a/tests/shell/coordinator/MachineOrdersTest.cpp
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(order_placed_isNotSentBeforeItIsStored);
     CPPUNIT_TEST(order_placedByAnEarlierOwner_keepsOnlyThatMachineWaiting);
     CPPUNIT_TEST(order_placedLongAgo_keepsNoMachineWaiting);
+    CPPUNIT_TEST(upkeep_orderedByAnEarlierOwner_countsAsDown);
     CPPUNIT_TEST(order_refused_givesTheMachineBack);
     CPPUNIT_TEST(order_withOwnershipNotRenewed_isGivenUp);
     CPPUNIT_TEST_SUITE_END();
@@ -59,6 +60,16 @@
         CPPUNIT_ASSERT(!isHeldBack("m1"));
     }
 
+    auto upkeep_orderedByAnEarlierOwner_countsAsDown() -> void
+    {
+        m_state->m_fleet.m_waves[3].m_order = { 3, { "m1", "m2" }, Duration(20000), 1 };
+        placeOrder(*m_state, { fleet::FleetActionKind::Maintain, "m1", 3, {}, "test" });
+        const auto stored = m_state->m_rows.at("mm1");
+        m_state = makeState();
+        CPPUNIT_ASSERT(restoreOrder(*m_state, "m1", stored));
+        CPPUNIT_ASSERT(m_state->m_fleet.m_waves[3].m_downSince.contains("m1"));
+    }
+
     auto order_refused_givesTheMachineBack() -> void
     {
         m_machines.m_outcome = MachineOutcome::Refused;
