--- /dev/null
+++ b/tests/shell/platform/ClientApiTest.cpp
@@ -0,0 +1,113 @@
+#include "ClientApi.h"
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/OwnerElection.h"
+#include "hemlockvane/detail/http/HttpPool.h"
+#include "hemlockvane/detail/intake/JobIntake.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/rules/RulesFollower.h"
+#include "shell/coordinator/MemoryStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <exception>
+#include <memory>
+#include <optional>
+
+namespace hemlockvane::platform {
+
+class ClientApiTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ClientApiTest);
+    CPPUNIT_TEST(submission_storeAnswers_isAccepted);
+    CPPUNIT_TEST(submission_nearTheShutdownsEnd_isRefusedAtOnceAndNotStored);
+    CPPUNIT_TEST(submission_storeSilentDuringShutdown_isAnsweredInTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        m_context = std::make_unique<boost::asio::io_context>();
+        m_store = std::make_unique<detail::MemoryStore>();
+        m_store->m_topics["rules"].push_back(detail::keyedRecord("newest", "1"));
+        m_peers = std::make_unique<detail::HttpPool>(*m_context, 1);
+        m_election = std::make_unique<detail::OwnerElection>(
+            *m_context, *m_store, "n1", "n1", 1, detail::ElectionTiming {}, [](bool) {});
+        m_rules = std::make_unique<detail::RulesFollower>(
+            *m_context, *m_store, source(), [](const detail::OperatorRules&) {});
+        m_intake = std::make_unique<detail::JobIntake>(
+            *m_store, *m_peers, *m_election, [] { return std::shared_ptr<detail::Coordinator>(); });
+        m_api = std::make_unique<ClientApi>(*m_intake, *m_rules, m_metrics, Duration(3600000));
+        m_rules->start();
+        runUntil([&] { return m_api->isReady(); });
+    }
+
+    auto submission_storeAnswers_isAccepted() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(200U, submit());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_store->m_topics["keyed.jobs"].size());
+    }
+
+    auto submission_nearTheShutdownsEnd_isRefusedAtOnceAndNotStored() -> void
+    {
+        m_api->answerBy(detail::monotonicNow() + Duration(20));
+        CPPUNIT_ASSERT_EQUAL(503U, submit());
+        CPPUNIT_ASSERT(m_store->m_topics["keyed.jobs"].empty());
+    }
+
+    auto submission_storeSilentDuringShutdown_isAnsweredInTime() -> void
+    {
+        m_store->m_isDown = true;
+        m_api->answerBy(detail::monotonicNow() + Duration(700));
+        CPPUNIT_ASSERT_EQUAL(504U, submit()); // The caller itself would wait for an hour.
+    }
+
+private:
+    static auto source() -> detail::RulesSource
+    {
+        detail::RulesSource made;
+        made.m_topic = "rules";
+        made.m_rulesKey = "newest";
+        made.m_decode = [](std::string_view) {
+            detail::OperatorRules rules;
+            rules.m_ingress.m_routesByHost["desk.example"] = { { "desk.example", "/jobs/", "checks", true } };
+            return std::optional(rules);
+        };
+        made.m_onOther = [](std::string_view, std::string_view) {};
+        return made;
+    }
+
+    auto submit() -> unsigned
+    {
+        detail::HttpRequest request;
+        request.m_method = "POST";
+        request.m_target = "/jobs/00000000000000a1";
+        request.m_headers = { { "Host", "desk.example" }, { "Hemlockvane-Deadline-Ms", "3600000" } };
+        request.m_body = R"({"spec":"s","steps":[{"count":1,"cpu":100,"estimateMs":10}]})";
+        std::optional<unsigned> status;
+        boost::asio::co_spawn(*m_context, m_api->handle(std::move(request)),
+            [&](const std::exception_ptr&, const detail::HttpResponse& response) { status = response.m_status; });
+        runUntil([&] { return status.has_value(); });
+        return status.value_or(0);
+    }
+
+    auto runUntil(const std::function<bool()>& holds) -> void
+    {
+        for (int round = 0; !holds() && round < 500; ++round)
+            m_context->run_for(Duration(10));
+    }
+
+    std::unique_ptr<boost::asio::io_context> m_context;
+    std::unique_ptr<detail::MemoryStore> m_store;
+    std::unique_ptr<detail::HttpPool> m_peers;
+    std::unique_ptr<detail::OwnerElection> m_election;
+    std::unique_ptr<detail::RulesFollower> m_rules;
+    std::unique_ptr<detail::JobIntake> m_intake;
+    detail::Metrics m_metrics;
+    std::unique_ptr<ClientApi> m_api;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClientApiTest);
+
+} // namespace hemlockvane::platform
