Look before stopping a lasting task whose start was not answered

Larger owners make such answers rare; now the next look decides: listed, the run is kept; not listed, it is stopped as before, should it come late. Ruled out: the evacuation (no machine there was set aside). Both tests fail without the change.

--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -83,6 +83,18 @@
     }
 }
 
+// A look that was sent after the last try to start the run and does not list it: should it come late, it is stopped.
+auto stopRunsNotStarted(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
+{
+    for (const auto& item : scheduler.m_executors[index]->m_runs) {
+        auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        if (run == nullptr || run->m_phase != RunPhase::Starting || !run->m_unansweredAt)
+            continue;
+        if (*run->m_unansweredAt <= report.m_askedAt && !isReported(report, item))
+            run->m_phase = RunPhase::Stopping;
+    }
+}
+
 // A look that was sent after the executor answered the stop and does not list the run: it is gone for good.
 auto removeRefusedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
 {
@@ -181,6 +193,7 @@
         else
             refreshRun(*run, *findTask(scheduler, reported.m_task), reported, now);
     }
+    stopRunsNotStarted(scheduler, index, report);
     removeRefusedRuns(scheduler, index, report);
     if (!executor.m_isSettled)
         removeRunsNotThere(scheduler, index, report);
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -64,6 +64,17 @@
     completeWhenDone(scheduler, job, occurrence, wall);
 }
 
+// A start that may have been carried out is stopped and the task started anew. A lasting task may be at work by then,
+// and stopping it would take one more of its step away: the next look decides.
+auto doubtStart(Scheduler& scheduler, const TaskKey& key, TaskRun& run, Instant now) -> void
+{
+    const auto& spec = findJob(scheduler, key.m_job)->m_spec.m_steps[key.m_step];
+    if (spec.m_isLasting && !spec.m_isGang)
+        run.m_unansweredAt = now;
+    else
+        run.m_phase = RunPhase::Stopping;
+}
+
 } // namespace
 
 auto roomNeeded(const StepSpec& step) -> Resources
@@ -180,7 +191,7 @@
     if (answer == StartAnswer::BadTicket)
         findStep(scheduler, key)->m_ticketsUntil = now;
     if (answer == StartAnswer::Unknown || (wasRepeated && answer != StartAnswer::AlreadyEnded)) {
-        found->m_phase = RunPhase::Stopping;
+        doubtStart(scheduler, key, *found, now);
         return;
     }
     removeRun(scheduler, key, run, executor);
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(evacuate_othersAway_waits);
     CPPUNIT_TEST(evacuate_ownReportOld_countsOthersOnly);
     CPPUNIT_TEST(evacuate_otherOnSilentExecutor_waits);
+    CPPUNIT_TEST(lastingStart_unanswered_isKeptOnceLookListsIt);
+    CPPUNIT_TEST(lastingStart_unanswered_isStoppedOnceLookLacksIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,7 +172,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, evacuate(m_scheduler, 0));
     }
 
+    // Grown Maraval scale-2: a start that was answered too late was stopped while another task of its step was away.
+    auto lastingStart_unanswered_isKeptOnceLookListsIt() -> void
+    {
+        const auto start = startLastingWithoutAnswer();
+        CPPUNIT_ASSERT(starts().empty());
+        report(start.m_executor, { { start.m_task, start.m_run, "", 100, 0 } });
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    auto lastingStart_unanswered_isStoppedOnceLookLacksIt() -> void
+    {
+        const auto start = startLastingWithoutAnswer();
+        m_now += Duration(10);
+        report(start.m_executor, {});
+        const auto actions = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == ActionKind::Stop);
+    }
+
 private:
+    auto startLastingWithoutAnswer() -> Action
+    {
+        auto lasting = step(1, 1000);
+        lasting.m_isLasting = true;
+        submit({ lasting });
+        const auto start = plan().at(0);
+        answer(start, StartAnswer::Unknown, true);
+        return start;
+    }
+
     auto starts() -> std::vector<Action>
     {
         auto actions = plan();
