--- a/include/hemlockvane/detail/coordinator/OwnedFleet.h
+++ b/include/hemlockvane/detail/coordinator/OwnedFleet.h
@@ -22,6 +22,7 @@
     std::map<std::uint64_t, fleet::WaveState> m_waves;
     std::map<std::string, MachineOrder> m_ordered; ///< By machine, until the list shows what came of it.
     std::set<std::string> m_reserved;
+    Instant m_roomToldAt; ///< When room and demand were last told.
     std::map<std::string, Instant> m_idleSince;
     std::set<std::string> m_statusWritten; ///< Wave number and state, as last told to the operators.
     std::map<std::string, Instant> m_noOrderUntil; ///< By machine, after an earlier owner's order for it.
--- /dev/null
+++ b/include/hemlockvane/detail/logging/OutcomeNames.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace hemlockvane::scheduling {
+enum class JobPhase : std::uint8_t;
+enum class StartAnswer : std::uint8_t;
+} // namespace hemlockvane::scheduling
+
+namespace hemlockvane::detail {
+
+enum class CallOutcome : std::uint8_t;
+enum class IntakeOutcome : std::uint8_t;
+enum class MachineOutcome : std::uint8_t;
+
+/// @brief Words for log lines and labels of metrics.
+[[nodiscard]] auto nameOf(CallOutcome outcome) -> std::string_view;
+[[nodiscard]] auto nameOf(IntakeOutcome outcome) -> std::string_view;
+[[nodiscard]] auto nameOf(MachineOutcome outcome) -> std::string_view;
+[[nodiscard]] auto nameOf(scheduling::JobPhase phase) -> std::string_view;
+[[nodiscard]] auto nameOf(scheduling::StartAnswer answer) -> std::string_view;
+
+} // namespace hemlockvane::detail
--- a/src/detail/coordinator/ExecutorLooks.cpp
+++ b/src/detail/coordinator/ExecutorLooks.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/detail/coordinator/OrderSender.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
@@ -154,7 +155,7 @@
     if (!executor.m_isSilent)
         logOf("executors")
             .info("event=lost executor={} outcome={} runs={} lease_until={}", executor.m_entry.m_id,
-                static_cast<int>(result.m_outcome), executor.m_runs.size(), executor.m_leaseUntilMs);
+                nameOf(result.m_outcome), executor.m_runs.size(), executor.m_leaseUntilMs);
     executor.m_isSilent = true;
     co_return false;
 }
--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -7,6 +7,7 @@
 #include "hemlockvane/detail/coordinator/MachineOrders.h"
 #include "hemlockvane/detail/coordinator/WaveRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/MachinePort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/fleet/EndedExecutors.h"
@@ -30,6 +31,8 @@
 constexpr Duration idleListInterval { 2000 };
 constexpr Duration listedAfterOrder { 300 }; // A list asked for this long after an order shows what came of it.
 constexpr Duration statusTimeout { 700 };
+constexpr Duration roomInterval { 1000 }; // A reader of the metrics asks every few seconds.
+constexpr double millisPerCore = 1000;
 
 // A wave of which only the journal tells has no machines yet: nothing can be said of it.
 auto isKnown(const fleet::WaveState& wave) -> bool { return !wave.m_order.m_machines.empty(); }
@@ -128,10 +131,32 @@
         state.m_planSignal.notify();
 }
 
+// Once a second as gauges, and as a line for each pool in which tasks wait.
+auto tellRoom(CoordinatorState& state, const fleet::FleetView& view, Instant now) -> void
+{
+    if (now - state.m_fleet.m_roomToldAt < roomInterval)
+        return;
+    state.m_fleet.m_roomToldAt = now;
+    for (const auto& [name, pool] : view.m_pools) {
+        const auto tell = [&](std::string_view gauge, std::int64_t millis) {
+            state.m_ports.m_metrics->gauge(
+                std::string(gauge) + "{pool=\"" + name + "\"}", static_cast<double>(millis) / millisPerCore);
+        };
+        tell("pool_cores", pool.m_capacityMillis);
+        tell("pool_cores_used", pool.m_usedMillis);
+        tell("pool_cores_waiting", pool.m_waitingMillis);
+        if (pool.m_waitingMillis > 0)
+            logOf("fleet").info("event=room pool={} cores_m={} used_m={} waiting_m={} arriving_m={} list_age_ms={}",
+                name, pool.m_capacityMillis, pool.m_usedMillis, pool.m_waitingMillis, pool.m_arrivingMillis,
+                (now - state.m_fleet.m_listedAt).count());
+    }
+}
+
 auto planOnce(const std::shared_ptr<CoordinatorState>& state, Instant now) -> void
 {
     auto& owned = state->m_fleet;
     const auto view = viewFleet(*state, now);
+    tellRoom(*state, view, now);
     std::vector<FleetAction> actions;
     for (auto& [number, wave] : owned.m_waves) {
         if (wave.m_isCompleted || !isKnown(wave))
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -8,6 +8,7 @@
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/coordinator/WaveRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling/StoreProgress.h"
@@ -139,8 +140,8 @@
         if (job == nullptr)
             continue;
         if (scheduling::isFinal(phase) && !scheduling::isFinal(job->m_durablePhase))
-            logOf("jobs").info("event=job_end job={} phase={} batch={} took_ms={}", jobIdText(id),
-                static_cast<int>(phase), batch, wallNow() - job->m_spec.m_submittedAt);
+            logOf("jobs").info("event=job_end job={} phase={} batch={} took_ms={}", jobIdText(id), nameOf(phase), batch,
+                wallNow() - job->m_spec.m_submittedAt);
         job->m_durablePhase = phase;
     }
     scheduling::noteStored(state.m_scheduler, batch);
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/detail/coordinator/FleetViews.h"
 #include "hemlockvane/detail/coordinator/WaveRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/MachinePort.h"
 #include "hemlockvane/scheduling.pb.h"
@@ -81,9 +82,8 @@
     if (state->m_isStopped)
         co_return;
     logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}", action.m_machine,
-        action.m_wave, action.m_pool, action.m_reason, static_cast<int>(outcome), (monotonicNow() - sentAt).count());
-    state->m_ports.m_metrics->count(
-        "machine_orders_total{outcome=\"" + std::to_string(static_cast<int>(outcome)) + "\"}");
+        action.m_wave, action.m_pool, action.m_reason, nameOf(outcome), (monotonicNow() - sentAt).count());
+    state->m_ports.m_metrics->count("machine_orders_total{outcome=\"" + std::string(nameOf(outcome)) + "\"}");
     applyOutcome(*state, action, outcome);
 }
 
--- a/src/detail/coordinator/OrderSender.cpp
+++ b/src/detail/coordinator/OrderSender.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/detail/coordinator/ExecutorLooks.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/AdvicePort.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
@@ -73,8 +74,8 @@
         co_return;
     logOf("orders").info("event=start task={} run={} executor={} used_cpu={} reason=\"{}\" answer={} took_ms={}",
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, executor.m_used.m_cpuMillis, action.m_reason,
-        static_cast<int>(answer), (monotonicNow() - sentAt).count());
-    state->m_ports.m_metrics->count("starts_total{answer=\"" + std::to_string(static_cast<int>(answer)) + "\"}");
+        nameOf(answer), (monotonicNow() - sentAt).count());
+    state->m_ports.m_metrics->count("starts_total{answer=\"" + std::string(nameOf(answer)) + "\"}");
     scheduling::applyStartAnswer(
         state->m_scheduler, action.m_executor, action.m_task, action.m_run, answer, wasRepeated, monotonicNow());
     wakeWatch(*state, executor.m_entry.m_id);
@@ -90,7 +91,7 @@
     if (state->m_isStopped)
         co_return;
     logOf("orders").info("event=stop task={} run={} executor={} reason=\"{}\" outcome={}", taskText(action.m_task),
-        action.m_run, executor.m_entry.m_id, action.m_reason, static_cast<int>(outcome));
+        action.m_run, executor.m_entry.m_id, action.m_reason, nameOf(outcome));
     if (outcome == CallOutcome::Answered)
         scheduling::applyStopAnswer(state->m_scheduler, action.m_executor, action.m_task, action.m_run, monotonicNow());
     wakeWatch(*state, executor.m_entry.m_id);
@@ -103,7 +104,7 @@
         action.m_task, action.m_run, action.m_percent, state->m_epoch);
     logOf("orders").info("event=pace task={} run={} executor={} percent={} reason=\"{}\" outcome={}",
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, action.m_percent, action.m_reason,
-        static_cast<int>(outcome));
+        nameOf(outcome));
 }
 
 auto askAdvice(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
