Wait for the end of a run that had ended when its start was repeated

After a repeat, such a run now stays until the next look, which lists its end. The test fails without the change.

--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -194,6 +194,12 @@
         doubtStart(scheduler, key, *found, now);
         return;
     }
+    if (answer == StartAnswer::AlreadyEnded && wasRepeated) {
+        // An earlier try was carried out and its run is over: the next look tells how it ended.
+        found->m_phase = RunPhase::Stopping;
+        found->m_stopAnsweredAt = now;
+        return;
+    }
     removeRun(scheduler, key, run, executor);
 }
 
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(evacuate_otherOnSilentExecutor_waits);
     CPPUNIT_TEST(lastingStart_unanswered_isKeptOnceLookListsIt);
     CPPUNIT_TEST(lastingStart_unanswered_isStoppedOnceLookLacksIt);
+    CPPUNIT_TEST(repeatedStart_runEndedThere_waitsForItsEnd);
+    CPPUNIT_TEST(repeatedStart_noEndInTheNextLook_startsAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +193,26 @@
         CPPUNIT_ASSERT(actions[0].m_kind == ActionKind::Stop);
     }
 
+    // Roata hunt-2eef-23: the first try had been carried out, its task was done when the second one arrived.
+    auto repeatedStart_runEndedThere_waitsForItsEnd() -> void
+    {
+        const auto start = startOne();
+        answer(start, StartAnswer::AlreadyEnded, true);
+        CPPUNIT_ASSERT(plan().empty());
+        end(start, EndKind::Done);
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Completed);
+    }
+
+    auto repeatedStart_noEndInTheNextLook_startsAgain() -> void
+    {
+        const auto start = startOne();
+        answer(start, StartAnswer::AlreadyEnded, true);
+        m_now += Duration(10);
+        report(start.m_executor, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
+    }
+
 private:
     auto startLastingWithoutAnswer() -> Action
     {
