--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -12,13 +12,19 @@
 
 constexpr double roomPerDemand = 1.1; // Room wanted for each core that is asked for; packing leaves gaps.
 constexpr double giverLoad = 0.8; // Demand over room up to which a pool gives machines away.
+// Of the tasks that wait for other steps, one in so many needs new room: most take that of their predecessors.
+constexpr std::int64_t followingPart = 4;
 constexpr std::int64_t leastMachines = 2; // A pool keeps these: one of them may fail.
 
+auto runningAndFollowing(const PoolView& pool) -> std::int64_t
+{
+    return pool.m_usedMillis + pool.m_followingMillis / followingPart;
+}
+
 // Room that a pool lacks, in thousandths of a core; negative: it has that much to give.
 auto lackOf(const PoolView& pool) -> double
 {
-    const auto inHand = pool.m_usedMillis + pool.m_waitingMillis + pool.m_followingMillis / 4;
-    const auto demand = std::max(inHand, pool.m_arrivingMillis);
+    const auto demand = std::max(runningAndFollowing(pool) + pool.m_waitingMillis, pool.m_arrivingMillis);
     return static_cast<double>(demand) * roomPerDemand - static_cast<double>(pool.m_capacityMillis);
 }
 
@@ -113,10 +119,9 @@
         if (machine.m_isSpare)
             return true;
         const auto& pool = m_pools[from];
-        const auto inHand = pool.m_usedMillis + pool.m_followingMillis / 4;
         const auto after = pool.m_capacityMillis - machine.m_machine.m_capacity.m_cpuMillis;
         return pool.m_waitingMillis == 0 && pool.m_arrivingMillis <= after && m_machines[from] > leastMachines
-            && static_cast<double>(inHand) <= giverLoad * static_cast<double>(after);
+            && static_cast<double>(runningAndFollowing(pool)) <= giverLoad * static_cast<double>(after);
     }
 
     auto move(const MachineView& machine, const std::string& to, const char* reason) -> void
