--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -131,6 +131,13 @@
         state.m_planSignal.notify();
 }
 
+auto tellGauge(CoordinatorState& state, std::string_view gauge, const fleet::PoolView& pool, std::int64_t millis)
+    -> void
+{
+    state.m_ports.m_metrics->gauge(
+        std::string(gauge) + "{pool=\"" + pool.m_name + "\"}", static_cast<double>(millis) / millisPerCore);
+}
+
 // Once a second as gauges, and as a line for each pool in which tasks wait.
 auto tellRoom(CoordinatorState& state, const fleet::FleetView& view, Instant now) -> void
 {
@@ -138,13 +145,9 @@
         return;
     state.m_fleet.m_roomToldAt = now;
     for (const auto& [name, pool] : view.m_pools) {
-        const auto tell = [&](std::string_view gauge, std::int64_t millis) {
-            state.m_ports.m_metrics->gauge(
-                std::string(gauge) + "{pool=\"" + name + "\"}", static_cast<double>(millis) / millisPerCore);
-        };
-        tell("pool_cores", pool.m_capacityMillis);
-        tell("pool_cores_used", pool.m_usedMillis);
-        tell("pool_cores_waiting", pool.m_waitingMillis);
+        tellGauge(state, "pool_cores", pool, pool.m_capacityMillis);
+        tellGauge(state, "pool_cores_used", pool, pool.m_usedMillis);
+        tellGauge(state, "pool_cores_waiting", pool, pool.m_waitingMillis);
         if (pool.m_waitingMillis > 0)
             logOf("fleet").info("event=room pool={} cores_m={} used_m={} waiting_m={} arriving_m={} list_age_ms={}",
                 name, pool.m_capacityMillis, pool.m_usedMillis, pool.m_waitingMillis, pool.m_arrivingMillis,
