--- a/src/scheduling/RankPlacement.cpp
+++ b/src/scheduling/RankPlacement.cpp
@@ -32,7 +32,8 @@
     if (onIt != step.m_runsByExecutor.end() && onIt->second >= most)
         return true;
     const auto& rack = scheduler.m_executors[index]->m_rack;
-    return !rack.empty() && runsOnRack(scheduler, step, rack) * 2 >= std::max<std::size_t>(step.m_tasks.size(), 2);
+    const std::size_t onRack = runsOnRack(scheduler, step, rack);
+    return !rack.empty() && onRack * 2 >= std::max<std::size_t>(step.m_tasks.size(), 2);
 }
 
 } // namespace
