Ask in one place whether an upkeep is pending, and work loads out once a plan

The order of a wave's machines worked out spare room and load anew in each comparison, and the demand looked up workspace limits for steps that cannot start anyway.

--- a/include/hemlockvane/fleet/PlanWaves.h
+++ b/include/hemlockvane/fleet/PlanWaves.h
@@ -19,6 +19,9 @@
 auto planWave(const FleetView& view, const WaveState& wave, const FleetTiming& timing, Instant now,
     std::vector<FleetAction>& actions) -> void;
 
+/// @brief True for a machine of the wave whose upkeep has not begun.
+auto isUpkeepPending(const WaveState& wave, const std::string& machine) -> bool;
+
 /// @brief True once every machine of the wave that is still there has begun its upkeep.
 auto isWaveCompleted(const FleetView& view, const WaveState& wave) -> bool;
 
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/coordinator/FleetViews.h"
 
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/fleet/PlanWaves.h"
 #include "hemlockvane/scheduling/MeasureDemand.h"
 
 #include <algorithm>
@@ -18,11 +19,8 @@
 
 auto isDueUpkeep(const OwnedFleet& owned, const std::string& machine) -> bool
 {
-    return std::any_of(owned.m_waves.begin(), owned.m_waves.end(), [&](const auto& item) {
-        const auto& wave = item.second;
-        const auto& listed = wave.m_order.m_machines;
-        return !wave.m_begun.contains(machine) && std::find(listed.begin(), listed.end(), machine) != listed.end();
-    });
+    return std::any_of(owned.m_waves.begin(), owned.m_waves.end(),
+        [&](const auto& item) { return fleet::isUpkeepPending(item.second, machine); });
 }
 
 auto viewMachine(CoordinatorState& state, const fleet::Machine& machine, Instant now) -> fleet::MachineView
--- a/src/fleet/PlanWaves.cpp
+++ b/src/fleet/PlanWaves.cpp
@@ -20,10 +20,25 @@
 constexpr double busyLoad = 0.55; // Demand over room from which a pool counts as busy.
 
 struct PoolCount {
+    double m_load = 0; // Demand over the room that the pool has or can call on; spare pools have none.
     std::size_t m_machines = 0;
     std::size_t m_away = 0; // Reserved, moving or under upkeep.
 };
 
+// A pool's own machines are kept few while it asks for little, so spare room counts for each.
+auto measureLoads(const FleetView& view, std::map<std::string, PoolCount>& counts) -> void
+{
+    std::int64_t spareRoom = 0;
+    for (const auto& [name, pool] : view.m_pools)
+        spareRoom += pool.m_isSpare ? pool.m_capacityMillis : 0;
+    for (const auto& [name, pool] : view.m_pools) {
+        if (pool.m_isSpare)
+            continue;
+        const auto room = static_cast<double>(std::max<std::int64_t>(pool.m_capacityMillis + spareRoom, 1));
+        counts[name].m_load = static_cast<double>(pool.m_usedMillis + pool.m_waitingMillis) / room;
+    }
+}
+
 auto countPools(const FleetView& view) -> std::map<std::string, PoolCount>
 {
     std::map<std::string, PoolCount> counts;
@@ -33,39 +48,10 @@
         if (machine.m_machine.m_state != MachineState::Up || machine.m_isReserved || machine.m_isOrdered)
             ++count.m_away;
     }
+    measureLoads(view, counts);
     return counts;
 }
 
-auto spareRoom(const FleetView& view) -> std::int64_t
-{
-    std::int64_t room = 0;
-    for (const auto& [name, pool] : view.m_pools)
-        room += pool.m_isSpare ? pool.m_capacityMillis : 0;
-    return room;
-}
-
-// Demand over the room that the pool has or can call on: its own machines are kept few while it asks for little.
-auto loadOf(const FleetView& view, const std::string& name) -> double
-{
-    const auto pool = view.m_pools.find(name);
-    if (pool == view.m_pools.end() || pool->second.m_isSpare)
-        return 0;
-    const auto room = static_cast<double>(std::max<std::int64_t>(pool->second.m_capacityMillis + spareRoom(view), 1));
-    return static_cast<double>(pool->second.m_usedMillis + pool->second.m_waitingMillis) / room;
-}
-
-auto isBusy(const FleetView& view, const MachineView& machine) -> bool
-{
-    return loadOf(view, machine.m_machine.m_pool) >= busyLoad;
-}
-
-auto isPending(const WaveState& wave, const MachineView& machine) -> bool
-{
-    const auto& listed = wave.m_order.m_machines;
-    return std::find(listed.begin(), listed.end(), machine.m_machine.m_id) != listed.end()
-        && !wave.m_begun.contains(machine.m_machine.m_id);
-}
-
 // Upkeeps that would still fit one after the other into the wave's time.
 auto roundsLeft(const WaveState& wave, const FleetTiming& timing, Instant now) -> double
 {
@@ -102,7 +88,7 @@
     std::vector<const MachineView*> pending;
     std::size_t reserved = 0;
     for (const auto& machine : view.m_machines) {
-        if (!isPending(wave, machine))
+        if (!isUpkeepPending(wave, machine.m_machine.m_id))
             continue;
         pending.push_back(&machine);
         if (machine.m_isReserved)
@@ -120,17 +106,18 @@
     const auto most = std::min<std::size_t>(wave.m_order.m_mostAtOnce, static_cast<std::size_t>(pace));
     maintainEmpty(pending, wave, slots, rounds < 1, actions);
     auto mayReserve = most > down + reserved ? most - down - reserved : 0;
+    auto counts = countPools(view);
+    const auto isBusy = [&](const MachineView& machine) { return counts[machine.m_machine.m_pool].m_load >= busyLoad; };
     // Emptying a machine of lasting tasks takes longest, as few of them may be away at once: those come first.
     std::sort(pending.begin(), pending.end(), [&](const MachineView* left, const MachineView* right) {
-        return std::tuple(isBusy(view, *left), right->m_lastingRuns, left->m_usedCpuMillis)
-            < std::tuple(isBusy(view, *right), left->m_lastingRuns, right->m_usedCpuMillis);
+        return std::tuple(isBusy(*left), right->m_lastingRuns, left->m_usedCpuMillis)
+            < std::tuple(isBusy(*right), left->m_lastingRuns, right->m_usedCpuMillis);
     });
-    auto counts = countPools(view);
     for (const auto* machine : pending) {
         if (mayReserve == 0)
             return;
         auto& count = counts[machine->m_machine.m_pool];
-        const auto share = shareAway(loadOf(view, machine->m_machine.m_pool), isLate);
+        const auto share = shareAway(count.m_load, isLate);
         const auto mostOfPool = std::max(1.0, share * static_cast<double>(count.m_machines));
         if (machine->m_isReserved || machine->m_isSpare || machine->m_isOrdered
             || machine->m_machine.m_state != MachineState::Up || static_cast<double>(count.m_away) + 1 > mostOfPool)
@@ -141,10 +128,15 @@
     }
 }
 
+auto isUpkeepPending(const WaveState& wave, const std::string& machine) -> bool
+{
+    return wave.m_order.m_machines.contains(machine) && !wave.m_begun.contains(machine);
+}
+
 auto isWaveCompleted(const FleetView& view, const WaveState& wave) -> bool
 {
     return std::none_of(view.m_machines.begin(), view.m_machines.end(),
-        [&](const MachineView& machine) { return isPending(wave, machine); });
+        [&](const MachineView& machine) { return isUpkeepPending(wave, machine.m_machine.m_id); });
 }
 
 } // namespace hemlockvane::fleet
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -24,17 +24,19 @@
 }
 
 // Tasks beyond a workspace's limit are left out: more machines would not start them.
-auto addStep(PoolDemand& demand, const Occurrence& occurrence, const StepState& state, const StepSpec& spec,
-    bool isWithinLimit) -> void
+auto addStep(PoolDemand& demand, const Scheduler& scheduler, const Job& job, const Occurrence& occurrence,
+    std::size_t step) -> void
 {
+    const auto& spec = job.m_spec.m_steps[step];
     const auto need = roomNeeded(spec).m_cpuMillis;
     const auto isOpen = isStepOpen(spec, occurrence);
-    for (const auto& task : state.m_tasks) {
+    const auto mayStart = isOpen && isWithinLimit(scheduler, job.m_spec.m_workspace, spec.m_perTask, 1);
+    for (const auto& task : occurrence.m_steps[step].m_tasks) {
         if (task.m_isDone)
             continue;
         if (!task.m_runs.empty())
             demand.m_runningMillis += need;
-        else if (isOpen && isWithinLimit)
+        else if (mayStart)
             addWaiting(demand, spec);
         else if (!isOpen)
             demand.m_followingMillis += need;
@@ -76,11 +78,8 @@
             continue;
         auto& demand = demands[queue->second.m_service];
         for (const auto& [number, occurrence] : job.m_occurrences) {
-            for (std::size_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
-                const auto& spec = job.m_spec.m_steps[step];
-                addStep(demand, occurrence, occurrence.m_steps[step], spec,
-                    isWithinLimit(scheduler, job.m_spec.m_workspace, spec.m_perTask, 1));
-            }
+            for (std::size_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step)
+                addStep(demand, scheduler, job, occurrence, step);
         }
     }
     for (const auto& [name, arrivals] : scheduler.m_arrivals) {
