Let one piece of code serve where the new core had twins, drop what nothing reads

Read-through of the whole change. Dropped: FleetActionKind::Release, HttpPool::connectionsMade, the arrival time of a job and the time at which a run came to work, which nothing read.

--- a/include/hemlockvane/detail/coordinator/ExecutorLooks.h
+++ b/include/hemlockvane/detail/coordinator/ExecutorLooks.h
@@ -2,7 +2,7 @@
 
 #include "hemlockvane/scheduling/TaskRun.h"
 
-#include "hemlockvane/detail/coordinator/TopicContent.h"
+#include "hemlockvane/detail/ports/TopicContent.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/include/hemlockvane/detail/coordinator/MachineOrders.h
+++ b/include/hemlockvane/detail/coordinator/MachineOrders.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/fleet/FleetAction.h"
 #include "hemlockvane/fleet/WaveState.h"
+#include "hemlockvane/time/Time.h"
 
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 namespace hemlockvane::detail {
 
 struct CoordinatorState;
+struct OwnedFleet;
 
 /// @brief First character of the key of the newest order for a machine, before the machine's id.
 inline constexpr char machineOrderPrefix = 'm';
@@ -26,6 +28,9 @@
 /// @result false for a record that cannot be read
 auto restoreOrder(CoordinatorState& state, const std::string& machine, std::string_view bytes) -> bool;
 
+/// @brief Whether an earlier owner's order for a machine may still be carried out at a time.
+auto isHeldBack(const OwnedFleet& owned, const std::string& machine, Instant at) -> bool;
+
 /// @brief Whether orders for machines may go out: the ownership was just renewed.
 auto mayOrderMachines(const CoordinatorState& state) -> bool;
 
--- a/include/hemlockvane/detail/coordinator/SchedulerRecords.h
+++ b/include/hemlockvane/detail/coordinator/SchedulerRecords.h
@@ -3,6 +3,7 @@
 #include "hemlockvane/scheduling/ExecutorEntry.h"
 #include "hemlockvane/scheduling/JobProgress.h"
 #include "hemlockvane/scheduling/JobSpec.h"
+#include "hemlockvane/scheduling/TaskKey.h"
 
 #include <optional>
 #include <string>
@@ -17,6 +18,12 @@
 /// @result empty for anything else
 auto parseJobId(std::string_view text) -> std::optional<scheduling::JobId>;
 
+/// @brief Job, occurrence and step, joined by full stops.
+auto stepText(const scheduling::TaskKey& key) -> std::string;
+
+/// @brief As above, and the index within the step.
+auto taskText(const scheduling::TaskKey& key) -> std::string;
+
 auto encodeProgress(const scheduling::JobProgress& progress) -> std::string;
 auto decodeProgress(scheduling::JobId id, std::string_view bytes) -> std::optional<scheduling::JobProgress>;
 
--- a/include/hemlockvane/detail/coordinator/Submissions.h
+++ b/include/hemlockvane/detail/coordinator/Submissions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockvane/detail/coordinator/TopicContent.h"
+#include "hemlockvane/detail/ports/TopicContent.h"
 #include "hemlockvane/time/Time.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/include/hemlockvane/detail/http/HttpPool.h
+++ b/include/hemlockvane/detail/http/HttpPool.h
@@ -31,9 +31,6 @@
     auto call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, LastReason& reason)
         -> boost::asio::awaitable<std::optional<HttpResponse>>;
 
-    /// @brief Connections made since the start.
-    [[nodiscard]] auto connectionsMade() const -> std::size_t;
-
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/include/hemlockvane/detail/ports/RecordStore.h
+++ b/include/hemlockvane/detail/ports/RecordStore.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "hemlockvane/detail/ports/KeyedRecord.h"
 #include "hemlockvane/detail/ports/StoreAppend.h"
 #include "hemlockvane/detail/ports/StoreAppendResult.h"
 #include "hemlockvane/detail/ports/StoreRead.h"
+#include "hemlockvane/detail/ports/TopicContent.h"
 #include "hemlockvane/time/Time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -11,8 +11,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace hemlockvane::detail {
 
@@ -31,8 +29,7 @@
 
     /// @brief Newest record of every key, and the offset from which to go on reading.
     /// @result empty without a whole answer
-    virtual auto newest(std::string topic)
-        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> = 0;
+    virtual auto newest(std::string topic) -> boost::asio::awaitable<std::optional<TopicContent>> = 0;
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/fleet/FleetActionKind.h
+++ b/include/hemlockvane/fleet/FleetActionKind.h
@@ -7,7 +7,6 @@
 /// @brief What is to be done with a machine.
 enum class FleetActionKind : std::uint8_t {
     Reserve, ///< It takes no new tasks, so that it empties.
-    Release, ///< It takes tasks again.
     Maintain,
     Move,
 };
--- a/include/hemlockvane/scheduling/TaskRun.h
+++ b/include/hemlockvane/scheduling/TaskRun.h
@@ -18,7 +18,6 @@
     RunPhase m_phase = RunPhase::Starting;
     Instant m_orderedAt; ///< When the start was decided.
     std::optional<Instant> m_unansweredAt; ///< Since when it is not known whether its start was carried out.
-    Instant m_atWorkAt; ///< When the executor first reported the whole task at work; the epoch before that.
     std::int32_t m_percent = 0; ///< As last reported; 100: a lasting task is at work.
     std::int64_t m_figure = 0; ///< Serving task: tail in ms; other task: processor in use, thousandths of a core.
     std::int32_t m_pace = 100; ///< Share of its work that it may do.
--- a/src/detail/coordinator/FleetKeeper.cpp
+++ b/src/detail/coordinator/FleetKeeper.cpp
@@ -15,6 +15,7 @@
 #include "hemlockvane/fleet/FleetView.h"
 #include "hemlockvane/fleet/PlanPoolMoves.h"
 #include "hemlockvane/fleet/PlanWaves.h"
+#include "hemlockvane/placement/ResourceSize.h"
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
@@ -32,7 +33,6 @@
 constexpr Duration listedAfterOrder { 300 }; // A list asked for this long after an order shows what came of it.
 constexpr Duration statusTimeout { 700 };
 constexpr Duration roomInterval { 1000 }; // A reader of the metrics asks every few seconds.
-constexpr double millisPerCore = 1000;
 
 // A wave of which only the journal tells has no machines yet: nothing can be said of it.
 auto isKnown(const fleet::WaveState& wave) -> bool { return !wave.m_order.m_machines.empty(); }
@@ -41,9 +41,8 @@
 auto mayStillArrive(const OwnedFleet& owned, const std::string& machine, Instant askedAt) -> bool
 {
     const auto ordered = owned.m_ordered.find(machine);
-    const auto earlier = owned.m_noOrderUntil.find(machine);
     return (ordered != owned.m_ordered.end() && askedAt < ordered->second.m_at + listedAfterOrder)
-        || (earlier != owned.m_noOrderUntil.end() && askedAt < earlier->second);
+        || isHeldBack(owned, machine, askedAt);
 }
 
 // An order is settled once a list that was asked for after it shows the machine up again.
@@ -93,13 +92,13 @@
 
 auto perform(CoordinatorState& state, FleetAction action) -> void
 {
-    if (action.m_kind != FleetActionKind::Reserve && action.m_kind != FleetActionKind::Release) {
+    if (action.m_kind != FleetActionKind::Reserve) {
         placeOrder(state, std::move(action));
         return;
     }
     logOf("fleet").info(
         "event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave, action.m_reason);
-    setReserved(state, action.m_machine, action.m_kind == FleetActionKind::Reserve);
+    setReserved(state, action.m_machine, true);
 }
 
 auto tellWave(const std::shared_ptr<CoordinatorState>& state, const fleet::WaveState& wave) -> asio::awaitable<void>
@@ -135,7 +134,7 @@
     -> void
 {
     state.m_ports.m_metrics->gauge(
-        std::string(gauge) + "{pool=\"" + pool.m_name + "\"}", static_cast<double>(millis) / millisPerCore);
+        std::string(gauge) + "{pool=\"" + pool.m_name + "\"}", static_cast<double>(millis) / milliPerCore);
 }
 
 // Once a second as gauges, and as a line for each pool in which tasks wait.
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/coordinator/FleetViews.h"
 
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/detail/coordinator/MachineOrders.h"
 #include "hemlockvane/fleet/PlanWaves.h"
 #include "hemlockvane/scheduling/MeasureDemand.h"
 
@@ -30,9 +31,7 @@
     view.m_machine = machine;
     view.m_isReserved = owned.m_reserved.contains(machine.m_id);
     const auto ordered = owned.m_ordered.find(machine.m_id);
-    const auto blocked = owned.m_noOrderUntil.find(machine.m_id);
-    const auto isBlocked = blocked != owned.m_noOrderUntil.end() && now < blocked->second;
-    view.m_isOrdered = ordered != owned.m_ordered.end() || isBlocked;
+    view.m_isOrdered = ordered != owned.m_ordered.end() || isHeldBack(owned, machine.m_id, now);
     // The list names the new pool of a machine that moves, but shows an order only a moment later.
     if (machine.m_state == fleet::MachineState::Moving || machine.m_state == fleet::MachineState::Upkeep)
         view.m_comingTo = machine.m_pool;
--- a/src/detail/coordinator/LoadState.cpp
+++ b/src/detail/coordinator/LoadState.cpp
@@ -4,8 +4,8 @@
 #include "hemlockvane/detail/coordinator/ExecutorLooks.h"
 #include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
-#include "hemlockvane/detail/coordinator/TopicContent.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/detail/ports/TopicContent.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -105,6 +105,12 @@
     state.m_journalSignal.notify();
 }
 
+auto isHeldBack(const OwnedFleet& owned, const std::string& machine, Instant at) -> bool
+{
+    const auto until = owned.m_noOrderUntil.find(machine);
+    return until != owned.m_noOrderUntil.end() && at < until->second;
+}
+
 auto mayOrderMachines(const CoordinatorState& state) -> bool
 {
     return monotonicNow() - state.m_ports.m_renewedAt() < freshRenewal;
--- a/src/detail/coordinator/OrderSender.cpp
+++ b/src/detail/coordinator/OrderSender.cpp
@@ -26,15 +26,8 @@
 namespace {
 
 constexpr int startAttempts = 3; // The same start again is the same run; most lost answers are one call's.
-
 constexpr Duration restAfterSilence { 400 }; // Until a look has told whether the executor is lost.
 
-auto taskText(const scheduling::TaskKey& key) -> std::string
-{
-    return jobIdText(key.m_job) + "." + std::to_string(key.m_occurrence) + "." + std::to_string(key.m_step) + "."
-        + std::to_string(key.m_index);
-}
-
 auto makeStart(CoordinatorState& state, const scheduling::Action& action) -> StartOrder
 {
     const auto& executor = *state.m_scheduler.m_executors[action.m_executor];
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -70,6 +70,16 @@
     return id;
 }
 
+auto stepText(const scheduling::TaskKey& key) -> std::string
+{
+    return jobIdText(key.m_job) + "." + std::to_string(key.m_occurrence) + "." + std::to_string(key.m_step);
+}
+
+auto taskText(const scheduling::TaskKey& key) -> std::string
+{
+    return stepText(key) + "." + std::to_string(key.m_index);
+}
+
 auto encodeProgress(const scheduling::JobProgress& progress) -> std::string
 {
     wire::ProgressRecord record;
--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -40,7 +40,6 @@
 
     asio::io_context& m_context;
     std::size_t m_mostPerServer;
-    std::size_t m_connectionsMade = 0;
     std::unordered_map<std::string, ServerConnections> m_servers;
 };
 
@@ -93,7 +92,6 @@
     auto isConnected = connection.has_value();
     if (!isConnected) {
         connection.emplace(m_impl->m_context.get_executor());
-        ++m_impl->m_connectionsMade;
         isConnected = co_await connection->connect(address, std::min(timeout, longestConnect), reason);
     }
     std::optional<HttpResponse> response;
@@ -105,6 +103,4 @@
     co_return response;
 }
 
-auto HttpPool::connectionsMade() const -> std::size_t { return m_impl->m_connectionsMade; }
-
 } // namespace hemlockvane::detail
--- a/src/detail/intake/OwnerApi.cpp
+++ b/src/detail/intake/OwnerApi.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/coordinator/Coordinator.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/http/PlainResponse.h"
 
 namespace hemlockvane::detail {
 
@@ -11,14 +12,6 @@
 constexpr unsigned statusUnavailable = 503;
 constexpr std::string_view unknownJob = "-";
 
-auto textResponse(unsigned status, std::string body) -> HttpResponse
-{
-    HttpResponse response;
-    response.m_status = status;
-    response.m_body = std::move(body);
-    return response;
-}
-
 } // namespace
 
 auto answerInstance(std::function<std::shared_ptr<Coordinator>()> owned, HttpRequest request)
@@ -27,18 +20,18 @@
     const auto coordinator = owned();
     const std::string_view target = request.m_target;
     if (!coordinator)
-        co_return textResponse(statusUnavailable, {});
+        co_return plainResponse(statusUnavailable, {});
     if (target.starts_with(waitingPath)) {
         const auto waiting = coordinator->waitingOf(std::string(target.substr(waitingPath.size())));
-        co_return waiting ? textResponse(statusOk, std::to_string(*waiting)) : textResponse(statusUnavailable, {});
+        co_return waiting ? plainResponse(statusOk, std::to_string(*waiting)) : plainResponse(statusUnavailable, {});
     }
     const auto id = target.starts_with(statusPath) ? parseJobId(target.substr(statusPath.size())) : std::nullopt;
     if (!id)
-        co_return textResponse(statusUnavailable, {});
+        co_return plainResponse(statusUnavailable, {});
     const auto answer = co_await coordinator->statusOf(*id);
     if (!answer)
-        co_return textResponse(statusUnavailable, {});
-    co_return textResponse(
+        co_return plainResponse(statusUnavailable, {});
+    co_return plainResponse(
         statusOk, answer->m_isKnown ? std::to_string(static_cast<int>(answer->m_phase)) : std::string(unknownJob));
 }
 
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/scheduling/Labels.h"
 
 #include <algorithm>
 #include <tuple>
@@ -76,8 +77,8 @@
             if (isComing(name, label))
                 continue;
             const auto found = std::find_if(m_free.begin(), m_free.end(), [&](const MachineView* machine) {
-                return !m_taken.contains(machine->m_machine.m_id) && hasLabel(*machine, label)
-                    && mayGive(*machine, name);
+                return !m_taken.contains(machine->m_machine.m_id)
+                    && scheduling::hasLabel(machine->m_machine.m_labels, label) && mayGive(*machine, name);
             });
             if (found != m_free.end())
                 move(**found, name, "no machine for a waiting task");
@@ -95,19 +96,14 @@
     }
 
 private:
-    static auto hasLabel(const MachineView& machine, const std::string& label) -> bool
-    {
-        const auto& labels = machine.m_machine.m_labels;
-        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
-    }
-
     auto isComing(const std::string& pool, const std::string& label) const -> bool
     {
         return std::any_of(m_view.m_machines.begin(), m_view.m_machines.end(), [&](const MachineView& machine) {
             const auto taken = m_taken.find(machine.m_machine.m_id);
             const auto isTaken = taken != m_taken.end() && taken->second == pool;
             const auto isIdleThere = isFree(machine) && !machine.m_isSpare && machine.m_machine.m_pool == pool;
-            return (isTaken || machine.m_comingTo == pool || isIdleThere) && hasLabel(machine, label);
+            return (isTaken || machine.m_comingTo == pool || isIdleThere)
+                && scheduling::hasLabel(machine.m_machine.m_labels, label);
         });
     }
 
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/PlanStarts.h"
 
+#include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/RankPlacement.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/StartCandidate.h"
@@ -107,8 +108,7 @@
     -> bool
 {
     const auto& spec = *candidate.m_spec;
-    const auto& labels = executor.m_entry.m_labels;
-    if (!spec.m_requiredLabel.empty() && std::find(labels.begin(), labels.end(), spec.m_requiredLabel) == labels.end())
+    if (!hasLabel(executor.m_entry.m_labels, spec.m_requiredLabel))
         return false;
     const auto onIt = candidate.m_state->m_runsByExecutor.find(index);
     if (spec.m_perExecutorLimit > 0 && onIt != candidate.m_state->m_runsByExecutor.end()
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -55,12 +55,10 @@
         task->m_checkpoint = reported.m_checkpoint;
 }
 
-auto refreshRun(TaskRun& run, TaskState& task, const ReportedRun& reported, Instant now) -> void
+auto refreshRun(TaskRun& run, TaskState& task, const ReportedRun& reported) -> void
 {
     if (run.m_phase == RunPhase::Starting)
         run.m_phase = RunPhase::Running;
-    if (run.m_atWorkAt == Instant {} && reported.m_percent >= 100)
-        run.m_atWorkAt = now;
     run.m_percent = reported.m_percent;
     run.m_figure = reported.m_figure;
     if (!reported.m_checkpoint.empty())
@@ -191,7 +189,7 @@
         if (run == nullptr)
             adoptRun(scheduler, index, reported, now, actions);
         else
-            refreshRun(*run, *findTask(scheduler, reported.m_task), reported, now);
+            refreshRun(*run, *findTask(scheduler, reported.m_task), reported);
     }
     stopRunsNotStarted(scheduler, index, report);
     removeRefusedRuns(scheduler, index, report);
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -94,7 +94,6 @@
     auto job = std::make_unique<Job>();
     job->m_spec = std::move(spec);
     job->m_chainMs = chainsOf(job->m_spec.m_steps);
-    job->m_arrivedAt = now;
     if (job->m_spec.m_occurrences == 0)
         job->m_occurrences.emplace(0, makeOccurrence(*job, 0));
     noteArrival(scheduler, job->m_spec, now);
--- a/tests/shell/coordinator/MemoryStore.cpp
+++ b/tests/shell/coordinator/MemoryStore.cpp
@@ -56,8 +56,7 @@
     co_return read;
 }
 
-auto MemoryStore::newest(std::string topic)
-    -> asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>>
+auto MemoryStore::newest(std::string topic) -> asio::awaitable<std::optional<TopicContent>>
 {
     co_await sleepFor(callTime);
     if (m_isDown)
@@ -71,7 +70,7 @@
         else if (record)
             newest.insert_or_assign(record->m_key, std::move(*record));
     }
-    std::pair<std::vector<KeyedRecord>, std::uint64_t> all;
+    TopicContent all;
     all.second = offset;
     for (auto& [key, record] : newest)
         all.first.push_back(std::move(record));
--- a/tests/shell/coordinator/MemoryStore.h
+++ b/tests/shell/coordinator/MemoryStore.h
@@ -18,8 +18,7 @@
     auto append(StoreAppend order, Duration timeout) -> boost::asio::awaitable<StoreAppendResult> override;
     auto read(std::string topic, std::uint64_t from, Duration wait)
         -> boost::asio::awaitable<std::optional<StoreRead>> override;
-    auto newest(std::string topic)
-        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> override;
+    auto newest(std::string topic) -> boost::asio::awaitable<std::optional<TopicContent>> override;
 
     bool m_isDown = false; ///< Calls get no answer and do nothing.
     bool m_losesAnswers = false; ///< Appends are done and not answered.
--- a/tests/shell/coordinator/SwitchedStore.h
+++ b/tests/shell/coordinator/SwitchedStore.h
@@ -30,8 +30,7 @@
         co_return m_isCut ? std::nullopt : std::move(result);
     }
 
-    auto newest(std::string topic)
-        -> boost::asio::awaitable<std::optional<std::pair<std::vector<KeyedRecord>, std::uint64_t>>> override
+    auto newest(std::string topic) -> boost::asio::awaitable<std::optional<TopicContent>> override
     {
         m_mostReadsAtOnce = std::max(m_mostReadsAtOnce, ++m_readsNow);
         auto result = co_await m_store.newest(std::move(topic));
--- a/tests/shell/platform/DecodeTest.cpp
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -6,6 +6,7 @@
 #include "PlatformSettings.h"
 #include "TaskName.h"
 
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/ingress/MatchRequest.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -96,7 +97,7 @@
     auto taskName_bad_isNone() -> void
     {
         const scheduling::TaskKey key { 0x5c0e7a21d94b36f8, 0, 1, 17 };
-        CPPUNIT_ASSERT(parseTaskName(taskName(key)) == key);
+        CPPUNIT_ASSERT(parseTaskName(detail::taskText(key)) == key);
         for (const auto* name : { "", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.x",
                  "5c0e7a21d94b36f8.0.1.2.3", "xx.0.1.2" })
             CPPUNIT_ASSERT_MESSAGE(name, !parseTaskName(name));
