--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -37,6 +37,7 @@
     Signal m_journalSignal;
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases of earlier owners have expired.
     std::uint64_t m_nextSubmissionOffset = 0; ///< Next offset to read of the topic of submissions.
+    std::uint64_t m_submissionEnd = 0; ///< End offset of that topic at the newest read.
     std::uint64_t m_nextExecutorOffset = 0; ///< Next offset to read of the registry of executors.
     std::map<std::string, std::unique_ptr<Signal>> m_pollSignals; ///< Wakes the polling of an executor; by executor id.
     std::map<std::string, std::string>
--- a/include/hemlockvane/detail/coordinator/Submissions.h
+++ b/include/hemlockvane/detail/coordinator/Submissions.h
@@ -34,6 +34,10 @@
 /// @result false when the store did not answer
 auto readSubmissions(CoordinatorState& state, Duration wait) -> boost::asio::awaitable<bool>;
 
+/// @brief Reads and applies all records that the topic holds at the time of the call; repeats reads without an answer.
+/// @result false when the ownership ended
+auto readSubmissionsToEnd(CoordinatorState& state) -> boost::asio::awaitable<bool>;
+
 /// @brief Follows the topic until the ownership ends.
 auto followSubmissions(std::shared_ptr<CoordinatorState> state) -> boost::asio::awaitable<void>;
 
--- a/src/detail/coordinator/LoadState.cpp
+++ b/src/detail/coordinator/LoadState.cpp
@@ -65,19 +65,27 @@
 
 auto loadState(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<bool>
 {
-    const auto submissions = beginRead(state, submissionTopic);
+    const auto earlySubmissions = beginRead(state, submissionTopic);
     const auto executors = beginRead(state, state->m_ports.m_executorTopic);
     const auto isFenced = co_await fenceJournal(*state);
     if (!isFenced)
         co_return false;
     // Only after fencing: until then an earlier owner may append.
     const auto journal = beginRead(state, progressTopic);
-    for (const auto& read : { submissions, executors, journal }) {
+    const auto areSubmissionsRead = co_await awaitRead(state, earlySubmissions);
+    if (!areSubmissionsRead)
+        co_return false;
+    loadSubmissions(*state, *earlySubmissions->m_content);
+    // Until it was fenced, an earlier owner may have started jobs that were submitted after the read above. Their runs
+    // are in the journal; a run is restored only if its job is known.
+    const auto areNewSubmissionsRead = co_await readSubmissionsToEnd(*state);
+    if (!areNewSubmissionsRead)
+        co_return false;
+    for (const auto& read : { executors, journal }) {
         const auto isRead = co_await awaitRead(state, read);
         if (!isRead)
             co_return false;
     }
-    loadSubmissions(*state, *submissions->m_content);
     restoreJournal(*state, *journal->m_content);
     loadExecutors(state, *executors->m_content);
     co_return true;
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -60,6 +60,7 @@
     for (const auto& record : content.first)
         applySubmissionRecord(state, record);
     state.m_nextSubmissionOffset = content.second;
+    state.m_submissionEnd = std::max(state.m_submissionEnd, content.second);
 }
 
 auto readSubmissions(CoordinatorState& state, Duration wait) -> asio::awaitable<bool>
@@ -82,11 +83,24 @@
             applySubmissionRecord(state, *record);
     }
     state.m_nextSubmissionOffset = std::max(state.m_nextSubmissionOffset, offset);
+    state.m_submissionEnd = std::max(state.m_submissionEnd, read->m_end);
     if (!read->m_records.empty())
         state.m_planSignal.notify();
     co_return true;
 }
 
+auto readSubmissionsToEnd(CoordinatorState& state) -> asio::awaitable<bool>
+{
+    while (!state.m_isStopped) {
+        const auto isRead = co_await readSubmissions(state, Duration { 0 });
+        if (isRead && state.m_nextSubmissionOffset >= state.m_submissionEnd)
+            co_return true;
+        if (!isRead)
+            co_await sleepFor(retryPause);
+    }
+    co_return false;
+}
+
 auto followSubmissions(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
 {
     while (!state->m_isStopped) {
