Give a pool all machines that waiting long-running tasks need at once

Cause: a step of 24 tasks, two at most on each executor, needs twelve machines, but a pool without room for a task got one machine at a time, and the next after that one had joined.

The demand now names the number of executors that the waiting tasks of a step need by their limit for each executor, and the plan brings that many; steps share them. Short tasks still ask for one. Tasks beyond a workspace's limit are left out one by one, not only if none of them fits.

Ruled out: the processor (0.117 of a core at most) and refused starts.

--- a/include/hemlockvane/fleet/PoolView.h
+++ b/include/hemlockvane/fleet/PoolView.h
@@ -3,7 +3,7 @@
 #include "hemlockvane/time/Time.h"
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 
 namespace hemlockvane::fleet {
@@ -17,8 +17,8 @@
     std::int64_t m_waitingMilliCores = 0; ///< Tasks that could start now if capacity were free.
     std::int64_t m_arrivingMilliCores = 0; ///< Capacity needed to sustain the current arrival rate of work.
     std::int64_t m_blockedMilliCores = 0; ///< Tasks that wait for other tasks to finish.
-    std::set<std::string> m_waitingLabels; ///< Labels that waiting tasks require; an empty label stands for any
-                                           ///< machine.
+    /// Number of further machines that waiting tasks need, by required label; an empty label stands for any machine.
+    std::map<std::string, std::uint32_t> m_machinesWanted;
 };
 
 } // namespace hemlockvane::fleet
--- a/include/hemlockvane/scheduling/PoolDemand.h
+++ b/include/hemlockvane/scheduling/PoolDemand.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 
 namespace hemlockvane::scheduling {
@@ -12,7 +12,8 @@
     std::int64_t m_waitingMilliCores = 0; ///< Tasks that could start now if capacity were free.
     std::int64_t m_arrivingMilliCores = 0; ///< Capacity needed to serve jobs at the recent arrival rate.
     std::int64_t m_blockedMilliCores = 0; ///< Tasks that wait for other steps.
-    std::set<std::string> m_waitingLabels; ///< Labels that waiting tasks require; an empty one: any executor.
+    /// Number of further executors that waiting tasks need, by required label; an empty label stands for any executor.
+    std::map<std::string, std::uint32_t> m_executorsWanted;
 };
 
 } // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -82,7 +82,7 @@
         pool.m_waitingMilliCores = demand.m_waitingMilliCores;
         pool.m_arrivingMilliCores = demand.m_arrivingMilliCores;
         pool.m_blockedMilliCores = demand.m_blockedMilliCores;
-        pool.m_waitingLabels = demand.m_waitingLabels;
+        pool.m_machinesWanted = demand.m_executorsWanted;
     }
     for (const auto& machine : state.m_fleet.m_machines) {
         view.m_machines.push_back(viewMachine(state, machine, now));
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -70,19 +70,21 @@
         }
     }
 
-    // Adds one machine for each label that waiting tasks require. Tasks may wait although the pool has enough cores: no
-    // machine has the label, or each machine already runs as many tasks of the step as it may.
-    auto addMachinesForLabels(const std::string& name) -> void
+    // Adds the machines that waiting tasks want. Tasks may wait although the pool has enough cores: no machine has the
+    // label, or each machine already runs as many tasks of the step as it may.
+    auto addWantedMachines(const std::string& name) -> void
     {
-        for (const auto& label : m_pools[name].m_waitingLabels) {
-            if (isAvailableOrComing(name, label))
-                continue;
-            const auto found = std::find_if(m_free.begin(), m_free.end(), [&](const MachineView* machine) {
-                return !m_moved.contains(machine->m_machine.m_id)
-                    && scheduling::hasLabel(machine->m_machine.m_labels, label) && mayGiveUp(*machine, name);
-            });
-            if (found != m_free.end())
-                move(**found, name, "no machine for a waiting task");
+        for (const auto& [label, wanted] : m_pools[name].m_machinesWanted) {
+            auto available = availableOrComing(name, label);
+            for (const auto* machine : m_free) {
+                if (available >= wanted)
+                    break;
+                if (m_moved.contains(machine->m_machine.m_id)
+                    || !scheduling::hasLabel(machine->m_machine.m_labels, label) || !mayGiveUp(*machine, name))
+                    continue;
+                move(*machine, name, "no machine for a waiting task");
+                ++available;
+            }
         }
     }
 
@@ -97,9 +99,9 @@
     }
 
 private:
-    auto isAvailableOrComing(const std::string& pool, const std::string& label) const -> bool
+    auto availableOrComing(const std::string& pool, const std::string& label) const -> std::int64_t
     {
-        return std::any_of(m_view.m_machines.begin(), m_view.m_machines.end(), [&](const MachineView& machine) {
+        return std::count_if(m_view.m_machines.begin(), m_view.m_machines.end(), [&](const MachineView& machine) {
             const auto moved = m_moved.find(machine.m_machine.m_id);
             const auto isMovedThere = moved != m_moved.end() && moved->second == pool;
             const auto isIdleThere = isFree(machine) && !machine.m_isSpare && machine.m_machine.m_pool == pool;
@@ -158,7 +160,7 @@
         plan.fill(pool->m_name);
     for (const auto& [name, pool] : view.m_pools) {
         if (!pool.m_isSpare)
-            plan.addMachinesForLabels(name);
+            plan.addWantedMachines(name);
     }
     if (!spare.empty())
         plan.returnIdleMachines(timing, now, spare);
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -19,10 +19,14 @@
 constexpr Duration minimumSpan { 100 };
 constexpr std::size_t minimumJobsForRate = 4;
 
-auto addWaiting(PoolDemand& demand, const StepSpec& spec) -> void
+// Executors that the waiting tasks of a step need, since none of the present ones can hold them. Long-running tasks
+// that are limited for each executor need several at once: they wait until the last one has joined. Short ones leave
+// before that.
+auto executorsWanted(const StepSpec& spec, std::uint32_t waitingTasks) -> std::uint32_t
 {
-    demand.m_waitingMilliCores += requiredResources(spec).m_cpuMilliCores;
-    demand.m_waitingLabels.insert(spec.m_requiredLabel);
+    if (!spec.m_isLongRunning || spec.m_perExecutorLimit == 0)
+        return 1;
+    return (waitingTasks + spec.m_perExecutorLimit - 1) / spec.m_perExecutorLimit;
 }
 
 // Tasks beyond a workspace's limit are not counted: more machines would not start them.
@@ -33,16 +37,25 @@
     const auto need = requiredResources(spec).m_cpuMilliCores;
     const auto isOpen = isStepReady(spec, occurrence);
     const auto mayStart = isOpen && isWithinLimit(scheduler, job.m_spec.m_workspace, spec.m_perTask, 1);
+    std::uint32_t waitingTasks = 0;
     for (const auto& task : occurrence.m_steps[step].m_tasks) {
         if (task.m_isDone)
             continue;
         if (!task.m_runs.empty())
             demand.m_runningMilliCores += need;
         else if (mayStart)
-            addWaiting(demand, spec);
+            ++waitingTasks;
         else if (!isOpen)
             demand.m_blockedMilliCores += need;
     }
+    while (waitingTasks > 0 && !isWithinLimit(scheduler, job.m_spec.m_workspace, spec.m_perTask, waitingTasks))
+        --waitingTasks;
+    if (waitingTasks == 0)
+        return;
+    demand.m_waitingMilliCores += need * waitingTasks;
+    // Steps can share the executors, so the step with the most waiting tasks decides.
+    auto& wanted = demand.m_executorsWanted[spec.m_requiredLabel];
+    wanted = std::max(wanted, executorsWanted(spec, waitingTasks));
 }
 
 // Rate of the newest `count` arrivals, reduced by the statistical error of such a small sample.
--- a/tests/core/fleetplan/MachinePlansTest.cpp
+++ b/tests/core/fleetplan/MachinePlansTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(moves_longIdleMachine_returnsToSparePool);
     CPPUNIT_TEST(moves_machinesAlreadyLeaving_twoAreKept);
     CPPUNIT_TEST(moves_waitingTaskThatFitsNowhere_bringsOneMachine);
+    CPPUNIT_TEST(moves_waitingTasksWantSeveralMachines_bringsThemAtOnce);
     CPPUNIT_TEST(moves_machineInTransit_orderedOnlyOnce);
     CPPUNIT_TEST(moves_waitingTaskWithLabel_bringsMachineThatHasIt);
     CPPUNIT_TEST_SUITE_END();
@@ -154,6 +155,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a"), actions.front().m_pool);
     }
 
+    auto moves_waitingTasksWantSeveralMachines_bringsThemAtOnce() -> void
+    {
+        addWaitingTask({}, 3);
+        machine("s0").m_destinationPool = "a";
+        machine("s0").m_hasPendingOrder = true;
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, actions.size());
+        for (const auto& action : actions)
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), action.m_pool);
+    }
+
     auto moves_machineInTransit_orderedOnlyOnce() -> void
     {
         addWaitingTask({});
@@ -173,12 +185,12 @@
     }
 
 private:
-    // A small task waits in a pool with most of its cores free, but without a machine that may run it.
-    auto addWaitingTask(const std::string& label) -> void
+    // Small tasks wait in a pool with most of its cores free, but without a machine that may run them.
+    auto addWaitingTask(const std::string& label, std::uint32_t wanted = 1) -> void
     {
         m_view.m_pools["a"].m_usedMilliCores = machineMilliCores;
         m_view.m_pools["a"].m_waitingMilliCores = machineMilliCores / 10;
-        m_view.m_pools["a"].m_waitingLabels = { label };
+        m_view.m_pools["a"].m_machinesWanted = { { label, wanted } };
         for (const auto* id : { "a0", "a1", "a2", "a3" })
             machine(id).m_runs = 1;
     }
--- a/tests/core/scheduling/MeasureDemandTest.cpp
+++ b/tests/core/scheduling/MeasureDemandTest.cpp
@@ -9,6 +9,9 @@
 class MeasureDemandTest : public SchedulerFixture {
     CPPUNIT_TEST_SUITE(MeasureDemandTest);
     CPPUNIT_TEST(demand_taskWithoutCapacity_countsAsWaitingWithItsLabel);
+    CPPUNIT_TEST(demand_longRunningStepWithExecutorLimit_wantsAllItsExecutors);
+    CPPUNIT_TEST(demand_shortStepWithExecutorLimit_wantsOneExecutor);
+    CPPUNIT_TEST(demand_limitAllowsSomeTasks_onlyTheseAreCounted);
     CPPUNIT_TEST(demand_taskBeyondTheLimit_isNotCounted);
     CPPUNIT_TEST(rate_fewArrivals_isZero);
     CPPUNIT_TEST(rate_burst_isMeasuredBeforeWindowIsFull);
@@ -23,7 +26,32 @@
         plan();
         const auto demand = measure();
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 1000 }, demand.m_waitingMilliCores);
-        CPPUNIT_ASSERT(demand.m_waitingLabels == std::set<std::string> { "gpu" });
+        CPPUNIT_ASSERT((demand.m_executorsWanted == std::map<std::string, std::uint32_t> { { "gpu", 1 } }));
+    }
+
+    auto demand_longRunningStepWithExecutorLimit_wantsAllItsExecutors() -> void
+    {
+        submit({ limitedStep(true) });
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 4 }, measure().m_executorsWanted[""]);
+    }
+
+    auto demand_shortStepWithExecutorLimit_wantsOneExecutor() -> void
+    {
+        submit({ limitedStep(false) });
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 1 }, measure().m_executorsWanted[""]);
+    }
+
+    auto demand_limitAllowsSomeTasks_onlyTheseAreCounted() -> void
+    {
+        m_scheduler.m_rules.m_workspaces["team"].m_limit.m_cpuMilliCores = 700;
+        submit({ limitedStep(true) });
+        plan();
+        // Four of the seven tasks run, two on each executor; the other three need two executors.
+        const auto demand = measure();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 300 }, demand.m_waitingMilliCores);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 2 }, demand.m_executorsWanted.at(""));
     }
 
     auto demand_taskBeyondTheLimit_isNotCounted() -> void
@@ -50,6 +78,15 @@
     }
 
 private:
+    // Twelve small tasks, at most two on each of the two executors.
+    static auto limitedStep(bool isLongRunning) -> StepSpec
+    {
+        auto limited = step(12, 100);
+        limited.m_isLongRunning = isLongRunning;
+        limited.m_perExecutorLimit = 2;
+        return limited;
+    }
+
     auto measure() -> PoolDemand { return measureDemand(m_scheduler, m_now)["counter"]; }
 
     auto addArrivals(int jobs, Duration gap) -> void
