Close connections to servers that are no longer called, and bound their number

Cause: each move or upkeep gives a machine a new executor at a new address, and the pool kept the idle connections to the old ones for good, and an entry for each address.

--- a/include/hemlockvane/detail/http/HttpPool.h
+++ b/include/hemlockvane/detail/http/HttpPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/detail/http/HttpPoolLimits.h"
 #include "hemlockvane/detail/http/HttpRequest.h"
 #include "hemlockvane/detail/http/HttpResponse.h"
 #include "hemlockvane/errors/FailureReason.h"
@@ -15,11 +16,11 @@
 
 namespace hemlockvane::detail {
 
-/// @brief Pool of persistent connections to any number of servers, with a limit for each server.
+/// @brief Pool of persistent connections to any number of servers. Connections to servers that are no longer called are
+/// closed after a while.
 class HttpPool {
 public:
-    /// @param maximumPerServer maximum number of concurrent connections to one server; further calls wait
-    HttpPool(boost::asio::io_context& context, std::size_t maximumPerServer);
+    HttpPool(boost::asio::io_context& context, HttpPoolLimits limits);
     ~HttpPool();
     HttpPool(const HttpPool&) = delete;
     auto operator=(const HttpPool&) -> HttpPool& = delete;
@@ -32,6 +33,9 @@
     auto call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, FailureReason& reason)
         -> boost::asio::awaitable<std::optional<HttpResponse>>;
 
+    /// @brief Number of open connections, idle and in use.
+    [[nodiscard]] auto openConnections() const -> std::size_t;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -7,8 +7,9 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <deque>
+#include <iterator>
+#include <list>
 #include <unordered_map>
-#include <vector>
 
 namespace hemlockvane::detail {
 
@@ -19,35 +20,65 @@
 constexpr std::size_t maximumResponseBytes = 64UL * 1024 * 1024; // Well above the longest page of a store.
 constexpr std::chrono::milliseconds connectTimeout { 400 }; // Connecting within a region takes a few milliseconds.
 
+struct ServerConnections;
+
+struct IdleConnection {
+    std::shared_ptr<ServerConnections> m_server;
+    HttpConnection m_connection;
+    std::chrono::steady_clock::time_point m_since;
+};
+
+using IdleConnections = std::list<IdleConnection>;
+
 struct ServerConnections {
-    std::vector<HttpConnection> m_idle;
+    std::string m_address;
+    std::deque<IdleConnections::iterator> m_idle; // The one used last at the end.
     std::size_t m_inUse = 0;
+    std::size_t m_calls = 0; // In progress, including those that wait.
     std::deque<std::shared_ptr<asio::steady_timer>> m_waiting; // Timers of waiting calls; cancelled to wake them.
 };
 
+using SharedServer = std::shared_ptr<ServerConnections>;
+
 } // namespace
 
 struct HttpPool::Impl {
-    Impl(asio::io_context& context, std::size_t maximumPerServer)
+    Impl(asio::io_context& context, HttpPoolLimits limits)
         : m_context(context)
-        , m_maximumPerServer(maximumPerServer)
+        , m_limits(limits)
     {
     }
 
-    auto waitForSlot(ServerConnections& server) -> asio::awaitable<void>;
+    auto serverAt(const std::string& address) -> SharedServer;
+    auto waitForSlot(SharedServer server) -> asio::awaitable<void>;
     auto takeIdle(ServerConnections& server) -> std::optional<HttpConnection>;
-    static auto release(ServerConnections& server) -> void;
+    auto closeOldest() -> void;
+    auto closeUnneeded() -> void;
+    auto release(const SharedServer& server, HttpConnection connection) -> void;
+    auto forgetIfUnused(const ServerConnections& server) -> void;
 
     asio::io_context& m_context;
-    std::size_t m_maximumPerServer;
-    std::unordered_map<std::string, ServerConnections> m_servers;
+    HttpPoolLimits m_limits;
+    std::unordered_map<std::string, SharedServer> m_servers; // Those with idle connections or calls in progress.
+    IdleConnections m_idle; // Of all servers, the longest idle first.
+    std::size_t m_inUse = 0;
 };
 
-auto HttpPool::Impl::waitForSlot(ServerConnections& server) -> asio::awaitable<void>
+auto HttpPool::Impl::serverAt(const std::string& address) -> SharedServer
 {
-    while (server.m_inUse >= m_maximumPerServer) {
+    auto& server = m_servers[address];
+    if (!server) {
+        server = std::make_shared<ServerConnections>();
+        server->m_address = address;
+    }
+    return server;
+}
+
+auto HttpPool::Impl::waitForSlot(SharedServer server) -> asio::awaitable<void>
+{
+    while (server->m_inUse >= m_limits.m_perServer) {
         auto wakeUp = std::make_shared<asio::steady_timer>(m_context, asio::steady_timer::time_point::max());
-        server.m_waiting.push_back(wakeUp);
+        server->m_waiting.push_back(wakeUp);
         boost::system::error_code error;
         co_await wakeUp->async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
@@ -56,8 +87,10 @@
 auto HttpPool::Impl::takeIdle(ServerConnections& server) -> std::optional<HttpConnection>
 {
     while (!server.m_idle.empty()) {
-        auto connection = std::move(server.m_idle.back());
+        const auto last = server.m_idle.back();
+        auto connection = std::move(last->m_connection);
         server.m_idle.pop_back();
+        m_idle.erase(last);
         if (!connection.isStale())
             return connection;
         connection.close();
@@ -65,30 +98,64 @@
     return std::nullopt;
 }
 
-auto HttpPool::Impl::release(ServerConnections& server) -> void
+auto HttpPool::Impl::closeOldest() -> void
 {
-    --server.m_inUse;
-    if (server.m_waiting.empty())
+    const auto server = m_idle.front().m_server;
+    m_idle.front().m_connection.close();
+    // A server's connections are in the same order as those of all servers.
+    server->m_idle.pop_front();
+    m_idle.pop_front();
+    forgetIfUnused(*server);
+}
+
+// Closes connections that were idle for too long, and as many more as the limit of all connections asks for.
+auto HttpPool::Impl::closeUnneeded() -> void
+{
+    const auto oldestKept = std::chrono::steady_clock::now() - m_limits.m_idleTimeout;
+    while (!m_idle.empty() && (m_idle.front().m_since < oldestKept || m_idle.size() + m_inUse > m_limits.m_total))
+        closeOldest();
+}
+
+auto HttpPool::Impl::release(const SharedServer& server, HttpConnection connection) -> void
+{
+    --m_inUse;
+    --server->m_inUse;
+    if (connection.isOpen()) {
+        m_idle.push_back({ server, std::move(connection), std::chrono::steady_clock::now() });
+        server->m_idle.push_back(std::prev(m_idle.end()));
+    }
+    if (server->m_waiting.empty())
         return;
-    const auto wakeUp = std::move(server.m_waiting.front());
-    server.m_waiting.pop_front();
+    const auto wakeUp = std::move(server->m_waiting.front());
+    server->m_waiting.pop_front();
     wakeUp->cancel();
 }
 
-HttpPool::HttpPool(asio::io_context& context, std::size_t maximumPerServer)
-    : m_impl(std::make_unique<Impl>(context, maximumPerServer))
+auto HttpPool::Impl::forgetIfUnused(const ServerConnections& server) -> void
+{
+    if (server.m_calls == 0 && server.m_idle.empty())
+        m_servers.erase(server.m_address);
+}
+
+HttpPool::HttpPool(asio::io_context& context, HttpPoolLimits limits)
+    : m_impl(std::make_unique<Impl>(context, limits))
 {
 }
 
 HttpPool::~HttpPool() = default;
 
+auto HttpPool::openConnections() const -> std::size_t { return m_impl->m_idle.size() + m_impl->m_inUse; }
+
 auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, FailureReason& reason)
     -> asio::awaitable<std::optional<HttpResponse>>
 {
-    auto& server = m_impl->m_servers[address];
+    const auto server = m_impl->serverAt(address);
+    ++server->m_calls;
     co_await m_impl->waitForSlot(server);
-    ++server.m_inUse;
-    auto connection = m_impl->takeIdle(server);
+    ++server->m_inUse;
+    ++m_impl->m_inUse;
+    auto connection = m_impl->takeIdle(*server);
+    m_impl->closeUnneeded();
     auto isConnected = connection.has_value();
     if (!isConnected) {
         connection.emplace(m_impl->m_context.get_executor());
@@ -97,9 +164,9 @@
     std::optional<HttpResponse> response;
     if (isConnected)
         response = co_await connection->exchange(request, timeout, maximumResponseBytes, reason);
-    if (connection->isOpen())
-        server.m_idle.push_back(std::move(*connection));
-    Impl::release(server);
+    m_impl->release(server, std::move(*connection));
+    --server->m_calls;
+    m_impl->forgetIfUnused(*server);
     co_return response;
 }
 
--- a/tests/shell/platform/ClientApiTest.cpp
+++ b/tests/shell/platform/ClientApiTest.cpp
@@ -31,7 +31,7 @@
         m_context = std::make_unique<boost::asio::io_context>();
         m_store = std::make_unique<detail::MemoryStore>();
         m_store->m_topics["rules"].push_back(detail::encodeKeyedRecord("newest", "1"));
-        m_peers = std::make_unique<detail::HttpPool>(*m_context, 1);
+        m_peers = std::make_unique<detail::HttpPool>(*m_context, detail::HttpPoolLimits {});
         m_election = std::make_unique<detail::OwnerElection>(
             *m_context, *m_store, "n1", "n1", 1, detail::ElectionTiming {}, [](bool) {});
         m_rules = std::make_unique<detail::RulesFollower>(
