Count a machine as down until its maintenance order is answered

Cause: an order counted as settled by any list that was requested 300 ms after it was decided on and showed the machine up.

An order is now settled only by a list that was requested after its answer. The test fails when the flag is ignored. The fleet's plans, which take longer the more machines there are, take at most a tenth of the time.

--- a/include/hemlockvane/detail/coordinator/MachineOrders.h
+++ b/include/hemlockvane/detail/coordinator/MachineOrders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/fleet/FleetAction.h"
+#include "hemlockvane/fleet/Machine.h"
 #include "hemlockvane/fleet/WaveState.h"
 #include "hemlockvane/time/Time.h"
 
@@ -25,6 +26,11 @@
 /// orders are abandoned.
 auto sendMachineOrders(const std::shared_ptr<CoordinatorState>& state, std::vector<fleet::FleetAction> orders) -> void;
 
+/// @brief Settles orders by a list of machines: once a list that was requested after an order's answer shows the
+/// machine up, the order's outcome is known and the machine is no longer counted as down.
+/// @param askedAt when the list was requested
+auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void;
+
 /// @brief Restores an earlier owner's order for a machine: no new order is sent while that one may still be carried
 /// out.
 /// @result false when the record cannot be parsed
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -26,6 +26,7 @@
 // Shorter than the renewal time-out after which another instance takes over.
 constexpr Duration renewalFreshFor { 900 };
 constexpr Duration orderSlack { 500 }; // Allowance for an earlier owner's orders that are still in transit.
+constexpr Duration orderVisibilityDelay { 300 }; // A list call sent this long after an order shows the outcome.
 
 auto poolOf(const FleetControlState& fleetState, const std::string& machine) -> std::string
 {
@@ -42,6 +43,15 @@
     return record.SerializeAsString();
 }
 
+// Whether an order for the machine may be carried out after the list call was sent.
+auto isOrderUnsettled(const FleetControlState& fleetState, const std::string& machine, Instant askedAt) -> bool
+{
+    const auto ordered = fleetState.m_outstandingOrders.find(machine);
+    const auto isOutstanding = ordered != fleetState.m_outstandingOrders.end()
+        && (ordered->second.m_isInFlight || askedAt < ordered->second.m_at + orderVisibilityDelay);
+    return isOutstanding || mayEarlierOrderArrive(fleetState, machine, askedAt);
+}
+
 // Whether the machine's maintenance is done or can never be done, so that it needs no further order.
 auto isMaintenanceSettled(MachineOutcome outcome) -> bool
 {
@@ -63,6 +73,11 @@
 
 auto applyOutcome(CoordinatorState& state, const FleetAction& action, MachineOutcome outcome) -> void
 {
+    const auto ordered = state.m_fleet.m_outstandingOrders.find(action.m_machine);
+    if (ordered != state.m_fleet.m_outstandingOrders.end()) {
+        ordered->second.m_isInFlight = false;
+        ordered->second.m_at = monotonicNow();
+    }
     // Unknown: the order may have been accepted; the list of machines will show it.
     if (outcome != MachineOutcome::Done && outcome != MachineOutcome::Unknown)
         state.m_fleet.m_outstandingOrders.erase(action.m_machine);
@@ -124,7 +139,7 @@
     const auto isMove = action.m_kind == FleetActionKind::Move;
     setReserved(state, action.m_machine, true);
     fleetState.m_outstandingOrders[action.m_machine]
-        = { now, isMove ? action.m_pool : poolOf(fleetState, action.m_machine), isMove };
+        = { now, isMove ? action.m_pool : poolOf(fleetState, action.m_machine), isMove, true };
     if (!isMove)
         fleetState.m_waves.at(action.m_wave).m_downSince[action.m_machine] = now;
     state.m_pendingRecords[machineOrderPrefix + action.m_machine]
@@ -133,6 +148,24 @@
     state.m_journalSignal.notify();
 }
 
+auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
+{
+    auto& fleetState = state.m_fleet;
+    for (const auto& machine : machines) {
+        const auto ordered = fleetState.m_outstandingOrders.find(machine.m_id);
+        if (machine.m_state != fleet::MachineState::Up || isOrderUnsettled(fleetState, machine.m_id, askedAt))
+            continue;
+        for (auto& [number, wave] : fleetState.m_waves)
+            wave.m_downSince.erase(machine.m_id);
+        if (ordered == fleetState.m_outstandingOrders.end())
+            continue;
+        // A move with an unknown outcome: carried out or not, the machine accepts tasks in its present pool.
+        if (ordered->second.m_isMove)
+            setReserved(state, machine.m_id, false);
+        fleetState.m_outstandingOrders.erase(ordered);
+    }
+}
+
 auto sendMachineOrders(const std::shared_ptr<CoordinatorState>& state, std::vector<FleetAction> orders) -> void
 {
     for (auto& order : orders) {
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -28,42 +28,17 @@
 namespace {
 
 constexpr Duration planInterval { 120 }; // About a tenth of the 1.5 s that a machine move takes.
+// Planning takes at most a tenth of the time, but is not put off for longer than this.
+constexpr int planningPauseFactor = 9;
+constexpr Duration longestPlanInterval { 500 };
 constexpr Duration listInterval { 400 }; // Between two list calls while waves or orders are open.
 constexpr Duration idleListInterval { 2000 };
-constexpr Duration orderVisibilityDelay { 300 }; // A list call sent this long after an order shows the outcome.
 constexpr Duration statusTimeout { 700 };
 constexpr Duration capacityReportInterval { 1000 }; // Metrics are read every few seconds.
 
 // A wave that is known only from the journal has no machines yet and is skipped until its order is read.
 auto hasOrder(const fleet::WaveState& wave) -> bool { return !wave.m_order.m_machines.empty(); }
 
-// Whether an order for the machine may be carried out after the list call was sent.
-auto isOrderUnsettled(const FleetControlState& fleetState, const std::string& machine, Instant askedAt) -> bool
-{
-    const auto ordered = fleetState.m_outstandingOrders.find(machine);
-    return (ordered != fleetState.m_outstandingOrders.end() && askedAt < ordered->second.m_at + orderVisibilityDelay)
-        || mayEarlierOrderArrive(fleetState, machine, askedAt);
-}
-
-// An order is settled, that is, its outcome is known, once a list call sent after it shows the machine up again.
-auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
-{
-    auto& fleetState = state.m_fleet;
-    for (const auto& machine : machines) {
-        const auto ordered = fleetState.m_outstandingOrders.find(machine.m_id);
-        if (machine.m_state != fleet::MachineState::Up || isOrderUnsettled(fleetState, machine.m_id, askedAt))
-            continue;
-        for (auto& [number, wave] : fleetState.m_waves)
-            wave.m_downSince.erase(machine.m_id);
-        if (ordered == fleetState.m_outstandingOrders.end())
-            continue;
-        // A move with an unknown outcome: carried out or not, the machine accepts tasks in its present pool.
-        if (ordered->second.m_isMove)
-            setReserved(state, machine.m_id, false);
-        fleetState.m_outstandingOrders.erase(ordered);
-    }
-}
-
 auto markEndedExecutors(CoordinatorState& state, const std::vector<fleet::Machine>& machines) -> void
 {
     for (const auto& id : fleet::endedExecutors(state.m_fleet.m_machines, machines)) {
@@ -121,7 +96,7 @@
 {
     auto& scheduler = state.m_scheduler;
     std::size_t stopped = 0;
-    for (scheduling::ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+    for (const auto index : scheduler.m_activeExecutors) {
         const auto& executor = *scheduler.m_executors[index];
         if ((executor.m_isReserved || executor.m_entry.m_isDraining) && !executor.m_runs.empty())
             stopped += scheduling::evacuate(scheduler, index);
@@ -212,7 +187,7 @@
         const auto now = monotonicNow();
         if (!state->m_isStopped && mayOrderMachines(*state) && !state->m_fleet.m_machines.empty())
             planOnce(state, now);
-        co_await sleepFor(planInterval);
+        co_await sleepFor(std::clamp((monotonicNow() - now) * planningPauseFactor, planInterval, longestPlanInterval));
     }
 }
 
--- a/tests/shell/coordinator/MachineOrdersTest.cpp
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(maintenance_orderedByEarlierOwner_countsAsDown);
     CPPUNIT_TEST(order_refused_releasesReservation);
     CPPUNIT_TEST(order_ownershipNotRenewed_isAbandoned);
+    CPPUNIT_TEST(maintenance_notAnsweredYet_countsAsDownWhateverTheListShows);
+    CPPUNIT_TEST(maintenance_listRequestedAfterAnswer_settlesIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,8 +64,7 @@
 
     auto maintenance_orderedByEarlierOwner_countsAsDown() -> void
     {
-        m_state->m_fleet.m_waves[3].m_order = { 3, { "m1", "m2" }, Duration(20000), 1 };
-        placeMachineOrder(*m_state, { fleet::FleetActionKind::Maintain, "m1", 3, {}, "test" });
+        placeMaintenance();
         const auto stored = m_state->m_pendingRecords.at("mm1");
         m_state = makeState();
         CPPUNIT_ASSERT(restoreMachineOrder(*m_state, "m1", stored));
@@ -89,7 +90,40 @@
         CPPUNIT_ASSERT(!m_state->m_fleet.m_reserved.contains("m1"));
     }
 
+    auto maintenance_notAnsweredYet_countsAsDownWhateverTheListShows() -> void
+    {
+        placeMaintenance();
+        settle(Duration(5000));
+        CPPUNIT_ASSERT(isDown());
+        CPPUNIT_ASSERT(isBlocked("m1"));
+    }
+
+    auto maintenance_listRequestedAfterAnswer_settlesIt() -> void
+    {
+        placeMaintenance();
+        send();
+        settle(Duration(0));
+        CPPUNIT_ASSERT(isDown());
+        settle(Duration(5000));
+        CPPUNIT_ASSERT(!isDown());
+        CPPUNIT_ASSERT(!isBlocked("m1"));
+    }
+
 private:
+    auto placeMaintenance() -> void
+    {
+        m_state->m_fleet.m_waves[3].m_order = { 3, { "m1", "m2" }, Duration(20000), 1 };
+        placeMachineOrder(*m_state, { fleet::FleetActionKind::Maintain, "m1", 3, {}, "test" });
+    }
+
+    // Applies a list that shows all machines up.
+    auto settle(Duration afterNow) -> void
+    {
+        settleOrders(*m_state, m_state->m_fleet.m_machines, monotonicNow() + afterNow);
+    }
+
+    auto isDown() -> bool { return m_state->m_fleet.m_waves[3].m_downSince.contains("m1"); }
+
     auto makeState() -> std::shared_ptr<CoordinatorState>
     {
         CoordinatorPorts ports;
