Plan with active executors only, and spend a bounded share of the time on it

A machine that moves gets a new executor, so an owner has seen 5,800 of them after 45 s, of which 1,100 exist.

Executors without an entry, runs and ends to acknowledge are retired and no plan looks at them; a plan is followed by a pause of three times its length. bench/SchedulerScaleBench measures the decisions on virtual time at 50 to 3,100 executors.

--- /dev/null
+++ b/bench/SchedulerScaleBench.cpp
@@ -0,0 +1,245 @@
+// Measures the processor time of the scheduler's decisions for each task at several fleet sizes, on virtual time. The
+// load for each executor is the same at all sizes: four queues take turns at four times their mean, and long-running
+// tasks occupy a part of each pool.
+#include "hemlockvane/scheduling/MeasureDemand.h"
+#include "hemlockvane/scheduling/PaceFillers.h"
+#include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
+
+#include <tclap/CmdLine.h>
+
+#include <chrono>
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace hemlockvane;
+using namespace hemlockvane::scheduling;
+
+namespace {
+
+constexpr int poolCount = 4;
+constexpr int rackSize = 8;
+constexpr int workspaceCount = 60;
+constexpr Resources executorCapacity { 32000, 65536, 0 };
+constexpr Duration planSpacing { 8 };
+constexpr Duration demandInterval { 100 };
+constexpr Duration answerDelay { 10 };
+constexpr Duration warmUp { 4000 };
+constexpr Duration turn { 4000 };
+constexpr double tasksPerExecutorSecond = 1.8;
+constexpr std::uint32_t tasksPerStep = 8;
+constexpr std::uint32_t longRunningTasks = 24;
+constexpr int executorsPerLongRunningJob = 10;
+
+struct Figures {
+    std::size_t m_tasks = 0;
+    std::size_t m_plans = 0;
+    std::chrono::nanoseconds m_decisions { 0 };
+    std::chrono::nanoseconds m_longestPlan { 0 };
+};
+
+// A fleet on which every start succeeds and every run ends by itself.
+class Fleet {
+public:
+    Fleet(int executors, std::uint32_t seed)
+        : m_random(seed)
+        , m_ends(static_cast<std::size_t>(executors), 0)
+    {
+        for (int pool = 0; pool < poolCount; ++pool)
+            m_scheduler.m_rules.m_queues[queueName(pool)] = { serviceName(pool), pool % 2, 3, 1.6, 600, false };
+        for (int workspace = 0; workspace < workspaceCount; ++workspace)
+            m_scheduler.m_rules.m_workspaces[workspaceName(workspace)] = {};
+        for (int number = 0; number < executors; ++number) {
+            ExecutorEntry entry;
+            entry.m_id = "executor-" + std::to_string(number);
+            entry.m_startedAtMs = 1;
+            entry.m_service = serviceName(number % poolCount);
+            entry.m_capacity = executorCapacity;
+            entry.m_labels = { "a", "rack-" + std::to_string(number / (rackSize * poolCount)) };
+            registerExecutor(m_scheduler, entry, m_now, m_now);
+            report(static_cast<ExecutorIndex>(number), {});
+        }
+        for (int job = 0; job < executors / executorsPerLongRunningJob; ++job)
+            submit(job % poolCount, true);
+    }
+
+    auto run(Duration time, Figures* figures) -> void
+    {
+        const auto until = m_now + time;
+        for (; m_now < until; m_now += planSpacing) {
+            submitArrivals();
+            deliverEvents(figures);
+            plan(figures);
+        }
+    }
+
+private:
+    static auto queueName(int pool) -> std::string { return "queue-" + std::to_string(pool); }
+    static auto serviceName(int pool) -> std::string { return "service-" + std::to_string(pool); }
+    static auto workspaceName(int number) -> std::string { return "team-" + std::to_string(number); }
+
+    auto wall() const -> WallMillis { return m_now.time_since_epoch().count(); }
+
+    auto submit(int pool, bool isLongRunning) -> void
+    {
+        JobSpec spec;
+        spec.m_id = m_nextJob++;
+        spec.m_queue = queueName(pool);
+        spec.m_workspace = workspaceName(static_cast<int>(m_random() % workspaceCount));
+        spec.m_submittedAt = wall();
+        StepSpec step;
+        step.m_taskCount = isLongRunning ? longRunningTasks : tasksPerStep;
+        step.m_perTask = { std::uniform_int_distribution<std::int64_t>(2000, 7000)(m_random), 500, 0 };
+        step.m_estimateMs = std::uniform_int_distribution<std::int64_t>(400, 900)(m_random);
+        step.m_isLongRunning = isLongRunning;
+        step.m_perExecutorLimit = isLongRunning ? 2 : 0;
+        step.m_maxUnavailable = isLongRunning ? 2 : 0;
+        spec.m_steps = { step };
+        addJob(m_scheduler, std::move(spec), m_now);
+    }
+
+    // One queue at a time is busy; the others get a twentieth of the mean.
+    auto submitArrivals() -> void
+    {
+        constexpr double busyFactor = 4;
+        constexpr double idleFactor = 0.05;
+        const auto busy = static_cast<int>((m_now.time_since_epoch() / turn) % poolCount);
+        const auto jobsPerSecond
+            = tasksPerExecutorSecond * static_cast<double>(m_ends.size()) / tasksPerStep / poolCount;
+        for (int pool = 0; pool < poolCount; ++pool) {
+            const auto rate = jobsPerSecond * (pool == busy ? busyFactor : idleFactor);
+            const auto jobs
+                = std::poisson_distribution<int>(rate * static_cast<double>(planSpacing.count()) / 1000)(m_random);
+            for (int job = 0; job < jobs; ++job)
+                submit(pool, false);
+        }
+    }
+
+    template <typename Decision> auto measure(Figures* figures, Decision decision) -> std::chrono::nanoseconds
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        decision();
+        const auto taken = std::chrono::steady_clock::now() - begin;
+        if (figures != nullptr)
+            figures->m_decisions += taken;
+        return taken;
+    }
+
+    auto deliverEvents(Figures* figures) -> void
+    {
+        std::map<ExecutorIndex, std::vector<EndedRun>> ends;
+        while (!m_endsAt.empty() && m_endsAt.begin()->first <= m_now) {
+            const auto& start = m_endsAt.begin()->second;
+            ends[start.m_executor].push_back(
+                { ++m_ends[start.m_executor], start.m_task, start.m_run, RunOutcome::Done, {} });
+            m_endsAt.erase(m_endsAt.begin());
+        }
+        while (!m_answersAt.empty() && m_answersAt.begin()->first <= m_now) {
+            const auto start = m_answersAt.begin()->second;
+            m_answersAt.erase(m_answersAt.begin());
+            measure(figures, [&] {
+                applyStartAnswer(
+                    m_scheduler, start.m_executor, start.m_task, start.m_run, StartAnswer::Started, false, m_now);
+            });
+        }
+        for (auto& [index, ended] : ends)
+            measure(figures, [&, executor = index] { report(executor, std::move(ended)); });
+    }
+
+    auto report(ExecutorIndex index, std::vector<EndedRun> ends) -> void
+    {
+        ExecutorReport made;
+        made.m_pollSentAt = m_now;
+        made.m_clockMs = wall();
+        made.m_startedAtMs = 1;
+        made.m_endedRuns = std::move(ends);
+        for (const auto& run : m_scheduler.m_executors[index]->m_runs) {
+            const auto hasEnded = std::any_of(made.m_endedRuns.begin(), made.m_endedRuns.end(),
+                [&](const EndedRun& end) { return end.m_task == run.m_task; });
+            if (!hasEnded)
+                made.m_runs.push_back({ run.m_task, run.m_run, {}, 100, 0 });
+        }
+        std::vector<Action> actions;
+        applyReport(m_scheduler, index, made, m_now, wall(), actions);
+        markBatchStored(m_scheduler, m_scheduler.m_openBatch++);
+    }
+
+    auto plan(Figures* figures) -> void
+    {
+        std::vector<Action> actions;
+        const auto taken = measure(figures, [&] {
+            expireLeases(m_scheduler, m_now);
+            retireJobs(m_scheduler);
+            planStops(m_scheduler, m_now, actions);
+            planStarts(m_scheduler, m_now, wall(), actions);
+            paceFillers(m_scheduler, m_now, actions);
+            if (m_now >= m_nextDemandAt) {
+                measureDemand(m_scheduler, m_now);
+                m_nextDemandAt = m_now + demandInterval;
+            }
+        });
+        m_scheduler.m_dirtyJobs.clear();
+        for (const auto& action : actions) {
+            m_answersAt.emplace(m_now + answerDelay, action);
+            const auto& job = *findJob(m_scheduler, action.m_task.m_job);
+            if (!job.m_spec.m_steps.front().m_isLongRunning)
+                m_endsAt.emplace(m_now + answerDelay + Duration(job.m_spec.m_steps.front().m_estimateMs), action);
+        }
+        if (figures == nullptr)
+            return;
+        ++figures->m_plans;
+        figures->m_tasks += actions.size();
+        figures->m_longestPlan = std::max(figures->m_longestPlan, taken);
+    }
+
+    std::mt19937 m_random;
+    Scheduler m_scheduler;
+    Instant m_now { Duration(1000000) };
+    Instant m_nextDemandAt;
+    JobId m_nextJob = 1;
+    std::vector<std::uint64_t> m_ends; // Number of ended runs, by executor.
+    std::multimap<Instant, Action> m_answersAt;
+    std::multimap<Instant, Action> m_endsAt;
+};
+
+auto microseconds(std::chrono::nanoseconds time) -> double { return static_cast<double>(time.count()) / 1000; }
+
+auto measureSize(int executors, Duration time, std::uint32_t seed) -> void
+{
+    Fleet fleet(executors, seed);
+    fleet.run(warmUp, nullptr);
+    Figures figures;
+    fleet.run(time, &figures);
+    std::printf("executors=%d tasks=%zu plans=%zu us_a_task=%.2f longest_plan_us=%.0f share_of_a_core=%.4f\n",
+        executors, figures.m_tasks, figures.m_plans,
+        microseconds(figures.m_decisions) / static_cast<double>(std::max<std::size_t>(figures.m_tasks, 1)),
+        microseconds(figures.m_longestPlan),
+        microseconds(figures.m_decisions) / 1000 / static_cast<double>(time.count()));
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    try {
+        TCLAP::CmdLine command("Time of the scheduler's decisions for each task, by fleet size.");
+        TCLAP::MultiArg<int> sizes("e", "executors", "number of executors; may be repeated", false, "number", command);
+        TCLAP::ValueArg<int> seconds("s", "seconds", "virtual seconds measured", false, 16, "number", command);
+        TCLAP::ValueArg<std::uint32_t> seed("", "seed", "seed of the arrivals", false, 1, "number", command);
+        command.parse(argc, argv);
+        const auto chosen = sizes.getValue().empty() ? std::vector<int> { 50, 350, 1100, 3100 } : sizes.getValue();
+        for (const auto size : chosen)
+            measureSize(size, Duration(seconds.getValue() * 1000), seed.getValue());
+        return 0;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+        return 1;
+    }
+}
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -17,6 +17,7 @@
     ExecutorEntry m_entry;
     std::string m_rack;
     bool m_isRegistered = true;
+    bool m_isActive = false; ///< Listed in `Scheduler::m_activeExecutors`.
     bool m_isTerminated = false; ///< This incarnation has certainly ended.
     bool m_isReconciled = false; ///< Its runs are known: it answered a poll of this owner, or it has terminated.
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases granted by earlier owners have expired.
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -21,6 +21,14 @@
 auto registerExecutor(Scheduler& scheduler, const ExecutorEntry& entry, Instant earlierLeasesExpireBy, Instant now)
     -> ExecutorIndex;
 
+/// @brief Makes plans look at an executor, until it is retired.
+auto activateExecutor(Scheduler& scheduler, ExecutorIndex index) -> void;
+
+/// @brief Retires the executors that are not registered and have neither runs nor ended runs to acknowledge. Machines
+/// that move get a new executor each time, so the others are few among all that were ever registered.
+/// @result the executors that were retired
+auto retireExecutors(Scheduler& scheduler) -> std::vector<ExecutorIndex>;
+
 /// @brief Handles the removal of an executor's entry: no task is started there any more; runs stay until they end or
 /// their lease expires.
 auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void;
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -19,6 +19,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -29,15 +31,17 @@
 // Shortest time between two plans; changes that arrive meanwhile go into one plan.
 constexpr Duration planSpacing { 8 };
 
-// Removes from the journal the records of executors that are unregistered and have no runs.
+// Planning takes at most a quarter of the time, so that requests are served and the ownership is renewed however large
+// the fleet is; what happens between two plans goes into one.
+constexpr int planningPauseFactor = 3;
+
+// Retires executors and removes their records from the journal.
 auto dropExecutorRecords(CoordinatorState& state) -> void
 {
-    for (const auto& executor : state.m_scheduler.m_executors) {
-        if (executor->m_isRegistered || !executor->m_runs.empty()
-            || !state.m_storedExecutors.contains(executor->m_entry.m_id))
-            continue;
-        state.m_storedExecutors.erase(executor->m_entry.m_id);
-        state.m_pendingRecords[executorPrefix + executor->m_entry.m_id] = std::string();
+    for (const auto index : scheduling::retireExecutors(state.m_scheduler)) {
+        const auto& id = state.m_scheduler.m_executors[index]->m_entry.m_id;
+        if (state.m_storedExecutors.erase(id) > 0)
+            state.m_pendingRecords[executorPrefix + id] = std::string();
     }
 }
 
@@ -70,8 +74,9 @@
 auto planContinuously(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<void>
 {
     while (!state->m_isStopped) {
+        const auto startedAt = monotonicNow();
         planOnce(state);
-        co_await sleepFor(planSpacing);
+        co_await sleepFor(std::max(planSpacing, (monotonicNow() - startedAt) * planningPauseFactor));
         co_await state->m_planSignal.wait(planInterval);
     }
 }
--- a/src/scheduling/PaceFillers.cpp
+++ b/src/scheduling/PaceFillers.cpp
@@ -46,7 +46,7 @@
 
 auto paceFillers(Scheduler& scheduler, Instant now, std::vector<Action>& actions) -> void
 {
-    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+    for (const auto index : scheduler.m_activeExecutors) {
         const auto& executor = *scheduler.m_executors[index];
         if (executor.m_isUnresponsive || executor.m_runs.empty())
             continue;
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -37,7 +37,7 @@
 auto schedulablePools(const Scheduler& scheduler, Instant now) -> Pools
 {
     Pools pools;
-    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+    for (const auto index : scheduler.m_activeExecutors) {
         const auto& executor = *scheduler.m_executors[index];
         if (isSchedulable(executor, now))
             pools[executor.m_entry.m_service].m_schedulable.push_back(index);
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -136,6 +136,7 @@
         const auto index = static_cast<ExecutorIndex>(scheduler.m_executors.size());
         scheduler.m_executors.push_back(std::move(executor));
         scheduler.m_executorById.emplace(entry.m_id, index);
+        activateExecutor(scheduler, index);
         return index;
     }
     auto& executor = *scheduler.m_executors[found->second];
@@ -148,9 +149,33 @@
     executor.m_entry = entry;
     executor.m_rack = rackOf(entry);
     executor.m_isRegistered = true;
+    activateExecutor(scheduler, found->second);
     return found->second;
 }
 
+auto activateExecutor(Scheduler& scheduler, ExecutorIndex index) -> void
+{
+    auto& executor = *scheduler.m_executors[index];
+    if (executor.m_isActive)
+        return;
+    executor.m_isActive = true;
+    scheduler.m_activeExecutors.push_back(index);
+}
+
+auto retireExecutors(Scheduler& scheduler) -> std::vector<ExecutorIndex>
+{
+    std::vector<ExecutorIndex> retired;
+    std::erase_if(scheduler.m_activeExecutors, [&](ExecutorIndex index) {
+        auto& executor = *scheduler.m_executors[index];
+        if (executor.m_isRegistered || !executor.m_runs.empty() || !executor.m_unacknowledgedEnds.empty())
+            return false;
+        executor.m_isActive = false;
+        retired.push_back(index);
+        return true;
+    });
+    return retired;
+}
+
 auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void
 {
     const auto found = scheduler.m_executorById.find(std::string(id));
@@ -179,6 +204,7 @@
         resetIncarnation(scheduler, index);
         executor.m_entry.m_startedAtMs = report.m_startedAtMs;
     }
+    activateExecutor(scheduler, index);
     executor.m_clockMs = report.m_clockMs;
     executor.m_clockReadAt = now;
     executor.m_isUnresponsive = false;
@@ -206,7 +232,7 @@
 auto expireLeases(Scheduler& scheduler, Instant now) -> std::size_t
 {
     std::size_t removed = 0;
-    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+    for (const auto index : scheduler.m_activeExecutors) {
         auto& executor = *scheduler.m_executors[index];
         const auto lapsesAt = executor.m_leaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
         const auto hasLapsed = executor.m_isReconciled ? clockLowerBound(executor, now) > lapsesAt
@@ -223,17 +249,18 @@
 
 auto markBatchStored(Scheduler& scheduler, std::uint64_t batch) -> void
 {
-    for (auto& executor : scheduler.m_executors) {
-        while (!executor->m_unacknowledgedEnds.empty() && executor->m_unacknowledgedEnds.front().second <= batch) {
-            executor->m_acknowledgedEnd = executor->m_unacknowledgedEnds.front().first;
-            executor->m_unacknowledgedEnds.pop_front();
+    for (const auto index : scheduler.m_activeExecutors) {
+        auto& executor = *scheduler.m_executors[index];
+        while (!executor.m_unacknowledgedEnds.empty() && executor.m_unacknowledgedEnds.front().second <= batch) {
+            executor.m_acknowledgedEnd = executor.m_unacknowledgedEnds.front().first;
+            executor.m_unacknowledgedEnds.pop_front();
         }
     }
 }
 
 auto planStops(Scheduler& scheduler, Instant now, std::vector<Action>& actions) -> void
 {
-    for (ExecutorIndex index = 0; index < scheduler.m_executors.size(); ++index) {
+    for (const auto index : scheduler.m_activeExecutors) {
         for (const auto& item : scheduler.m_executors[index]->m_runs) {
             auto* run = findRun(scheduler, item.m_task, item.m_run, index);
             if (run == nullptr || run->m_phase != RunPhase::Stopping || run->m_nextActionAt > now)
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -112,6 +112,7 @@
     task.m_runs.push_back(added);
     ++step.m_runsByExecutor[executor];
     target.m_runs.push_back({ key, run });
+    activateExecutor(scheduler, executor);
     target.m_activeLongRunningRuns += spec.m_isLongRunning ? 1 : 0;
     addTo(target.m_used, requiredResources(spec));
     addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
