Start nothing on an executor whose machine accepted an order

The executor is now left out from the answer of the order until a list settles it. Keeping the machine reserved instead was ruled out: its new executor would wait for the next list.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -23,6 +23,7 @@
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases granted by earlier owners have expired.
     bool m_isUnresponsive = false; ///< The last poll was not answered.
     bool m_isReserved = false; ///< Reserved for a move or maintenance of its machine: no task is started there.
+    bool m_isLeaving = false; ///< Its machine accepted an order that ends the executor: no task is started there.
     bool m_isMaintenanceDue
         = false; ///< Its machine is due for maintenance soon: long-running tasks are placed elsewhere if possible.
     Instant m_backoffUntil; ///< No task is started there before this time, after failures or refusals.
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -52,6 +52,12 @@
     return isOutstanding || mayEarlierOrderArrive(fleetState, machine, askedAt);
 }
 
+auto setLeaving(CoordinatorState& state, const std::string& machine, bool isLeaving) -> void
+{
+    if (auto* executor = executorOf(state, machine))
+        executor->m_isLeaving = isLeaving;
+}
+
 // Whether the machine's maintenance is done or can never be done, so that it needs no further order.
 auto isMaintenanceSettled(MachineOutcome outcome) -> bool
 {
@@ -78,6 +84,9 @@
         ordered->second.m_isInFlight = false;
         ordered->second.m_at = monotonicNow();
     }
+    // The list of machines shows only later that the executor has ended.
+    if (outcome == MachineOutcome::Done)
+        setLeaving(state, action.m_machine, true);
     // Unknown: the order may have been accepted; the list of machines will show it.
     if (outcome != MachineOutcome::Done && outcome != MachineOutcome::Unknown)
         state.m_fleet.m_outstandingOrders.erase(action.m_machine);
@@ -162,6 +171,8 @@
         // A move with an unknown outcome: carried out or not, the machine accepts tasks in its present pool.
         if (ordered->second.m_isMove)
             setReserved(state, machine.m_id, false);
+        // The order had been carried out before, and the executor was not ended by it.
+        setLeaving(state, machine.m_id, false);
         fleetState.m_outstandingOrders.erase(ordered);
     }
 }
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -30,6 +30,7 @@
     executor.m_isReconciled = false;
     executor.m_isTerminated = false;
     executor.m_isRegistered = true;
+    executor.m_isLeaving = false;
     executor.m_consecutiveFailures = 0;
     executor.m_backoffUntil = {};
 }
@@ -120,7 +121,7 @@
 auto isSchedulable(const Executor& executor, Instant now) -> bool
 {
     return executor.m_isRegistered && executor.m_isReconciled && !executor.m_isUnresponsive && !executor.m_isReserved
-        && !executor.m_entry.m_isDraining && executor.m_backoffUntil <= now;
+        && !executor.m_isLeaving && !executor.m_entry.m_isDraining && executor.m_backoffUntil <= now;
 }
 
 auto registerExecutor(Scheduler& scheduler, const ExecutorEntry& entry, Instant earlierLeasesExpireBy, Instant now)
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(takeover_runNotReported_isStartedAgain);
     CPPUNIT_TEST(takeover_executorUnresponsive_keepsTaskUntilEarlierLeasesExpire);
     CPPUNIT_TEST(run_ofUnknownJob_isStopped);
+    CPPUNIT_TEST(retire_unregisteredWithRun_waitsForItsEnd);
+    CPPUNIT_TEST(retire_executorListedAgain_isUsedAgain);
     CPPUNIT_TEST(evacuate_otherTaskUnavailable_waits);
     CPPUNIT_TEST(evacuate_ownReportStale_countsOnlyOtherTasks);
     CPPUNIT_TEST(evacuate_otherOnUnresponsiveExecutor_waits);
@@ -147,6 +149,31 @@
         CPPUNIT_ASSERT(actions[0].m_kind == ActionKind::Stop);
     }
 
+    auto retire_unregisteredWithRun_waitsForItsEnd() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto start = plan().at(0);
+        answerStarts({ start });
+        const auto id = m_scheduler.m_executors[start.m_executor]->m_entry.m_id;
+        unregisterExecutor(m_scheduler, id);
+        CPPUNIT_ASSERT(retireExecutors(m_scheduler).empty());
+        reportEnd(start, RunOutcome::Done);
+        CPPUNIT_ASSERT(retireExecutors(m_scheduler).empty());
+        markBatchStored(m_scheduler, m_scheduler.m_openBatch);
+        CPPUNIT_ASSERT(retireExecutors(m_scheduler) == std::vector<ExecutorIndex> { start.m_executor });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_scheduler.m_activeExecutors.size());
+    }
+
+    auto retire_executorListedAgain_isUsedAgain() -> void
+    {
+        const auto entry = m_scheduler.m_executors[0]->m_entry;
+        unregisterExecutor(m_scheduler, entry.m_id);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, retireExecutors(m_scheduler).size());
+        registerExecutor(m_scheduler, entry, m_now, m_now);
+        submit({ step(2, 8000) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan().size());
+    }
+
     auto evacuate_otherTaskUnavailable_waits() -> void
     {
         startLongRunning();
--- a/tests/shell/coordinator/MachineOrdersTest.cpp
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/FleetViews.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/scheduling/TrackExecutors.h"
 #include "shell/coordinator/RecordingMachines.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(order_ownershipNotRenewed_isAbandoned);
     CPPUNIT_TEST(maintenance_notAnsweredYet_countsAsDownWhateverTheListShows);
     CPPUNIT_TEST(maintenance_listRequestedAfterAnswer_settlesIt);
+    CPPUNIT_TEST(move_accepted_executorTakesNoTaskUntilSettled);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,7 +111,32 @@
         CPPUNIT_ASSERT(!isBlocked("m1"));
     }
 
+    auto move_accepted_executorTakesNoTaskUntilSettled() -> void
+    {
+        const auto executor = addExecutor("m1");
+        placeMachineOrder(*m_state, move());
+        send();
+        CPPUNIT_ASSERT(!scheduling::isSchedulable(*m_state->m_scheduler.m_executors[executor], monotonicNow()));
+        settle(Duration(5000));
+        CPPUNIT_ASSERT(scheduling::isSchedulable(*m_state->m_scheduler.m_executors[executor], monotonicNow()));
+    }
+
 private:
+    // Registers the executor of a machine.
+    auto addExecutor(const std::string& machine) -> scheduling::ExecutorIndex
+    {
+        scheduling::ExecutorEntry entry;
+        entry.m_id = "executor-of-" + machine;
+        entry.m_startedAtMs = 1;
+        for (auto& listed : m_state->m_fleet.m_machines) {
+            if (listed.m_id == machine)
+                listed.m_executorId = entry.m_id;
+        }
+        const auto index = scheduling::registerExecutor(m_state->m_scheduler, entry, monotonicNow(), monotonicNow());
+        m_state->m_scheduler.m_executors[index]->m_isReconciled = true;
+        return index;
+    }
+
     auto placeMaintenance() -> void
     {
         m_state->m_fleet.m_waves[3].m_order = { 3, { "m1", "m2" }, Duration(20000), 1 };
