--- a/bench/SchedulerScaleBench.cpp
+++ b/bench/SchedulerScaleBench.cpp
@@ -29,7 +29,8 @@
 constexpr int workspaceCount = 60;
 constexpr Resources executorCapacity { 32000, 65536, 0 };
 constexpr Duration planSpacing { 8 };
-constexpr Duration demandInterval { 100 };
+constexpr Duration sweepInterval { 40 };
+constexpr Duration demandInterval { 120 };
 constexpr Duration answerDelay { 10 };
 constexpr Duration warmUp { 4000 };
 constexpr Duration turn { 4000 };
@@ -175,11 +176,14 @@
     {
         std::vector<Action> actions;
         const auto taken = measure(figures, [&] {
-            expireLeases(m_scheduler, m_now);
-            retireJobs(m_scheduler);
-            planStops(m_scheduler, m_now, actions);
+            if (m_now >= m_nextSweepAt) {
+                expireLeases(m_scheduler, m_now);
+                retireJobs(m_scheduler);
+                planStops(m_scheduler, m_now, actions);
+                paceFillers(m_scheduler, m_now, actions);
+                m_nextSweepAt = m_now + sweepInterval;
+            }
             planStarts(m_scheduler, m_now, wall(), actions);
-            paceFillers(m_scheduler, m_now, actions);
             if (m_now >= m_nextDemandAt) {
                 measureDemand(m_scheduler, m_now);
                 m_nextDemandAt = m_now + demandInterval;
@@ -202,6 +206,7 @@
     std::mt19937 m_random;
     Scheduler m_scheduler;
     Instant m_now { Duration(1000000) };
+    Instant m_nextSweepAt;
     Instant m_nextDemandAt;
     JobId m_nextJob = 1;
     std::vector<std::uint64_t> m_ends; // Number of ended runs, by executor.
--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -34,6 +34,7 @@
     bool m_isStopped = false;
     bool m_isLoaded = false;
     Signal m_planSignal;
+    Instant m_nextSweepAt; ///< Time of the next pass over all runs and executors.
     Signal m_journalSignal;
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases of earlier owners have expired.
     std::uint64_t m_nextSubmissionOffset = 0; ///< Next offset to read of the topic of submissions.
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -31,6 +31,9 @@
 // Shortest time between two plans; changes that arrive meanwhile go into one plan.
 constexpr Duration planSpacing { 8 };
 
+// Between two passes over all runs and executors, for stops, leases and the pace of fillers. Starts are planned more
+// often, since callers wait for them.
+constexpr Duration sweepInterval { 40 };
 // Planning takes at most a quarter of the time, so that requests are served and the ownership is renewed however large
 // the fleet is; what happens between two plans goes into one.
 constexpr int planningPauseFactor = 3;
@@ -45,19 +48,29 @@
     }
 }
 
-auto planOnce(const std::shared_ptr<CoordinatorState>& state) -> void
+// Plans whatever follows from the passing of time.
+auto sweep(CoordinatorState& state, Instant now, std::vector<scheduling::Action>& actions) -> void
 {
-    auto& scheduler = state->m_scheduler;
-    const auto now = monotonicNow();
+    auto& scheduler = state.m_scheduler;
     const auto expired = scheduling::expireLeases(scheduler, now);
     if (expired > 0)
         logOf("executors").info("event=leases_lapsed runs={}", expired);
-    dropExecutorRecords(*state);
+    dropExecutorRecords(state);
     scheduling::retireJobs(scheduler);
-    std::vector<scheduling::Action> actions;
     scheduling::planStops(scheduler, now, actions);
-    scheduling::planStarts(scheduler, now, wallNow(), actions);
     scheduling::paceFillers(scheduler, now, actions);
+}
+
+auto planOnce(const std::shared_ptr<CoordinatorState>& state) -> void
+{
+    auto& scheduler = state->m_scheduler;
+    const auto now = monotonicNow();
+    std::vector<scheduling::Action> actions;
+    if (now >= state->m_nextSweepAt) {
+        sweep(*state, now, actions);
+        state->m_nextSweepAt = now + sweepInterval;
+    }
+    scheduling::planStarts(scheduler, now, wallNow(), actions);
     if (!scheduler.m_dirtyJobs.empty())
         state->m_journalSignal.notify();
     // A start is sent only once its run is stored, so that a new owner knows on which executor each task may be.
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -27,9 +27,16 @@
     Late,
 };
 
+// What a task needs that found no executor.
+struct UnmetNeed {
+    std::string_view m_label;
+    Resources m_resources;
+};
+
 // Executors of a service on which tasks may be started now.
 struct Pool {
     std::vector<ExecutorIndex> m_schedulable;
+    std::vector<UnmetNeed> m_unmetNeeds; // In this plan; since a plan only adds runs, they stay unmet.
 };
 
 using Pools = std::map<std::string_view, Pool>;
@@ -111,19 +118,30 @@
     return !candidate.m_queue->m_needsAdvice || candidate.m_state->m_tickets.contains(executor.m_entry.m_id);
 }
 
+// Whether a task that needs no more than this found no executor earlier in this plan.
+auto isKnownUnmet(const Pool& pool, const StepSpec& spec, const Resources& need) -> bool
+{
+    return std::any_of(pool.m_unmetNeeds.begin(), pool.m_unmetNeeds.end(), [&](const UnmetNeed& unmet) {
+        return (unmet.m_label.empty() || unmet.m_label == spec.m_requiredLabel)
+            && fitsWithin(unmet.m_resources, {}, need);
+    });
+}
+
 auto canHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
     -> bool
 {
     const auto& spec = *candidate.m_spec;
+    auto used = executor.m_used;
+    addTo(used, planned);
+    if (!fitsWithin(requiredResources(spec), used, executor.m_entry.m_capacity))
+        return false;
     if (!hasLabel(executor.m_entry.m_labels, spec.m_requiredLabel))
         return false;
     const auto runsOnExecutor = candidate.m_state->m_runsByExecutor.find(index);
     if (spec.m_perExecutorLimit > 0 && runsOnExecutor != candidate.m_state->m_runsByExecutor.end()
         && runsOnExecutor->second >= spec.m_perExecutorLimit)
         return false;
-    auto used = executor.m_used;
-    addTo(used, planned);
-    return fitsWithin(requiredResources(spec), used, executor.m_entry.m_capacity) && hasTicket(candidate, executor);
+    return hasTicket(candidate, executor);
 }
 
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
@@ -235,9 +253,16 @@
     }
 }
 
-auto startTasks(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+auto startTasks(Scheduler& scheduler, const StartCandidate& candidate, Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
+    const auto& spec = *candidate.m_spec;
+    const auto need = requiredResources(spec);
+    if (isKnownUnmet(pool, spec, need))
+        return;
+    // Whether the resources and the label alone decide if an executor can hold a task of the step.
+    const auto dependsOnNeedOnly
+        = spec.m_perExecutorLimit == 0 && !candidate.m_queue->m_needsAdvice && !spec.m_allowsDuplicates;
     for (std::uint32_t index = 0; index < candidate.m_state->m_tasks.size(); ++index) {
         auto& task = candidate.m_state->m_tasks[index];
         if (!needsRun(scheduler, *candidate.m_spec, task, now))
@@ -245,13 +270,16 @@
         if (!isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask, 1))
             return;
         const auto executor = chooseExecutor(scheduler, candidate, task, pool);
-        if (!executor)
+        if (!executor) {
+            if (dependsOnNeedOnly)
+                pool.m_unmetNeeds.push_back({ spec.m_requiredLabel, need });
             return;
+        }
         emitStart(scheduler, candidate, index, task.m_highestRun + 1, *executor, now, actions);
     }
 }
 
-auto startStep(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+auto startStep(Scheduler& scheduler, const StartCandidate& candidate, Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
     if (candidate.m_queue->m_needsAdvice && candidate.m_state->m_ticketsExpireAt <= now) {
@@ -273,7 +301,7 @@
         collectFromJob(scheduler, *scheduler.m_jobs.at(id), now, wall, candidates);
     if (candidates.empty())
         return;
-    const auto pools = schedulablePools(scheduler, now);
+    auto pools = schedulablePools(scheduler, now);
     std::sort(candidates.begin(), candidates.end(), isBefore);
     for (const auto& candidate : candidates) {
         const auto pool = pools.find(candidate.m_queue->m_service);
