--- a/bench/SchedulerScaleBench.cpp
+++ b/bench/SchedulerScaleBench.cpp
@@ -36,7 +36,7 @@
 constexpr Duration turn { 4000 };
 constexpr double tasksPerExecutorSecond = 1.8;
 constexpr std::uint32_t tasksPerStep = 8;
-constexpr std::uint32_t longRunningTasks = 24;
+constexpr std::uint32_t tasksPerLongRunningStep = 24;
 constexpr int executorsPerLongRunningJob = 10;
 
 struct Figures {
@@ -96,7 +96,7 @@
         spec.m_workspace = workspaceName(static_cast<int>(m_random() % workspaceCount));
         spec.m_submittedAt = wall();
         StepSpec step;
-        step.m_taskCount = isLongRunning ? longRunningTasks : tasksPerStep;
+        step.m_taskCount = isLongRunning ? tasksPerLongRunningStep : tasksPerStep;
         step.m_perTask = { std::uniform_int_distribution<std::int64_t>(2000, 7000)(m_random), 500, 0 };
         step.m_estimateMs = std::uniform_int_distribution<std::int64_t>(400, 900)(m_random);
         step.m_isLongRunning = isLongRunning;
@@ -150,8 +150,8 @@
                     m_scheduler, start.m_executor, start.m_task, start.m_run, StartAnswer::Started, false, m_now);
             });
         }
-        for (auto& [index, ended] : ends)
-            measure(figures, [&, executor = index] { report(executor, std::move(ended)); });
+        for (auto& item : ends)
+            measure(figures, [&] { report(item.first, std::move(item.second)); });
     }
 
     auto report(ExecutorIndex index, std::vector<EndedRun> ends) -> void
@@ -169,7 +169,6 @@
         }
         std::vector<Action> actions;
         applyReport(m_scheduler, index, made, m_now, wall(), actions);
-        markBatchStored(m_scheduler, m_scheduler.m_openBatch++);
     }
 
     auto plan(Figures* figures) -> void
@@ -184,6 +183,7 @@
                 m_nextSweepAt = m_now + sweepInterval;
             }
             planStarts(m_scheduler, m_now, wall(), actions);
+            markBatchStored(m_scheduler, m_scheduler.m_openBatch++);
             if (m_now >= m_nextDemandAt) {
                 measureDemand(m_scheduler, m_now);
                 m_nextDemandAt = m_now + demandInterval;
