--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -19,9 +19,9 @@
 constexpr Duration minimumSpan { 100 };
 constexpr std::size_t minimumJobsForRate = 4;
 
-// Executors that the waiting tasks of a step need, since none of the present ones can hold them. Long-running tasks
-// that are limited for each executor need several at once: they wait until the last one has joined. Short ones leave
-// before that.
+// Number of further executors that the waiting tasks of a step need, since none of the present ones can hold them.
+// Long-running tasks with a limit for each executor need all of theirs, because they keep their places. Short tasks make
+// room for one another while one executor joins.
 auto executorsWanted(const StepSpec& spec, std::uint32_t waitingTasks) -> std::uint32_t
 {
     if (!spec.m_isLongRunning || spec.m_perExecutorLimit == 0)
