Log each failed run with the limit that applied to it

A line for each counted failure names the count, the limit, the configuration's version and the job's phase; event=loaded names the version that a new owner begins with.

--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -139,8 +139,9 @@
     // Jobs that were loaded from the store are not part of a burst.
     state->m_scheduler.m_arrivals.clear();
     state->m_isLoaded = true;
-    logOf("owner").info("event=loaded epoch={} jobs={} executors={} took_ms={}", state->m_epoch,
-        state->m_scheduler.m_jobs.size(), state->m_scheduler.m_executors.size(), (monotonicNow() - startedAt).count());
+    logOf("owner").info("event=loaded epoch={} jobs={} executors={} rules_version={} took_ms={}", state->m_epoch,
+        state->m_scheduler.m_jobs.size(), state->m_scheduler.m_executors.size(), state->m_scheduler.m_rules.m_version,
+        (monotonicNow() - startedAt).count());
     state->m_ports.m_metrics->count("takeovers_total");
     asio::co_spawn(state->m_context, followSubmissions(state), asio::detached);
     asio::co_spawn(state->m_context, followExecutors(state), asio::detached);
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -11,6 +11,7 @@
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -119,6 +120,33 @@
         || !executor.m_unacknowledgedEnds.empty());
 }
 
+// Number of the last ended run that was applied before the report; 0 if the report is of a new incarnation.
+auto lastAppliedEnd(const scheduling::Executor& executor, const scheduling::ExecutorReport& report) -> std::uint64_t
+{
+    return report.m_startedAtMs > executor.m_entry.m_startedAtMs ? 0 : executor.m_appliedEnd;
+}
+
+// Logs the failed runs of a report that has been applied: with their count, the limit that applied to it and the
+// version of the configuration, which together decide whether a job fails.
+auto logFailedRuns(CoordinatorState& state, const scheduling::Executor& executor,
+    const scheduling::ExecutorReport& report, std::uint64_t alreadyApplied) -> void
+{
+    const auto& rules = state.m_scheduler.m_rules;
+    for (const auto& end : report.m_endedRuns) {
+        const auto* task = scheduling::findTask(state.m_scheduler, end.m_task);
+        if (end.m_kind != scheduling::RunOutcome::Failed || end.m_number <= alreadyApplied || task == nullptr)
+            continue;
+        const auto& job = *scheduling::findJob(state.m_scheduler, end.m_task.m_job);
+        const auto queue = rules.m_queues.find(job.m_spec.m_queue);
+        logOf("jobs").info("event=run_failed task={} run={} executor={} failures={} gang_failures={} allowed={} "
+                           "phase={} rules_version={}",
+            taskText(end.m_task), end.m_run, executor.m_entry.m_id, task->m_failures,
+            scheduling::findStep(state.m_scheduler, end.m_task)->m_gangFailures,
+            queue == rules.m_queues.end() ? "unknown" : std::to_string(queue->second.m_maximumAttempts),
+            nameOf(job.m_phase), rules.m_version);
+    }
+}
+
 auto pollOnce(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index) -> asio::awaitable<bool>
 {
     auto& executor = *state->m_scheduler.m_executors[index];
@@ -140,7 +168,9 @@
             logOf("executors").info("event=regained executor={}", executor.m_entry.m_id);
         result.m_report.m_pollSentAt = now;
         std::vector<scheduling::Action> actions;
+        const auto alreadyApplied = lastAppliedEnd(executor, result.m_report);
         scheduling::applyReport(state->m_scheduler, index, result.m_report, monotonicNow(), wallNow(), actions);
+        logFailedRuns(*state, executor, result.m_report, alreadyApplied);
         sendActions(state, std::move(actions));
         if (!result.m_report.m_endedRuns.empty())
             state->m_journalSignal.notify();
