Play a failed run that is reported while the queue is not configured (fails)

The tests end a run as failed while the configuration has not been read, or no longer has the queue; the shell test plays the takeover: the new owner finds the failure in the executor's list before it has a configuration. All three fail: the job is ended as failed at once.

--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -9,6 +9,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility>
+
 namespace hemlockvane::scheduling {
 
 class TrackRunsTest : public SchedulerFixture {
@@ -21,6 +23,8 @@
     CPPUNIT_TEST(executor_terminated_isNotRegisteredAgainWithSameStartTime);
     CPPUNIT_TEST(runEnd_reportedAgain_countsOnce);
     CPPUNIT_TEST(runEnd_notStored_isNotAcknowledged);
+    CPPUNIT_TEST(failedRun_configurationNotRead_jobGoesOn);
+    CPPUNIT_TEST(failedRun_queueRemoved_jobGoesOn);
     CPPUNIT_TEST(takeover_runStored_isNotStartedAgain);
     CPPUNIT_TEST(takeover_runNotReported_isStartedAgain);
     CPPUNIT_TEST(takeover_executorUnresponsive_keepsTaskUntilEarlierLeasesExpire);
@@ -114,6 +118,26 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, m_scheduler.m_executors[start.m_executor]->m_acknowledgedEnd);
     }
 
+    // Guards against a job that fails by the limit of a queue that is not known yet.
+    auto failedRun_configurationNotRead_jobGoesOn() -> void
+    {
+        const auto start = startOne();
+        const auto rules = std::exchange(m_scheduler.m_rules, {});
+        reportEnd(start, RunOutcome::Failed);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+        m_scheduler.m_rules = rules;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
+    }
+
+    // Guards against a job that fails with its first failed run since its queue was taken out of the configuration.
+    auto failedRun_queueRemoved_jobGoesOn() -> void
+    {
+        const auto start = startOne();
+        m_scheduler.m_rules.m_queues.erase("checks");
+        reportEnd(start, RunOutcome::Failed);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
     auto takeover_runStored_isNotStartedAgain() -> void
     {
         const auto start = takeOver();
--- /dev/null
+++ b/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
@@ -0,0 +1,203 @@
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/coordinator/Coordinator.h"
+#include "hemlockvane/detail/coordinator/Journal.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
+#include "hemlockvane/detail/coordinator/Submissions.h"
+#include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/detail/ports/ExecutorPort.h"
+#include "hemlockvane/scheduling.pb.h"
+#include "hemlockvane/scheduling/FleetRules.h"
+#include "hemlockvane/scheduling/JobProgress.h"
+#include "shell/coordinator/MemoryStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <exception>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr scheduling::JobId job = 7;
+constexpr std::uint64_t epoch = 2;
+constexpr std::uint32_t newestRun = 3; // It has failed, like the two before it.
+constexpr std::uint32_t maximumAttempts = 4;
+const std::string executorTopic = "keyed.executors";
+const std::string executorId = "executor-1";
+constexpr Duration roundTime { 10 };
+constexpr int maximumRounds = 500;
+
+auto executorEntry() -> scheduling::ExecutorEntry
+{
+    scheduling::ExecutorEntry entry;
+    entry.m_id = executorId;
+    entry.m_startedAtMs = 1;
+    entry.m_service = "orders";
+    entry.m_capacity = { 8000, 16000, 0 };
+    return entry;
+}
+
+// An executor that reports the newest run as failed until this is acknowledged.
+class ExecutorWithFailedRun : public ExecutorPort {
+public:
+    auto start(std::string, std::string, StartRequest order) -> asio::awaitable<scheduling::StartAnswer> override
+    {
+        m_startedRuns.push_back(order.m_run);
+        co_return scheduling::StartAnswer::Started;
+    }
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+        -> asio::awaitable<CallOutcome> override
+    {
+        co_return CallOutcome::Answered;
+    }
+    auto pace(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::int32_t, std::uint64_t)
+        -> asio::awaitable<CallOutcome> override
+    {
+        co_return CallOutcome::Answered;
+    }
+    auto poll(std::string, std::string, PollRequest order) -> asio::awaitable<PollResult> override
+    {
+        PollResult result;
+        result.m_outcome = CallOutcome::Answered;
+        result.m_report.m_clockMs = monotonicNow().time_since_epoch().count();
+        result.m_report.m_startedAtMs = 1;
+        if (order.m_acknowledgedEnd == 0)
+            result.m_report.m_endedRuns.push_back(
+                { 1, { job, 0, 0, 0 }, newestRun, scheduling::RunOutcome::Failed, {} });
+        co_return result;
+    }
+
+    std::vector<std::uint32_t> m_startedRuns;
+};
+
+auto submission() -> std::string
+{
+    wire::SubmissionRecord record;
+    record.set_queue("checks");
+    return encodeKeyedRecord(submissionPrefix + jobIdText(job), record.SerializeAsString());
+}
+
+// Two runs have failed; the third is known to be on the executor.
+auto progress() -> std::string
+{
+    scheduling::JobProgress stored;
+    stored.m_phase = scheduling::JobPhase::Running;
+    scheduling::TaskProgress task;
+    task.m_failures = newestRun - 1;
+    task.m_highestRun = newestRun;
+    stored.m_tasks.push_back(task);
+    stored.m_runs.push_back({ { job, 0, 0, 0 }, newestRun, executorId });
+    return encodeKeyedRecord(progressPrefix + jobIdText(job), encodeProgress(stored));
+}
+
+auto rules() -> scheduling::FleetRules
+{
+    scheduling::FleetRules rules;
+    rules.m_version = 8;
+    rules.m_queues["checks"] = { "orders", 0, maximumAttempts, 2.0, 600, false };
+    return rules;
+}
+
+} // namespace
+
+/// A new owner that could not read the configuration before it took over.
+class TakeoverWithoutRulesTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TakeoverWithoutRulesTest);
+    CPPUNIT_TEST(takeover_failureBeforeRulesAreRead_jobIsStartedAgainOnceTheyAre);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        m_context = std::make_unique<asio::io_context>();
+        m_memory = {};
+        m_memory.m_topics[submissionTopic] = { submission() };
+        m_memory.m_topics[executorTopic] = { encodeKeyedRecord(executorId, "listed") };
+        m_memory.m_topics[progressTopic]
+            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor(executorEntry())), progress() };
+        m_executors = {};
+        CoordinatorPorts ports;
+        ports.m_store = &m_memory;
+        ports.m_executors = &m_executors;
+        ports.m_metrics = &m_metrics;
+        ports.m_renewedAt = [] { return monotonicNow(); };
+        ports.m_executorTopic = executorTopic;
+        ports.m_decoders.m_job = [](std::string_view) {
+            scheduling::JobSpec spec;
+            spec.m_steps.resize(1);
+            return std::optional(spec);
+        };
+        ports.m_decoders.m_executor = [](std::string_view, std::string_view) { return executorEntry(); };
+        m_coordinator = std::make_shared<Coordinator>(*m_context, ports, epoch);
+    }
+
+    auto tearDown() -> void override
+    {
+        m_coordinator->stop();
+        m_context->stop();
+        m_context.reset();
+    }
+
+    // Guards against a job that fails by the limit of a queue that is not known yet.
+    auto takeover_failureBeforeRulesAreRead_jobIsStartedAgainOnceTheyAre() -> void
+    {
+        m_coordinator->start({});
+        runUntil([this] { return storedProgress().m_runs.empty(); });
+        CPPUNIT_ASSERT(storedProgress().m_runs.empty());
+        CPPUNIT_ASSERT(m_executors.m_startedRuns.empty());
+        CPPUNIT_ASSERT(phase() == scheduling::JobPhase::Running);
+        m_coordinator->setRules(rules());
+        runUntil([this] { return !m_executors.m_startedRuns.empty(); });
+        CPPUNIT_ASSERT(m_executors.m_startedRuns == std::vector<std::uint32_t> { newestRun + 1 });
+    }
+
+private:
+    template <typename Condition> auto runUntil(Condition condition) -> void
+    {
+        for (int round = 0; round < maximumRounds && !condition(); ++round)
+            m_context->run_for(roundTime);
+    }
+
+    auto storedProgress() -> scheduling::JobProgress
+    {
+        scheduling::JobProgress newest;
+        for (const auto& bytes : m_memory.m_topics[progressTopic]) {
+            const auto record = decodeKeyedRecord(bytes, 0);
+            if (record && record->m_key == progressPrefix + jobIdText(job))
+                newest = decodeProgress(job, record->m_value).value();
+        }
+        return newest;
+    }
+
+    auto phase() -> scheduling::JobPhase
+    {
+        std::optional<JobStatusResult> status;
+        auto isAnswered = false;
+        asio::co_spawn(*m_context, m_coordinator->statusOf(job),
+            [&](const std::exception_ptr&, std::optional<JobStatusResult> answer) {
+                status = answer;
+                isAnswered = true;
+            });
+        runUntil([&] { return isAnswered; });
+        CPPUNIT_ASSERT(status && status->m_isKnown);
+        return status->m_phase;
+    }
+
+    std::unique_ptr<asio::io_context> m_context;
+    MemoryStore m_memory;
+    ExecutorWithFailedRun m_executors;
+    Metrics m_metrics;
+    std::shared_ptr<Coordinator> m_coordinator;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverWithoutRulesTest);
+
+} // namespace hemlockvane::detail
