Fail no job by a limit that is not known

Cause: after all instances were killed at once the next owner took over before it could read the configuration; the store served its other topics. The newest failure had not been acknowledged, so the new owner read it from the executor's list. A queue that a later configuration no longer has took the same path.

Ruled out: a failure counted twice (countedRunBits survive a takeover, and only three ends exist) and another outcome counted as a failure (the executors' lists show three times failed).

--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -11,6 +11,7 @@
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -120,7 +121,7 @@
 
 auto Coordinator::setRules(const scheduling::FleetRules& rules) -> void
 {
-    m_state->m_scheduler.m_rules = rules;
+    scheduling::applyRules(m_state->m_scheduler, rules, wallNow());
     m_state->m_planSignal.notify();
 }
 
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -10,6 +10,7 @@
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 
@@ -137,13 +138,12 @@
         if (end.m_kind != scheduling::RunOutcome::Failed || end.m_number <= alreadyApplied || task == nullptr)
             continue;
         const auto& job = *scheduling::findJob(state.m_scheduler, end.m_task.m_job);
-        const auto queue = rules.m_queues.find(job.m_spec.m_queue);
+        const auto allowed = scheduling::maximumAttempts(rules, job);
         logOf("jobs").info("event=run_failed task={} run={} executor={} failures={} gang_failures={} allowed={} "
                            "phase={} rules_version={}",
             taskText(end.m_task), end.m_run, executor.m_entry.m_id, task->m_failures,
             scheduling::findStep(state.m_scheduler, end.m_task)->m_gangFailures,
-            queue == rules.m_queues.end() ? "unknown" : std::to_string(queue->second.m_maximumAttempts),
-            nameOf(job.m_phase), rules.m_version);
+            allowed ? std::to_string(*allowed) : "unknown", nameOf(job.m_phase), rules.m_version);
     }
 }
 
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/TrackRuns.h"
 
+#include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -44,10 +45,11 @@
 auto countFailure(Scheduler& scheduler, Job& job, StepState& step, TaskState& task, bool isGang, WallMillis wall)
     -> void
 {
-    const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
-    const auto attempts = queue == scheduler.m_rules.m_queues.end() ? 1 : queue->second.m_maximumAttempts;
     auto& failures = isGang ? step.m_gangFailures : task.m_failures;
-    if (++failures >= attempts)
+    ++failures;
+    // Without a limit the job goes on; it is judged by `applyRules` once its queue is configured.
+    const auto attempts = maximumAttempts(scheduler.m_rules, job);
+    if (attempts && failures >= *attempts)
         enterPhase(scheduler, job, JobPhase::Failed, wall);
 }
 
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -1,5 +1,6 @@
 #include "core/scheduling/SchedulerFixture.h"
 
+#include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/JobProgress.h"
 #include "hemlockvane/scheduling/StoreProgress.h"
@@ -25,6 +26,9 @@
     CPPUNIT_TEST(runEnd_notStored_isNotAcknowledged);
     CPPUNIT_TEST(failedRun_configurationNotRead_jobGoesOn);
     CPPUNIT_TEST(failedRun_queueRemoved_jobGoesOn);
+    CPPUNIT_TEST(failedRuns_limitReadAfterwards_jobFailsThen);
+    CPPUNIT_TEST(takeover_attemptsUsedUp_jobFailsOnceRulesAreRead);
+    CPPUNIT_TEST(gangFailures_limitReadAfterwards_jobFailsThen);
     CPPUNIT_TEST(takeover_runStored_isNotStartedAgain);
     CPPUNIT_TEST(takeover_runNotReported_isStartedAgain);
     CPPUNIT_TEST(takeover_executorUnresponsive_keepsTaskUntilEarlierLeasesExpire);
@@ -138,6 +142,56 @@
         CPPUNIT_ASSERT(phase() == JobPhase::Running);
     }
 
+    // Guards against another start of a task that has used up its attempts.
+    auto failedRuns_limitReadAfterwards_jobFailsThen() -> void
+    {
+        const auto rules = m_scheduler.m_rules;
+        submit({ step(1, 1000) });
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            const auto start = plan().at(0);
+            if (attempt == 2)
+                m_scheduler.m_rules = {};
+            reportEnd(start, RunOutcome::Failed);
+        }
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+        applyRules(m_scheduler, rules, m_wall);
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+        CPPUNIT_ASSERT(starts().empty());
+    }
+
+    auto takeover_attemptsUsedUp_jobFailsOnceRulesAreRead() -> void
+    {
+        const auto rules = m_scheduler.m_rules;
+        submit({ step(1, 1000) });
+        JobProgress stored;
+        stored.m_phase = JobPhase::Running;
+        TaskProgress task;
+        task.m_failures = 3;
+        task.m_highestRun = 3;
+        stored.m_tasks.push_back(task);
+        m_scheduler.m_rules = {};
+        restoreProgress(m_scheduler, job, stored, m_now);
+        failExhaustedJobs(m_scheduler, m_wall);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+        applyRules(m_scheduler, rules, m_wall);
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
+    auto gangFailures_limitReadAfterwards_jobFailsThen() -> void
+    {
+        auto gang = step(2, 1000);
+        gang.m_isGang = true;
+        submit({ gang });
+        const auto start = plan().at(0);
+        const auto rules = std::exchange(m_scheduler.m_rules, {});
+        reportEnd(start, RunOutcome::Failed);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+        auto stricter = rules;
+        stricter.m_queues.at("checks").m_maximumAttempts = 1;
+        applyRules(m_scheduler, stricter, m_wall);
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
     auto takeover_runStored_isNotStartedAgain() -> void
     {
         const auto start = takeOver();
