Judge only unfinished tasks by a changed limit, and plan no machines without a configuration

Tests: done task, done occurrence. - A route without a usable limit still meant one attempt; it now means that the limit is not known. - A new owner without a configuration saw every pool idle and none as spare. Waves then reserved half of a pool's machines and stopped long-running tasks there, which nothing could start again.

--- a/include/hemlockvane/scheduling/AttemptLimits.h
+++ b/include/hemlockvane/scheduling/AttemptLimits.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "hemlockvane/scheduling/TaskKey.h"
 #include "hemlockvane/time/Time.h"
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace hemlockvane::scheduling {
 
@@ -12,14 +14,16 @@
 struct Scheduler;
 
 /// @brief Number of failed runs of one task, or of a gang, with which a job fails.
-/// @result empty while the job's queue is not configured; the configuration may not have been read yet
+/// @result empty while it is not known: the job's queue is not configured, or no configuration has been read yet
 auto maximumAttempts(const FleetRules& rules, const Job& job) -> std::optional<std::uint32_t>;
 
-/// @brief Fails the jobs that have used up their attempts. Needed whenever a limit or a count becomes known other than
-/// by the end of a run.
-auto failExhaustedJobs(Scheduler& scheduler, WallMillis wall) -> void;
+/// @brief Fails the jobs with an unfinished task that has used up its attempts. To be called after progress was
+/// restored; the end of a run and a change of the configuration are checked as they are applied.
+/// @result the jobs that failed
+auto failExhaustedJobs(Scheduler& scheduler, WallMillis wall) -> std::vector<JobId>;
 
-/// @brief Replaces the configuration and fails the jobs that have used up the attempts it allows.
-auto applyRules(Scheduler& scheduler, const FleetRules& rules, WallMillis wall) -> void;
+/// @brief Replaces the configuration and fails the jobs with an unfinished task that has used up its attempts by it.
+/// @result the jobs that failed
+auto applyRules(Scheduler& scheduler, const FleetRules& rules, WallMillis wall) -> std::vector<JobId>;
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/TrackRuns.h
+++ b/include/hemlockvane/scheduling/TrackRuns.h
@@ -27,6 +27,10 @@
 /// @brief Finds a run of a task on an executor; null when there is none.
 auto findRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor) -> TaskRun*;
 
+/// @brief Whether an ended run would count as a failure of its task: not if it was counted before, if its job has
+/// ended, or if the task is long-running and is started again however often it fails.
+auto countsAsFailure(Scheduler& scheduler, const EndedRun& end) -> bool;
+
 /// @brief Applies the outcome of an ended run. A run that is reported again is counted once.
 auto applyRunEnd(Scheduler& scheduler, ExecutorIndex executor, const EndedRun& end, Instant now, WallMillis wall)
     -> void;
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -7,6 +7,7 @@
 #include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/LoadState.h"
 #include "hemlockvane/detail/coordinator/ManageFleet.h"
+#include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/SendActions.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -95,6 +96,16 @@
     }
 }
 
+auto logExhaustedJobs(const CoordinatorState& state, const std::vector<scheduling::JobId>& jobs) -> void
+{
+    for (const auto id : jobs) {
+        const auto& job = *scheduling::findJob(state.m_scheduler, id);
+        logOf("jobs").info("event=attempts_used_up job={} allowed={} rules_version={}", jobIdText(id),
+            scheduling::maximumAttempts(state.m_scheduler.m_rules, job).value_or(0),
+            state.m_scheduler.m_rules.m_version);
+    }
+}
+
 } // namespace
 
 Coordinator::Coordinator(asio::io_context& context, const CoordinatorPorts& ports, std::uint64_t epoch)
@@ -121,7 +132,7 @@
 
 auto Coordinator::setRules(const scheduling::FleetRules& rules) -> void
 {
-    scheduling::applyRules(m_state->m_scheduler, rules, wallNow());
+    logExhaustedJobs(*m_state, scheduling::applyRules(m_state->m_scheduler, rules, wallNow()));
     m_state->m_planSignal.notify();
 }
 
@@ -137,6 +148,8 @@
     const auto isLoaded = co_await loadState(state);
     if (!isLoaded)
         co_return;
+    // The earlier owner may have counted failures without a configuration.
+    logExhaustedJobs(*state, scheduling::failExhaustedJobs(state->m_scheduler, wallNow()));
     // Jobs that were loaded from the store are not part of a burst.
     state->m_scheduler.m_arrivals.clear();
     state->m_isLoaded = true;
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -13,12 +13,14 @@
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <set>
+#include <vector>
 
 namespace hemlockvane::detail {
 
@@ -121,27 +123,33 @@
         || !executor.m_unacknowledgedEnds.empty());
 }
 
-// Number of the last ended run that was applied before the report; 0 if the report is of a new incarnation.
-auto lastAppliedEnd(const scheduling::Executor& executor, const scheduling::ExecutorReport& report) -> std::uint64_t
+// The ended runs of a report that count as failures once the report is applied.
+auto newFailures(CoordinatorState& state, const scheduling::Executor& executor,
+    const scheduling::ExecutorReport& report) -> std::vector<scheduling::EndedRun>
 {
-    return report.m_startedAtMs > executor.m_entry.m_startedAtMs ? 0 : executor.m_appliedEnd;
+    const auto isNewIncarnation = report.m_startedAtMs > executor.m_entry.m_startedAtMs;
+    const auto applied = isNewIncarnation ? 0 : executor.m_appliedEnd;
+    std::vector<scheduling::EndedRun> failures;
+    for (const auto& end : report.m_endedRuns) {
+        if (end.m_number > applied && scheduling::countsAsFailure(state.m_scheduler, end))
+            failures.push_back(end);
+    }
+    return failures;
 }
 
-// Logs the failed runs of a report that has been applied: with their count, the limit that applied to it and the
-// version of the configuration, which together decide whether a job fails.
-auto logFailedRuns(CoordinatorState& state, const scheduling::Executor& executor,
-    const scheduling::ExecutorReport& report, std::uint64_t alreadyApplied) -> void
+// Logs failed runs that have been counted: with their task's count, the limit that applied and the version of the
+// configuration it is from, which together decide whether the job fails.
+auto logFailures(CoordinatorState& state, const scheduling::Executor& executor,
+    const std::vector<scheduling::EndedRun>& failures) -> void
 {
     const auto& rules = state.m_scheduler.m_rules;
-    for (const auto& end : report.m_endedRuns) {
-        const auto* task = scheduling::findTask(state.m_scheduler, end.m_task);
-        if (end.m_kind != scheduling::RunOutcome::Failed || end.m_number <= alreadyApplied || task == nullptr)
-            continue;
+    for (const auto& end : failures) {
         const auto& job = *scheduling::findJob(state.m_scheduler, end.m_task.m_job);
         const auto allowed = scheduling::maximumAttempts(rules, job);
         logOf("jobs").info("event=run_failed task={} run={} executor={} failures={} gang_failures={} allowed={} "
                            "phase={} rules_version={}",
-            taskText(end.m_task), end.m_run, executor.m_entry.m_id, task->m_failures,
+            taskText(end.m_task), end.m_run, executor.m_entry.m_id,
+            scheduling::findTask(state.m_scheduler, end.m_task)->m_failures,
             scheduling::findStep(state.m_scheduler, end.m_task)->m_gangFailures,
             allowed ? std::to_string(*allowed) : "unknown", nameOf(job.m_phase), rules.m_version);
     }
@@ -168,9 +176,9 @@
             logOf("executors").info("event=regained executor={}", executor.m_entry.m_id);
         result.m_report.m_pollSentAt = now;
         std::vector<scheduling::Action> actions;
-        const auto alreadyApplied = lastAppliedEnd(executor, result.m_report);
+        const auto failures = newFailures(*state, executor, result.m_report);
         scheduling::applyReport(state->m_scheduler, index, result.m_report, monotonicNow(), wallNow(), actions);
-        logFailedRuns(*state, executor, result.m_report, alreadyApplied);
+        logFailures(*state, executor, failures);
         sendActions(state, std::move(actions));
         if (!result.m_report.m_endedRuns.empty())
             state->m_journalSignal.notify();
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -11,7 +11,6 @@
 #include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
-#include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/StoreProgress.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -173,8 +172,6 @@
                 logOf("journal").error("event=unreadable_record key={} offset={}", record.m_key, record.m_offset);
         }
     }
-    // The earlier owner may have counted failures without a configuration.
-    scheduling::failExhaustedJobs(state.m_scheduler, wallNow());
 }
 
 auto writeJournal(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -152,6 +152,9 @@
     evacuateReserved(*state);
 }
 
+// Without a configuration all pools look idle and none is a spare pool, so nothing may be planned by their load.
+auto areRulesKnown(const CoordinatorState& state) -> bool { return !state.m_scheduler.m_rules.m_services.empty(); }
+
 auto hasOpenWork(const FleetControlState& fleetState) -> bool
 {
     for (const auto& [number, wave] : fleetState.m_waves) {
@@ -185,7 +188,8 @@
                 co_await reportWave(state, wave);
         }
         const auto now = monotonicNow();
-        if (!state->m_isStopped && mayOrderMachines(*state) && !state->m_fleet.m_machines.empty())
+        if (!state->m_isStopped && mayOrderMachines(*state) && areRulesKnown(*state)
+            && !state->m_fleet.m_machines.empty())
             planOnce(state, now);
         co_await sleepFor(std::clamp((monotonicNow() - now) * planningPauseFactor, planInterval, longestPlanInterval));
     }
--- a/src/scheduling/AttemptLimits.cpp
+++ b/src/scheduling/AttemptLimits.cpp
@@ -9,15 +9,26 @@
 
 namespace {
 
-auto hasFailed(const Job& job, std::uint32_t times) -> bool
+auto isExhausted(const StepState& step, std::uint32_t attempts) -> bool
 {
-    return std::any_of(job.m_occurrences.begin(), job.m_occurrences.end(), [&](const auto& item) {
-        return std::any_of(item.second.m_steps.begin(), item.second.m_steps.end(), [&](const StepState& step) {
-            return step.m_gangFailures >= times
-                || std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
-                    [&](const TaskState& task) { return task.m_failures >= times; });
-        });
-    });
+    if (step.m_doneCount == step.m_tasks.size())
+        return false;
+    return step.m_gangFailures >= attempts
+        || std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
+            [&](const TaskState& task) { return !task.m_isDone && task.m_failures >= attempts; });
+}
+
+auto isExhausted(const Occurrence& occurrence, std::uint32_t attempts) -> bool
+{
+    return !occurrence.m_isDone
+        && std::any_of(occurrence.m_steps.begin(), occurrence.m_steps.end(),
+            [&](const StepState& step) { return isExhausted(step, attempts); });
+}
+
+auto isExhausted(const Job& job, std::uint32_t attempts) -> bool
+{
+    return std::any_of(job.m_occurrences.begin(), job.m_occurrences.end(),
+        [&](const auto& item) { return isExhausted(item.second, attempts); });
 }
 
 } // namespace
@@ -25,25 +36,29 @@
 auto maximumAttempts(const FleetRules& rules, const Job& job) -> std::optional<std::uint32_t>
 {
     const auto queue = rules.m_queues.find(job.m_spec.m_queue);
-    if (queue == rules.m_queues.end())
+    if (queue == rules.m_queues.end() || queue->second.m_maximumAttempts == 0)
         return std::nullopt;
-    return std::max(queue->second.m_maximumAttempts, 1U);
+    return queue->second.m_maximumAttempts;
 }
 
-auto failExhaustedJobs(Scheduler& scheduler, WallMillis wall) -> void
+auto failExhaustedJobs(Scheduler& scheduler, WallMillis wall) -> std::vector<JobId>
 {
+    std::vector<JobId> failed;
     for (const auto id : scheduler.m_active) {
         auto& job = *scheduler.m_jobs.at(id);
         const auto attempts = maximumAttempts(scheduler.m_rules, job);
-        if (attempts && !isFinal(job.m_phase) && hasFailed(job, *attempts))
-            enterPhase(scheduler, job, JobPhase::Failed, wall);
+        if (!attempts || isFinal(job.m_phase) || !isExhausted(job, *attempts))
+            continue;
+        enterPhase(scheduler, job, JobPhase::Failed, wall);
+        failed.push_back(id);
     }
+    return failed;
 }
 
-auto applyRules(Scheduler& scheduler, const FleetRules& rules, WallMillis wall) -> void
+auto applyRules(Scheduler& scheduler, const FleetRules& rules, WallMillis wall) -> std::vector<JobId>
 {
     scheduler.m_rules = rules;
-    failExhaustedJobs(scheduler, wall);
+    return failExhaustedJobs(scheduler, wall);
 }
 
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -105,6 +105,8 @@
     auto& task = step.m_tasks[key.m_index];
     const auto& spec = job.m_spec.m_steps[key.m_step];
     auto& target = *scheduler.m_executors[executor];
+    if (run > task.m_highestRun)
+        task.m_countedRunBits &= ~endBit(run); // It may be set by the run 64 starts earlier.
     task.m_highestRun = std::max(task.m_highestRun, run);
     TaskRun added;
     added.m_run = run;
@@ -142,6 +144,15 @@
     subtractFrom(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
 }
 
+auto countsAsFailure(Scheduler& scheduler, const EndedRun& end) -> bool
+{
+    const auto* task = findTask(scheduler, end.m_task);
+    if (task == nullptr || end.m_kind != RunOutcome::Failed || (task->m_countedRunBits & endBit(end.m_run)) != 0)
+        return false;
+    const auto& job = *findJob(scheduler, end.m_task.m_job);
+    return !isFinal(job.m_phase) && !job.m_spec.m_steps[end.m_task.m_step].m_isLongRunning;
+}
+
 auto applyRunEnd(Scheduler& scheduler, ExecutorIndex executor, const EndedRun& end, Instant now, WallMillis wall)
     -> void
 {
--- a/tests/Main.cpp
+++ b/tests/Main.cpp
@@ -55,7 +55,10 @@
     const std::unique_ptr<CppUnit::Test> suite(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     std::vector<CppUnit::Test*> cases;
     collectCases(*suite, cases);
-    const auto count = cases.size();
+    if (cases.size() != static_cast<std::size_t>(suite->countTestCases())) {
+        std::printf("%zu of %d test cases found\n", cases.size(), suite->countTestCases());
+        return 1;
+    }
     const auto known = knownFailures();
     for (auto* test : cases) {
         if (known.contains(test->getName()))
@@ -63,6 +66,6 @@
     }
     std::erase_if(cases, [&](const CppUnit::Test* test) { return known.contains(test->getName()); });
     const auto passed = run(cases);
-    std::printf("%zu tests run\n", count);
+    std::printf("%zu tests run, %zu known failures\n", cases.size(), suite->countTestCases() - cases.size());
     return passed && !cases.empty() ? 0 : 1;
 }
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -29,6 +29,10 @@
     CPPUNIT_TEST(failedRuns_limitReadAfterwards_jobFailsThen);
     CPPUNIT_TEST(takeover_attemptsUsedUp_jobFailsOnceRulesAreRead);
     CPPUNIT_TEST(gangFailures_limitReadAfterwards_jobFailsThen);
+    CPPUNIT_TEST(limitLowered_tasksThatFailedSoOftenAreDone_jobGoesOn);
+    CPPUNIT_TEST(limitLowered_failuresInEarlierOccurrence_jobGoesOn);
+    CPPUNIT_TEST(limitMissing_failedRun_jobGoesOn);
+    CPPUNIT_TEST(run_numberedSixtyFourAfterACountedOne_isCounted);
     CPPUNIT_TEST(takeover_runStored_isNotStartedAgain);
     CPPUNIT_TEST(takeover_runNotReported_isStartedAgain);
     CPPUNIT_TEST(takeover_executorUnresponsive_keepsTaskUntilEarlierLeasesExpire);
@@ -129,7 +133,7 @@
         const auto rules = std::exchange(m_scheduler.m_rules, {});
         reportEnd(start, RunOutcome::Failed);
         CPPUNIT_ASSERT(phase() == JobPhase::Running);
-        m_scheduler.m_rules = rules;
+        applyRules(m_scheduler, rules, m_wall);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
     }
 
@@ -192,6 +196,56 @@
         CPPUNIT_ASSERT(phase() == JobPhase::Failed);
     }
 
+    // Guards against a job that fails by a task that has succeeded since.
+    auto limitLowered_tasksThatFailedSoOftenAreDone_jobGoesOn() -> void
+    {
+        submit({ step(2, 1000) });
+        const auto both = plan();
+        reportEnd(both.at(0), RunOutcome::Failed);
+        reportEnd(plan().at(0), RunOutcome::Done);
+        lowerLimitTo(1);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
+    auto limitLowered_failuresInEarlierOccurrence_jobGoesOn() -> void
+    {
+        JobSpec spec;
+        spec.m_id = job;
+        spec.m_queue = "checks";
+        spec.m_steps = { step(1, 1000) };
+        spec.m_occurrences = 2;
+        spec.m_firstDue = m_wall;
+        spec.m_intervalMs = 60000;
+        addJob(m_scheduler, std::move(spec), m_now);
+        reportEnd(plan().at(0), RunOutcome::Failed);
+        reportEnd(plan().at(0), RunOutcome::Done);
+        lowerLimitTo(1);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
+    auto limitMissing_failedRun_jobGoesOn() -> void
+    {
+        const auto start = startOne();
+        lowerLimitTo(0);
+        reportEnd(start, RunOutcome::Failed);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
+    // Guards against a task that is run again because its outcome was taken for that of an earlier run.
+    auto run_numberedSixtyFourAfterACountedOne_isCounted() -> void
+    {
+        reportEnd(startOne(), RunOutcome::Failed);
+        auto start = plan().at(0);
+        while (start.m_run < 65) {
+            answer(start, StartAnswer::Refused, false);
+            m_now += Duration(1000);
+            start = starts().at(0);
+        }
+        answerStarts({ start });
+        reportEnd(start, RunOutcome::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Completed);
+    }
+
     auto takeover_runStored_isNotStartedAgain() -> void
     {
         const auto start = takeOver();
@@ -321,6 +375,13 @@
     }
 
 private:
+    auto lowerLimitTo(std::uint32_t attempts) -> void
+    {
+        auto rules = m_scheduler.m_rules;
+        rules.m_queues.at("checks").m_maximumAttempts = attempts;
+        applyRules(m_scheduler, rules, m_wall);
+    }
+
     auto startLongRunningWithoutAnswer() -> Action
     {
         auto longRunning = step(1, 1000);
--- a/tests/shell/coordinator/RecordingMachines.h
+++ b/tests/shell/coordinator/RecordingMachines.h
@@ -2,6 +2,9 @@
 
 #include "hemlockvane/detail/ports/MachinePort.h"
 
+#include "hemlockvane/fleet/Machine.h"
+
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,10 +13,7 @@
 /// @brief Machines that record the orders they get and answer with a fixed outcome.
 class RecordingMachines : public MachinePort {
 public:
-    auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> override
-    {
-        co_return std::nullopt;
-    }
+    auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> override { co_return m_listed; }
 
     auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/)
         -> boost::asio::awaitable<MachineOutcome> override
@@ -28,6 +28,7 @@
         co_return m_outcome;
     }
 
+    std::optional<std::vector<fleet::Machine>> m_listed; ///< Empty: calls for the list get no answer.
     std::vector<std::string> m_moved;
     MachineOutcome m_outcome = MachineOutcome::Done;
 };
--- a/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
+++ b/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
@@ -28,7 +28,7 @@
 
 constexpr scheduling::JobId job = 7;
 constexpr std::uint64_t epoch = 2;
-constexpr std::uint32_t newestRun = 3; // It has failed, like the two before it.
+constexpr std::uint32_t newestRun = 3; // It has failed, like those before it.
 constexpr std::uint32_t maximumAttempts = 4;
 const std::string executorTopic = "keyed.executors";
 const std::string executorId = "executor-1";
@@ -45,7 +45,7 @@
     return entry;
 }
 
-// An executor that reports the newest run as failed until this is acknowledged.
+// An executor that has no active run, and may report the newest one as failed until this is acknowledged.
 class ExecutorWithFailedRun : public ExecutorPort {
 public:
     auto start(std::string, std::string, StartRequest order) -> asio::awaitable<scheduling::StartAnswer> override
@@ -69,13 +69,14 @@
         result.m_outcome = CallOutcome::Answered;
         result.m_report.m_clockMs = monotonicNow().time_since_epoch().count();
         result.m_report.m_startedAtMs = 1;
-        if (order.m_acknowledgedEnd == 0)
+        if (m_hasFailedRun && order.m_acknowledgedEnd == 0)
             result.m_report.m_endedRuns.push_back(
                 { 1, { job, 0, 0, 0 }, newestRun, scheduling::RunOutcome::Failed, {} });
         co_return result;
     }
 
     std::vector<std::uint32_t> m_startedRuns;
+    bool m_hasFailedRun = true;
 };
 
 auto submission() -> std::string
@@ -85,13 +86,13 @@
     return encodeKeyedRecord(submissionPrefix + jobIdText(job), record.SerializeAsString());
 }
 
-// Two runs have failed; the third is known to be on the executor.
-auto progress() -> std::string
+// As many runs have failed as given; the newest is known to be on the executor.
+auto progress(std::uint32_t failures) -> std::string
 {
     scheduling::JobProgress stored;
     stored.m_phase = scheduling::JobPhase::Running;
     scheduling::TaskProgress task;
-    task.m_failures = newestRun - 1;
+    task.m_failures = failures;
     task.m_highestRun = newestRun;
     stored.m_tasks.push_back(task);
     stored.m_runs.push_back({ { job, 0, 0, 0 }, newestRun, executorId });
@@ -102,6 +103,7 @@
 {
     scheduling::FleetRules rules;
     rules.m_version = 8;
+    rules.m_services = { "orders" };
     rules.m_queues["checks"] = { "orders", 0, maximumAttempts, 2.0, 600, false };
     return rules;
 }
@@ -112,6 +114,9 @@
 class TakeoverWithoutRulesTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TakeoverWithoutRulesTest);
     CPPUNIT_TEST(takeover_failureBeforeRulesAreRead_jobIsStartedAgainOnceTheyAre);
+    CPPUNIT_TEST(takeover_lastAttemptFailsBeforeRulesAreRead_jobFailsOnceTheyAre);
+    CPPUNIT_TEST(takeover_earlierOwnerCountedLastAttemptWithoutRules_jobFails);
+    CPPUNIT_TEST(takeover_rulesAreReadWhileLoading_jobFails);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,7 +127,8 @@
         m_memory.m_topics[submissionTopic] = { submission() };
         m_memory.m_topics[executorTopic] = { encodeKeyedRecord(executorId, "listed") };
         m_memory.m_topics[progressTopic]
-            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor(executorEntry())), progress() };
+            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor(executorEntry())) };
+        storeFailures(newestRun - 1);
         m_executors = {};
         CoordinatorPorts ports;
         ports.m_store = &m_memory;
@@ -152,6 +158,7 @@
         m_coordinator->start({});
         runUntil([this] { return storedProgress().m_runs.empty(); });
         CPPUNIT_ASSERT(storedProgress().m_runs.empty());
+        CPPUNIT_ASSERT_EQUAL(newestRun, storedProgress().m_tasks.at(0).m_failures);
         CPPUNIT_ASSERT(m_executors.m_startedRuns.empty());
         CPPUNIT_ASSERT(phase() == scheduling::JobPhase::Running);
         m_coordinator->setRules(rules());
@@ -159,7 +166,51 @@
         CPPUNIT_ASSERT(m_executors.m_startedRuns == std::vector<std::uint32_t> { newestRun + 1 });
     }
 
+    auto takeover_lastAttemptFailsBeforeRulesAreRead_jobFailsOnceTheyAre() -> void
+    {
+        storeFailures(maximumAttempts - 1);
+        m_coordinator->start({});
+        runUntil([this] { return storedProgress().m_runs.empty(); });
+        CPPUNIT_ASSERT(phase() == scheduling::JobPhase::Running);
+        m_coordinator->setRules(rules());
+        expectFailed();
+    }
+
+    auto takeover_earlierOwnerCountedLastAttemptWithoutRules_jobFails() -> void
+    {
+        storeFailures(maximumAttempts);
+        m_executors.m_hasFailedRun = false;
+        m_coordinator->start(rules());
+        expectFailed();
+    }
+
+    auto takeover_rulesAreReadWhileLoading_jobFails() -> void
+    {
+        storeFailures(maximumAttempts);
+        m_executors.m_hasFailedRun = false;
+        m_memory.m_isDown = true;
+        m_coordinator->start({});
+        m_context->run_for(roundTime);
+        m_coordinator->setRules(rules());
+        m_memory.m_isDown = false;
+        expectFailed();
+    }
+
 private:
+    auto storeFailures(std::uint32_t failures) -> void
+    {
+        auto& records = m_memory.m_topics[progressTopic];
+        records.resize(1);
+        records.push_back(progress(failures));
+    }
+
+    auto expectFailed() -> void
+    {
+        runUntil([this] { return storedProgress().m_phase == scheduling::JobPhase::Failed; });
+        CPPUNIT_ASSERT(phase() == scheduling::JobPhase::Failed);
+        CPPUNIT_ASSERT(m_executors.m_startedRuns.empty());
+    }
+
     template <typename Condition> auto runUntil(Condition condition) -> void
     {
         for (int round = 0; round < maximumRounds && !condition(); ++round)
