Use a new life of an executor only once the registry shows it

What callers and operators would see: after an executor starts again under its id, tasks may be started there by the service, labels and capacity of its earlier life, which the new one need not share (LIMIT, ROUTE), and after the next change of owner a task that runs there may run a second time elsewhere (TWICE).

Cause: when the answer to a poll showed the new life first, resetIncarnation marked it as registered, although only the registry tells what it is.

An executor without runs may be retired meanwhile and comes back with its registry record.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -16,7 +16,7 @@
 struct Executor {
     ExecutorEntry m_entry;
     std::string m_rack;
-    bool m_isRegistered = true;
+    bool m_isRegistered = true; ///< The registry shows this incarnation.
     bool m_isActive = false; ///< Listed in `Scheduler::m_activeExecutors`.
     bool m_isTerminated = false; ///< This incarnation has certainly ended.
     bool m_isReconciled = false; ///< Its runs are known: it answered a poll of this owner, or it has terminated.
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -36,7 +36,8 @@
 /// @brief Marks an executor's incarnation as ended and removes its runs. The caller must be certain that it has ended.
 auto markTerminated(Scheduler& scheduler, ExecutorIndex index) -> void;
 
-/// @brief Applies an executor's answer to a poll.
+/// @brief Applies an executor's answer to a poll. A newer start time removes all runs there, and no task is started
+/// there until the registry shows it.
 /// @param actions receives stops for runs of unknown tasks
 auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now, WallMillis wall,
     std::vector<Action>& actions) -> void;
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -18,6 +18,8 @@
     return entry.m_labels.size() > 1 ? entry.m_labels.back() : std::string();
 }
 
+// The executor stays unregistered until the registry shows the new life: only the registry tells its service, labels
+// and capacity, which may differ.
 auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index) -> void
 {
     markTerminated(scheduler, index);
@@ -29,7 +31,6 @@
     executor.m_unacknowledgedEnds.clear();
     executor.m_isReconciled = false;
     executor.m_isTerminated = false;
-    executor.m_isRegistered = true;
     executor.m_isLeaving = false;
     executor.m_consecutiveFailures = 0;
     executor.m_backoffUntil = {};
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(executor_unresponsive_keepsTasksUntilLeaseExpires);
     CPPUNIT_TEST(executor_restarted_losesItsRuns);
     CPPUNIT_TEST(executor_terminated_isNotRegisteredAgainWithSameStartTime);
+    CPPUNIT_TEST(newLife_knownOnlyFromPoll_takesNoTaskUntilListed);
+    CPPUNIT_TEST(newLife_knownOnlyFromPoll_itsRunIsAdoptedAndStopped);
+    CPPUNIT_TEST(newLife_knownOnlyFromPoll_isRetiredAndComesBackWhenListed);
     CPPUNIT_TEST(runEnd_reportedAgain_countsOnce);
     CPPUNIT_TEST(runEnd_notStored_isNotAcknowledged);
     CPPUNIT_TEST(failedRun_configurationNotRead_jobGoesOn);
@@ -104,6 +107,37 @@
         CPPUNIT_ASSERT(!isSchedulable(*m_scheduler.m_executors[0], m_now));
     }
 
+    // Guards against starts that rely on the service, labels and capacity of the earlier life.
+    auto newLife_knownOnlyFromPoll_takesNoTaskUntilListed() -> void
+    {
+        reportNewLife(0, {});
+        CPPUNIT_ASSERT(!isSchedulable(*m_scheduler.m_executors[0], m_now));
+        registerExecutor(m_scheduler, m_scheduler.m_executors[0]->m_entry, m_now, m_now);
+        CPPUNIT_ASSERT(isSchedulable(*m_scheduler.m_executors[0], m_now));
+    }
+
+    auto newLife_knownOnlyFromPoll_itsRunIsAdoptedAndStopped() -> void
+    {
+        const auto start = startOne();
+        const auto id = start.m_executor;
+        reportNewLife(id, { { start.m_task, start.m_run + 1, "", 50, 0 } });
+        CPPUNIT_ASSERT(starts().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_scheduler.m_executors[id]->m_runs.size());
+        enterPhase(m_scheduler, *findJob(m_scheduler, job), JobPhase::Cancelled, m_wall);
+        const auto actions = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == ActionKind::Stop);
+    }
+
+    auto newLife_knownOnlyFromPoll_isRetiredAndComesBackWhenListed() -> void
+    {
+        reportNewLife(0, {});
+        CPPUNIT_ASSERT(retireExecutors(m_scheduler) == std::vector<ExecutorIndex> { 0 });
+        registerExecutor(m_scheduler, m_scheduler.m_executors[0]->m_entry, m_now, m_now);
+        submit({ step(2, 8000) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan().size());
+    }
+
     auto runEnd_reportedAgain_countsOnce() -> void
     {
         const auto start = startOne();
@@ -321,6 +355,19 @@
     }
 
 private:
+    // Applies the first answer of an executor that has started again.
+    auto reportNewLife(ExecutorIndex index, std::vector<ReportedRun> runs) -> void
+    {
+        ExecutorReport answer;
+        answer.m_pollSentAt = m_now;
+        answer.m_clockMs = 1;
+        answer.m_startedAtMs = m_scheduler.m_executors[index]->m_entry.m_startedAtMs + 1;
+        answer.m_runs = std::move(runs);
+        std::vector<Action> actions;
+        applyReport(m_scheduler, index, answer, m_now, m_wall, actions);
+        CPPUNIT_ASSERT(actions.empty());
+    }
+
     auto startLongRunningWithoutAnswer() -> Action
     {
         auto longRunning = step(1, 1000);
--- /dev/null
+++ b/tests/shell/coordinator/ScriptedExecutors.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/ports/ExecutorPort.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+/// @brief Executors that run what they are told to and answer with a life that the test chooses; they record starts.
+class ScriptedExecutors : public ExecutorPort {
+public:
+    /// @brief What one executor is at present.
+    struct Life {
+        std::int64_t m_startedAtMs = 1;
+        bool m_isSilent = false; ///< Calls get no answer and have no effect.
+        std::vector<scheduling::ReportedRun> m_runs;
+        int m_polls = 0; ///< Number of polls answered.
+    };
+
+    auto start(std::string, std::string id, StartRequest order)
+        -> boost::asio::awaitable<scheduling::StartAnswer> override
+    {
+        auto& life = m_lives[id];
+        if (life.m_isSilent)
+            co_return scheduling::StartAnswer::Unknown;
+        life.m_runs.push_back({ order.m_task, order.m_run, {}, 100, 0 });
+        m_starts.emplace_back(id, std::move(order));
+        co_return scheduling::StartAnswer::Started;
+    }
+
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+        -> boost::asio::awaitable<CallOutcome> override
+    {
+        co_return CallOutcome::Answered;
+    }
+
+    auto pace(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::int32_t, std::uint64_t)
+        -> boost::asio::awaitable<CallOutcome> override
+    {
+        co_return CallOutcome::Answered;
+    }
+
+    auto poll(std::string, std::string id, PollRequest) -> boost::asio::awaitable<PollResult> override
+    {
+        auto& life = m_lives[id];
+        PollResult result;
+        if (life.m_isSilent)
+            co_return result;
+        ++life.m_polls;
+        result.m_outcome = CallOutcome::Answered;
+        result.m_report.m_clockMs = monotonicNow().time_since_epoch().count();
+        result.m_report.m_startedAtMs = life.m_startedAtMs;
+        result.m_report.m_runs = life.m_runs;
+        co_return result;
+    }
+
+    std::map<std::string, Life> m_lives; ///< By executor id.
+    std::vector<std::pair<std::string, StartRequest>> m_starts; ///< Starts carried out, with the executor id.
+};
+
+} // namespace hemlockvane::detail
