Keep runs while a lease of an earlier owner may hold them

What callers would see: after a change of owner, a task runs twice (TWICE) when its executor answers the new owner once and then falls silent.

Cause: expireLeases judged an executor that has answered by the latest deadline that this owner sent alone. Until one is sent that is 0, which counted as a lease that has expired; the lease that the earlier owner granted was forgotten with the first answer, so the runs were removed and started elsewhere while they still ran.

The runs of a silent executor are now removed only when the leases of the earlier owners have expired too, which a successor waits for anyway with executors that have not answered. Ruled out as a mend: to note a deadline with the first answer, since an executor doesn't tell the end of the lease that it has.

Test that failed before: TrackRunsTest::takeover_executorSilentAfterItsAnswer_keepsTaskUntilEarlierLeasesExpire, 100 ms before those leases expire: starts().empty().

--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -237,8 +237,9 @@
     for (const auto index : scheduler.m_activeExecutors) {
         auto& executor = *scheduler.m_executors[index];
         const auto lapsesAt = executor.m_leaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
-        const auto hasLapsed = executor.m_isReconciled ? clockLowerBound(executor, now) > lapsesAt
-                                                       : now >= executor.m_earlierLeasesExpireBy;
+        // Also when it has answered: until a deadline is sent, its runs go on by the lease of an earlier owner.
+        const auto hasLapsed = now >= executor.m_earlierLeasesExpireBy
+            && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
         const auto runs = executor.m_runs;
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(takeover_runStored_isNotStartedAgain);
     CPPUNIT_TEST(takeover_runNotReported_isStartedAgain);
     CPPUNIT_TEST(takeover_executorUnresponsive_keepsTaskUntilEarlierLeasesExpire);
+    CPPUNIT_TEST(takeover_executorSilentAfterItsAnswer_keepsTaskUntilEarlierLeasesExpire);
     CPPUNIT_TEST(run_ofUnknownJob_isStopped);
     CPPUNIT_TEST(retire_unregisteredWithRun_waitsForItsEnd);
     CPPUNIT_TEST(retire_executorListedAgain_isUsedAgain);
@@ -254,6 +255,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
     }
 
+    // Guards against a second run of a task on an executor that has been sent no deadline yet, but holds the lease that
+    // the earlier owner granted.
+    auto takeover_executorSilentAfterItsAnswer_keepsTaskUntilEarlierLeasesExpire() -> void
+    {
+        const auto start = takeOver();
+        report(1 - start.m_executor, {});
+        report(start.m_executor, { { start.m_task, start.m_run, "", 50, 0 } });
+        m_scheduler.m_executors[start.m_executor]->m_isUnresponsive = true;
+        m_now += Duration(6500);
+        CPPUNIT_ASSERT(starts().empty());
+        m_now += Duration(200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
+    }
+
     auto run_ofUnknownJob_isStopped() -> void
     {
         const auto actions = report(0, { { { 99, 0, 0, 0 }, 1, "", 10, 0 } });
