Move or maintain no machine whose runs are not known yet

What operators would see: right after a change of owner a machine may be moved to another pool or sent to maintenance because it looks empty, although its executor has not told the new owner what it runs. The order ends whatever runs there.

Cause: the number of runs in a machine's view was taken as a fact before the executor's first answer.

A view now says that there may be unknown runs: while the executor has not answered this owner and leases of earlier owners may last. Such a machine gives up its place to no other pool and is not maintained. Ruled out: to let m_hasExecutor require the answer. Maintenance doesn't look at it, and a pool's capacity does: every pool would seem to have none right after a change of owner, and spare machines would be moved to it. The machine counts as before for capacity and for waiting tasks that look for an idle one (tests). It can't be stuck, since the state ends with the first answer or with the leases, and an executor that is new after these is never in it.

--- a/include/hemlockvane/fleet/MachineView.h
+++ b/include/hemlockvane/fleet/MachineView.h
@@ -12,6 +12,7 @@
 struct MachineView {
     Machine m_machine;
     bool m_hasExecutor = false; ///< True when its executor is listed and responds.
+    bool m_mayHaveUnknownRuns = false; ///< True while runs of an earlier owner may be on it that are not known yet.
     bool m_isReserved = false; ///< True while no new tasks are placed on it.
     bool m_hasPendingOrder = false; ///< True while an order for it is in flight or not yet visible in the machine list.
     bool m_isSpare = false; ///< True when it is in a spare pool.
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -44,6 +44,7 @@
         executor->m_isReserved = view.m_isReserved;
         executor->m_isMaintenanceDue = isMaintenanceDue(fleetState, machine.m_id);
         view.m_hasExecutor = executor->m_isRegistered && !executor->m_isUnresponsive && !executor->m_entry.m_isDraining;
+        view.m_mayHaveUnknownRuns = !executor->m_isReconciled && now < executor->m_earlierLeasesExpireBy;
         view.m_runs = static_cast<std::uint32_t>(executor->m_runs.size());
         view.m_activeLongRunningRuns = executor->m_activeLongRunningRuns;
         view.m_usedCpuMilliCores = executor->m_used.m_cpuMilliCores;
--- a/src/fleet/PlanMachineWave.cpp
+++ b/src/fleet/PlanMachineWave.cpp
@@ -72,7 +72,8 @@
     bool isLate, std::vector<FleetAction>& actions) -> void
 {
     for (const auto* machine : pending) {
-        const auto isEmpty = machine->m_runs == 0 || (isLate && machine->m_activeLongRunningRuns == 0);
+        const auto isEmpty = !machine->m_mayHaveUnknownRuns
+            && (machine->m_runs == 0 || (isLate && machine->m_activeLongRunningRuns == 0));
         const auto mayGo = machine->m_isReserved || machine->m_isSpare;
         if (slots == 0 || !mayGo || !isEmpty || machine->m_hasPendingOrder
             || machine->m_machine.m_state != MachineState::Up)
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -44,7 +44,7 @@
         , m_pools(view.m_pools)
     {
         for (const auto& machine : view.m_machines) {
-            if (isFree(machine))
+            if (isFree(machine) && !machine.m_mayHaveUnknownRuns)
                 m_free.push_back(&machine);
             if (machine.m_machine.m_state == MachineState::Up && machine.m_destinationPool.empty())
                 ++m_machines[machine.m_machine.m_pool];
--- a/tests/core/fleetplan/MachinePlansTest.cpp
+++ b/tests/core/fleetplan/MachinePlansTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(MachinePlansTest);
     CPPUNIT_TEST(wave_emptyReservedMachine_isMaintained);
     CPPUNIT_TEST(wave_machineWithLongRunningTask_isNotMaintainedEvenLate);
+    CPPUNIT_TEST(wave_machineWithUnknownRuns_isNotMaintainedEvenLate);
     CPPUNIT_TEST(wave_maxConcurrentDown_startsNoOther);
     CPPUNIT_TEST(wave_busyPool_keepsMostMachines);
     CPPUNIT_TEST(wave_machineWithLongRunningTasks_isDrainedFirst);
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(wave_machineNotBegun_isNotCompleted);
     CPPUNIT_TEST(moves_demandAboveCapacity_takesSpareMachinesFirst);
     CPPUNIT_TEST(moves_machineWithTasks_stays);
+    CPPUNIT_TEST(moves_machineWithUnknownRuns_stays);
+    CPPUNIT_TEST(moves_machineWithUnknownRuns_countsAsIdleInItsPool);
     CPPUNIT_TEST(moves_poolWithWaitingTasks_givesUpNoMachine);
     CPPUNIT_TEST(moves_longIdleMachine_returnsToSparePool);
     CPPUNIT_TEST(moves_machinesAlreadyLeaving_twoAreKept);
@@ -62,6 +65,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(wave(), FleetActionKind::Maintain));
     }
 
+    auto wave_machineWithUnknownRuns_isNotMaintainedEvenLate() -> void
+    {
+        machine("a0").m_isReserved = true;
+        machine("a0").m_mayHaveUnknownRuns = true;
+        m_now += Duration(19500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(wave(), FleetActionKind::Maintain));
+    }
+
     auto wave_maxConcurrentDown_startsNoOther() -> void
     {
         machine("a0").m_isReserved = true;
@@ -119,6 +130,23 @@
         CPPUNIT_ASSERT(moves().empty());
     }
 
+    auto moves_machineWithUnknownRuns_stays() -> void
+    {
+        m_now += Duration(60000);
+        for (auto& item : m_view.m_machines)
+            item.m_mayHaveUnknownRuns = true;
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    // Guards against moves of further machines to a pool whose executors have not answered a new owner yet.
+    auto moves_machineWithUnknownRuns_countsAsIdleInItsPool() -> void
+    {
+        addWaitingTask({});
+        machine("a0").m_runs = 0;
+        machine("a0").m_mayHaveUnknownRuns = true;
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
     auto moves_poolWithWaitingTasks_givesUpNoMachine() -> void
     {
         m_view.m_pools["a"].m_waitingMilliCores = 20 * machineMilliCores;
