Grant no lease with a start beyond the time that a successor waits

What callers would see: a task runs twice (TWICE) after an owner whose renewals went unanswered for several seconds (it was paused, or the owner's topic was not served) sent a start just before it lost the ownership.

Cause: a start granted the whole lease, whenever the ownership had been renewed for the last time. A successor waits only for leases that end within the longest lease after the newest renewal (PredecessorLeases), which polls keep to. The deadline of a start applies to all runs on the executor, so all of them outlived that wait.

Starts and polls now take their deadline from one function. When no lease may be granted, the start is not sent and is applied as refused, so that its task is planned again after the pause that follows a refusal. That includes an executor that fell silent after the start was planned: the lease of such an executor isn't extended, since its tasks are to be started elsewhere once it expires. Each start that is not sent is logged (start_given_up). Ruled out: further requests with a deadline; starts and polls are the only ones.

--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/Journal.h"
+#include "hemlockvane/detail/coordinator/LeaseDeadline.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/SendActions.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -98,21 +99,6 @@
     co_return true;
 }
 
-// Deadline of an executor's lease, never later than a new owner waits. The lease of an unresponsive executor is not
-// extended, since an unanswered poll may still be carried out: its tasks can be restarted elsewhere once the leases
-// already granted have expired.
-auto leaseDeadline(const CoordinatorState& state, const scheduling::Executor& executor, Instant now)
-    -> std::optional<std::int64_t>
-{
-    if (executor.m_clockMs == 0 || executor.m_isUnresponsive)
-        return std::nullopt;
-    const auto remaining = state.m_ports.m_renewedAt() + state.m_ports.m_longestLease - now;
-    const auto lease = std::min(state.m_scheduler.m_timing.m_lease, remaining);
-    if (lease <= Duration { 0 })
-        return std::nullopt;
-    return executor.m_clockMs + (now - executor.m_clockReadAt).count() + lease.count();
-}
-
 auto needsPoll(const scheduling::Executor& executor) -> bool
 {
     if (executor.m_isTerminated || (!executor.m_isRegistered && executor.m_runs.empty()))
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/ExecutorPolling.h"
+#include "hemlockvane/detail/coordinator/LeaseDeadline.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/logging/OutcomeNames.h"
@@ -28,9 +29,9 @@
 constexpr int startAttempts = 3; // A repeated start is the same run; usually only one call loses its answer.
 constexpr Duration unansweredBackoff { 400 }; // Until a poll shows whether the executor is unresponsive.
 
-auto makeStartRequest(CoordinatorState& state, const scheduling::Action& action) -> StartRequest
+auto makeStartRequest(CoordinatorState& state, const scheduling::Action& action, std::int64_t deadlineMs)
+    -> StartRequest
 {
-    const auto& executor = *state.m_scheduler.m_executors[action.m_executor];
     const auto* job = scheduling::findJob(state.m_scheduler, action.m_task.m_job);
     const auto* task = scheduling::findTask(state.m_scheduler, action.m_task);
     StartRequest request;
@@ -40,16 +41,30 @@
     request.m_epoch = state.m_epoch;
     request.m_checkpoint = task->m_checkpoint;
     request.m_ticket = action.m_ticket;
-    request.m_deadlineMs = executor.m_clockMs + (monotonicNow() - executor.m_clockReadAt).count()
-        + state.m_scheduler.m_timing.m_lease.count();
+    request.m_deadlineMs = deadlineMs;
     return request;
 }
 
+// Applies a start that is not sent, since no lease may be granted: its task is planned again.
+auto abandonStart(CoordinatorState& state, const scheduling::Action& action, Instant now) -> void
+{
+    logOf("orders").warn("event=start_given_up task={} run={} executor={} reason=\"no lease may be granted\"",
+        taskText(action.m_task), action.m_run, state.m_scheduler.m_executors[action.m_executor]->m_entry.m_id);
+    scheduling::applyStartAnswer(state.m_scheduler, action.m_executor, action.m_task, action.m_run,
+        scheduling::StartAnswer::Refused, false, now);
+    state.m_planSignal.notify();
+}
+
 auto sendStart(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[action.m_executor];
     const auto sentAt = monotonicNow();
-    const auto request = makeStartRequest(*state, action);
+    const auto deadlineMs = leaseDeadline(*state, executor, sentAt);
+    if (!deadlineMs) {
+        abandonStart(*state, action, sentAt);
+        co_return;
+    }
+    const auto request = makeStartRequest(*state, action, *deadlineMs);
     executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, request.m_deadlineMs);
     auto answer = scheduling::StartAnswer::Unknown;
     auto wasRepeated = false;
