Poll a new life of an executor as soon as it is listed

What operators would see: an executor that starts again under its id after it ran nothing takes no task for up to 30 s.

Cause: the polling of an idle executor waits for 30 s or a signal. The registry's record of the new life sent none, and no task is started there before its first answer. Found while checking that a life that is listed but has not answered can't be stuck.

The record now wakes the polling when it shows a new life, or an executor that was not listed.

Test that failed before: ExecutorLivesTest::newLife_listedWhileIdle_isPolledAndUsed: starts within 5 s, expected 1, actual 0.

--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -66,6 +66,8 @@
         state->m_pendingRecords[executorPrefix + entry->m_id] = encodeExecutor(*entry);
         state->m_storedExecutors.insert(entry->m_id);
         state->m_journalSignal.notify();
+        // Its polling may be idle, and no task is started there before its first answer.
+        wakePolling(*state, entry->m_id);
     }
     if (isNew || knownStartMs != entry->m_startedAtMs || wasDraining != entry->m_isDraining) {
         logOf("executors")
--- a/tests/shell/coordinator/ExecutorLivesTest.cpp
+++ b/tests/shell/coordinator/ExecutorLivesTest.cpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace hemlockvane::detail {
 
@@ -58,6 +59,7 @@
     CPPUNIT_TEST(newLife_listedAfterItsAnswer_isInTheJournal);
     CPPUNIT_TEST(newLife_nextOwner_keepsItsRun);
     CPPUNIT_TEST(newLife_reportsRunBeforeItIsListed_isPolledOn);
+    CPPUNIT_TEST(newLife_listedWhileIdle_isPolledAndUsed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +125,23 @@
         CPPUNIT_ASSERT(m_executors.m_lives[restarted].m_polls > 2);
     }
 
+    // Guards against a new life that takes no task until the polling of the earlier one, which was idle, wakes by
+    // itself.
+    auto newLife_listedWhileIdle_isPolledAndUsed() -> void
+    {
+        m_executors.m_lives[restarted].m_startedAtMs = 1;
+        const auto submissions = std::exchange(m_memory.m_topics[submissionTopic], {});
+        own(1, {});
+        runUntil([this] { return m_executors.m_lives[restarted].m_polls > 0; });
+        settle();
+        m_executors.m_lives[restarted].m_startedAtMs = 2;
+        list(restarted, "2");
+        settle();
+        m_memory.m_topics[submissionTopic] = submissions;
+        runUntil([this] { return !m_executors.m_starts.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
+    }
+
 private:
     // Appends to the registry.
     auto list(const std::string& id, const std::string& startedAt) -> void
