--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -18,6 +18,8 @@
     return entry.m_labels.size() > 1 ? entry.m_labels.back() : std::string();
 }
 
+// The executor stays unregistered until the registry shows the new life: only the registry tells its service, labels
+// and capacity, which may differ.
 auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index) -> void
 {
     markTerminated(scheduler, index);
@@ -29,7 +31,6 @@
     executor.m_unacknowledgedEnds.clear();
     executor.m_isReconciled = false;
     executor.m_isTerminated = false;
-    executor.m_isRegistered = true;
     executor.m_isLeaving = false;
     executor.m_consecutiveFailures = 0;
     executor.m_backoffUntil = {};
@@ -236,8 +237,9 @@
     for (const auto index : scheduler.m_activeExecutors) {
         auto& executor = *scheduler.m_executors[index];
         const auto lapsesAt = executor.m_leaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
-        const auto hasLapsed = executor.m_isReconciled ? clockLowerBound(executor, now) > lapsesAt
-                                                       : now >= executor.m_earlierLeasesExpireBy;
+        // Also when it has answered: until a deadline is sent, its runs go on by the lease of an earlier owner.
+        const auto hasLapsed = now >= executor.m_earlierLeasesExpireBy
+            && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
         const auto runs = executor.m_runs;
