Open every occurrence that is due after a takeover

What callers would see (LOST): a scheduled job that never completes, one of its times has nothing running though it is due and there is capacity. It needs a new owner after a later occurrence was started before an earlier one, which happens when the earlier one is past its objective: work that can still be in time is planned before it.

Cause: openDueOccurrences took the number of open occurrences for "all below this number are open".

Ruled out: occurrences that are done. restoreProgress opens them as done and takes their count from the record, a repeated end of one neither starts nor counts it again (occurrence_doneBeforeTakeover_isCountedOnce passes before and after).

Failed before: occurrence_laterOneStartedBeforeTakeover_isStarted (expression startedOccurrences() == {0, 1, 2}) and occurrence_laterOneDoneBeforeTakeover_isStartedAndCompletesJob (starts expected 2, actual 1).

Each job now keeps the lowest number that it has not opened by its time. It begins at 0 with each owner and passes over those that were restored. Occurrences are kept until their job ends, so no number below it goes missing, and a plan still looks only at the next number.

--- a/include/hemlockvane/scheduling/Job.h
+++ b/include/hemlockvane/scheduling/Job.h
@@ -19,6 +19,8 @@
     /// For each step: sum of the estimates along the longest path from its start to the end of the job.
     std::vector<std::int64_t> m_criticalPathMs;
     std::map<std::uint32_t, Occurrence> m_occurrences; ///< Due or started; kept until the job ends.
+    /// All occurrences below this number exist. Higher ones may exist too: a takeover restores those that were started.
+    std::uint32_t m_nextOccurrence = 0;
     WallMillis m_endedAt = 0;
     bool m_isDirty = false; ///< Progress has changed since it was last handed to the journal.
     std::uint32_t m_occurrencesDone = 0;
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -152,8 +152,7 @@
 
 auto openDueOccurrences(Job& job, WallMillis wall) -> void
 {
-    for (auto number = static_cast<std::uint32_t>(job.m_occurrences.size()); number < job.m_spec.m_occurrences;
-         ++number) {
+    for (auto& number = job.m_nextOccurrence; number < job.m_spec.m_occurrences; ++number) {
         if (job.m_spec.m_firstDue + static_cast<std::int64_t>(number) * job.m_spec.m_intervalMs > wall)
             return;
         ensureOccurrence(job, number);
--- /dev/null
+++ b/tests/core/scheduling/StoreProgressTest.cpp
@@ -0,0 +1,91 @@
+#include "core/scheduling/SchedulerFixture.h"
+
+#include "hemlockvane/scheduling/JobProgress.h"
+#include "hemlockvane/scheduling/StoreProgress.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace hemlockvane::scheduling {
+
+class StoreProgressTest : public SchedulerFixture {
+    CPPUNIT_TEST_SUITE(StoreProgressTest);
+    CPPUNIT_TEST(occurrence_laterOneStartedBeforeTakeover_isStarted);
+    CPPUNIT_TEST(occurrence_laterOneDoneBeforeTakeover_isStartedAndCompletesJob);
+    CPPUNIT_TEST(occurrence_doneBeforeTakeover_isCountedOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an occurrence that is never started, since only the started ones are stored.
+    auto occurrence_laterOneStartedBeforeTakeover_isStarted() -> void
+    {
+        JobProgress stored;
+        stored.m_phase = JobPhase::Running;
+        TaskProgress task;
+        task.m_occurrence = 1;
+        task.m_highestRun = 1;
+        stored.m_tasks.push_back(task);
+        takeOverDueJob(stored);
+        CPPUNIT_ASSERT(startedOccurrences() == std::set<std::uint32_t>({ 0, 1, 2 }));
+    }
+
+    auto occurrence_laterOneDoneBeforeTakeover_isStartedAndCompletesJob() -> void
+    {
+        takeOverDueJob(progressWithOneDone());
+        const auto starts = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, starts.size());
+        for (const auto& start : starts)
+            reportEnd(start, RunOutcome::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Completed);
+    }
+
+    auto occurrence_doneBeforeTakeover_isCountedOnce() -> void
+    {
+        takeOverDueJob(progressWithOneDone());
+        const auto starts = plan();
+        CPPUNIT_ASSERT(!starts.empty());
+        report(0, {}, { { ++m_endedRuns[0], { job, 1, 0, 0 }, 1, RunOutcome::Done, "" } });
+        reportEnd(starts[0], RunOutcome::Done);
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+        CPPUNIT_ASSERT_EQUAL(2U, findJob(m_scheduler, job)->m_occurrencesDone);
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+private:
+    static auto progressWithOneDone() -> JobProgress
+    {
+        JobProgress stored;
+        stored.m_phase = JobPhase::Running;
+        stored.m_occurrencesDone = 1;
+        stored.m_doneOccurrences = { 1 };
+        return stored;
+    }
+
+    // Restores a job with three occurrences, all of them due.
+    auto takeOverDueJob(const JobProgress& stored) -> void
+    {
+        JobSpec spec;
+        spec.m_id = job;
+        spec.m_queue = "checks";
+        spec.m_steps = { step(1, 1000) };
+        spec.m_occurrences = 3;
+        spec.m_firstDue = m_wall - 3000;
+        spec.m_intervalMs = 1000;
+        addJob(m_scheduler, std::move(spec), m_now);
+        restoreProgress(m_scheduler, job, stored, m_now);
+    }
+
+    auto startedOccurrences() -> std::set<std::uint32_t>
+    {
+        std::set<std::uint32_t> started;
+        for (const auto& action : plan())
+            started.insert(action.m_task.m_occurrence);
+        return started;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreProgressTest);
+
+} // namespace hemlockvane::scheduling
