Keep a cancelled job for its retention after a takeover

A job that had completed before its DELETE is shown as cancelled after a takeover.

Cause: two times and one fact that were not known were taken from a default. - restoreProgress took the end time of a record that has none (0), and marked the cancellation as stored though the record in the store says "running". droppableJobs then found the end of the job decades ago. - A takeover reads cancellations before submissions (they are in the order of their keys), and addJob ended such a job at its submission, for a long job longer ago than the retention.

Ruled out: a cancellation that is never stored. enterPhase marks the job as changed when the cancellation is applied, and it stays so (the test checks it); only the mark "stored" came too early.

The end of a job and what is durable now come from stored progress only as far as it says so: a stored end wins over a cancellation that was read later, as it did with the earlier owner, and without one the end is the time at which the cancellation was applied. addJob is told that time. A job whose end time is not known is never dropped.

--- a/bench/SchedulerScaleBench.cpp
+++ b/bench/SchedulerScaleBench.cpp
@@ -103,7 +103,7 @@
         step.m_perExecutorLimit = isLongRunning ? 2 : 0;
         step.m_maxUnavailable = isLongRunning ? 2 : 0;
         spec.m_steps = { step };
-        addJob(m_scheduler, std::move(spec), m_now);
+        addJob(m_scheduler, std::move(spec), m_now, wall());
     }
 
     // One queue at a time is busy; the others get a twentieth of the mean.
--- a/include/hemlockvane/scheduling/TrackJobs.h
+++ b/include/hemlockvane/scheduling/TrackJobs.h
@@ -9,8 +9,9 @@
 struct Scheduler;
 
 /// @brief Adds a job; a known job is left unchanged.
+/// @param wall end of the job if it was cancelled before it was added
 /// @result true when the job is new
-auto addJob(Scheduler& scheduler, JobSpec spec, Instant now) -> bool;
+auto addJob(Scheduler& scheduler, JobSpec spec, Instant now, WallMillis wall) -> bool;
 
 /// @brief Cancels a job and stops its runs. If the job is unknown, it is cancelled as soon as it is added.
 auto cancelJob(Scheduler& scheduler, JobId id, WallMillis wall) -> void;
--- a/src/detail/coordinator/DropJobs.cpp
+++ b/src/detail/coordinator/DropJobs.cpp
@@ -20,25 +20,25 @@
 constexpr std::size_t maximumDropped = 500; // Per append.
 constexpr Duration appendTimeout { 1000 };
 
-auto droppableJobs(const CoordinatorState& state) -> std::vector<scheduling::JobId>
+} // namespace
+
+auto droppableJobs(const CoordinatorState& state, WallMillis wall) -> std::vector<scheduling::JobId>
 {
     std::vector<scheduling::JobId> old;
-    const auto before = wallNow() - (state.m_ports.m_statusRetention + retentionMargin).count();
+    const auto before = wall - (state.m_ports.m_statusRetention + retentionMargin).count();
     for (const auto& [id, job] : state.m_scheduler.m_jobs) {
         const auto isOver = scheduling::isFinal(job->m_durablePhase) && !state.m_scheduler.m_active.contains(id);
-        if (isOver && job->m_endedAt < before && old.size() < maximumDropped)
+        if (isOver && job->m_endedAt != 0 && job->m_endedAt < before && old.size() < maximumDropped)
             old.push_back(id);
     }
     return old;
 }
 
-} // namespace
-
 auto dropOldJobs(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
 {
     while (!state->m_isStopped) {
         co_await sleepFor(dropInterval);
-        const auto old = droppableJobs(*state);
+        const auto old = droppableJobs(*state, wallNow());
         if (old.empty() || state->m_isStopped)
             continue;
         StoreAppend request;
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -30,7 +30,7 @@
     spec->m_workspace = record.workspace();
     spec->m_submittedAt = record.submitted_at_ms();
     // At a takeover only the number of loaded jobs is logged.
-    const auto isNew = scheduling::addJob(state.m_scheduler, std::move(*spec), monotonicNow());
+    const auto isNew = scheduling::addJob(state.m_scheduler, std::move(*spec), monotonicNow(), wallNow());
     if (isNew && state.m_isLoaded)
         logOf("jobs").info(
             "event=job job={} queue={} age_ms={}", jobIdText(id), record.queue(), wallNow() - record.submitted_at_ms());
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -101,7 +101,6 @@
     if (job == nullptr)
         return;
     job->m_occurrencesDone = progress.m_occurrencesDone;
-    job->m_endedAt = progress.m_endedAt;
     for (const auto number : progress.m_doneOccurrences) {
         auto* occurrence = ensureOccurrence(*job, number);
         if (occurrence != nullptr)
@@ -109,9 +108,13 @@
     }
     for (const auto& stored : progress.m_tasks)
         restoreTask(scheduler, id, stored);
-    if (!isFinal(job->m_phase))
+    job->m_durablePhase = progress.m_phase;
+    // A stored end came before a cancellation that was read since. Without one the job ends with the cancellation,
+    // which is still to be stored.
+    if (isFinal(progress.m_phase) || !isFinal(job->m_phase))
         job->m_phase = progress.m_phase;
-    job->m_durablePhase = job->m_phase;
+    if (isFinal(progress.m_phase) && progress.m_endedAt != 0)
+        job->m_endedAt = progress.m_endedAt;
     for (const auto& stored : progress.m_runs)
         restoreRun(scheduler, *job, stored, now);
 }
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -86,7 +86,7 @@
     return found == scheduler.m_jobs.end() ? nullptr : found->second.get();
 }
 
-auto addJob(Scheduler& scheduler, JobSpec spec, Instant now) -> bool
+auto addJob(Scheduler& scheduler, JobSpec spec, Instant now, WallMillis wall) -> bool
 {
     const auto id = spec.m_id;
     if (scheduler.m_jobs.contains(id))
@@ -101,7 +101,7 @@
     scheduler.m_jobs.emplace(id, std::move(job));
     scheduler.m_active.insert(id);
     if (scheduler.m_earlyCancellations.erase(id) > 0)
-        enterPhase(scheduler, known, JobPhase::Cancelled, known.m_spec.m_submittedAt);
+        enterPhase(scheduler, known, JobPhase::Cancelled, wall);
     return true;
 }
 
--- a/tests/core/scheduling/PlanStartsTest.cpp
+++ b/tests/core/scheduling/PlanStartsTest.cpp
@@ -192,7 +192,7 @@
         spec.m_occurrences = 2;
         spec.m_firstDue = m_wall + 100;
         spec.m_intervalMs = 1000;
-        addJob(m_scheduler, spec, m_now);
+        addJob(m_scheduler, spec, m_now, m_wall);
         CPPUNIT_ASSERT(plan().empty());
         m_wall += 100;
         const auto first = plan();
@@ -213,7 +213,7 @@
         fresh.m_queue = "checks";
         fresh.m_steps = { step(2, 8000) };
         fresh.m_submittedAt = m_wall;
-        addJob(m_scheduler, fresh, m_now);
+        addJob(m_scheduler, fresh, m_now, m_wall);
         const auto starts = plan();
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, starts.size());
         CPPUNIT_ASSERT_EQUAL(job + 1, starts[0].m_task.m_job);
--- a/tests/core/scheduling/SchedulerFixture.cpp
+++ b/tests/core/scheduling/SchedulerFixture.cpp
@@ -39,7 +39,7 @@
     spec.m_workspace = "team";
     spec.m_steps = std::move(steps);
     spec.m_submittedAt = m_wall;
-    addJob(m_scheduler, std::move(spec), m_now);
+    addJob(m_scheduler, std::move(spec), m_now, m_wall);
 }
 
 auto SchedulerFixture::step(std::uint32_t tasks, std::int64_t cpuMillis) -> StepSpec
--- a/tests/core/scheduling/StoreProgressTest.cpp
+++ b/tests/core/scheduling/StoreProgressTest.cpp
@@ -7,6 +7,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace hemlockvane::scheduling {
 
@@ -15,6 +17,9 @@
     CPPUNIT_TEST(occurrence_laterOneStartedBeforeTakeover_isStarted);
     CPPUNIT_TEST(occurrence_laterOneDoneBeforeTakeover_isStartedAndCompletesJob);
     CPPUNIT_TEST(occurrence_doneBeforeTakeover_isCountedOnce);
+    CPPUNIT_TEST(cancelledJob_progressOfRunningJob_isStoredAgainWithItsEnd);
+    CPPUNIT_TEST(cancelledJob_progressOfEndedJob_keepsStoredEnd);
+    CPPUNIT_TEST(cancelledBeforeSubmission_submittedLongAgo_endsWhenApplied);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +58,47 @@
         CPPUNIT_ASSERT(plan().empty());
     }
 
+    // Guards against a job that is dropped before its retention: the cancellation is read before the progress.
+    auto cancelledJob_progressOfRunningJob_isStoredAgainWithItsEnd() -> void
+    {
+        submit({ step(1, 1000) });
+        cancelJob(m_scheduler, job, m_wall);
+        JobProgress stored;
+        stored.m_phase = JobPhase::Running;
+        restoreProgress(m_scheduler, job, stored, m_now);
+        const auto& restored = *findJob(m_scheduler, job);
+        CPPUNIT_ASSERT(restored.m_phase == JobPhase::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(m_wall, restored.m_endedAt);
+        CPPUNIT_ASSERT(restored.m_durablePhase == JobPhase::Running);
+        CPPUNIT_ASSERT(m_scheduler.m_dirtyJobs == std::vector<JobId> { job });
+    }
+
+    auto cancelledJob_progressOfEndedJob_keepsStoredEnd() -> void
+    {
+        submit({ step(1, 1000) });
+        cancelJob(m_scheduler, job, m_wall);
+        JobProgress stored;
+        stored.m_phase = JobPhase::Completed;
+        stored.m_endedAt = m_wall - 2000;
+        restoreProgress(m_scheduler, job, stored, m_now);
+        const auto& restored = *findJob(m_scheduler, job);
+        CPPUNIT_ASSERT(restored.m_phase == JobPhase::Completed);
+        CPPUNIT_ASSERT(restored.m_durablePhase == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(m_wall - 2000, restored.m_endedAt);
+    }
+
+    auto cancelledBeforeSubmission_submittedLongAgo_endsWhenApplied() -> void
+    {
+        cancelJob(m_scheduler, job, m_wall);
+        const auto submittedAt = std::exchange(m_wall, m_wall + 600000);
+        JobSpec spec;
+        spec.m_id = job;
+        spec.m_steps = { step(1, 1000) };
+        spec.m_submittedAt = submittedAt;
+        addJob(m_scheduler, std::move(spec), m_now, m_wall);
+        CPPUNIT_ASSERT_EQUAL(m_wall, findJob(m_scheduler, job)->m_endedAt);
+    }
+
 private:
     static auto progressWithOneDone() -> JobProgress
     {
@@ -73,7 +119,7 @@
         spec.m_occurrences = 3;
         spec.m_firstDue = m_wall - 3000;
         spec.m_intervalMs = 1000;
-        addJob(m_scheduler, std::move(spec), m_now);
+        addJob(m_scheduler, std::move(spec), m_now, m_wall);
         restoreProgress(m_scheduler, job, stored, m_now);
     }
 
