Call a job unknown only after reading all submissions

What callers would see (LOST): a GET for an accepted job is answered with 410.

Cause: statusOf read once and took "not among these" for "does not exist". JobIntake took every text that is no number for "no such job", and any number for a phase.

Ruled out: the end of the topic that an earlier read returned. It may be older than the question, so the end is taken from the first read after it.

A job that nobody submitted is reported as unknown before and after.

The owner reads until it knows the job or has reached that end. It gives up after 300 ms, or if a read gets no answer or brings nothing, and answers "not known at present" (503); whoever asks from another instance waits 500 ms.

--- a/include/hemlockvane/detail/coordinator/Coordinator.h
+++ b/include/hemlockvane/detail/coordinator/Coordinator.h
@@ -40,7 +40,7 @@
     /// @brief Adds a wave that the operators ordered.
     auto addWave(const fleet::WaveState& wave) -> void;
 
-    /// @brief Status of a job. Reads new submissions from the store before it reports a job as unknown.
+    /// @brief Status of a job. Reports a job as unknown only after reading all submissions that the store holds.
     /// @result empty when it is not known at present
     auto statusOf(scheduling::JobId id) -> boost::asio::awaitable<std::optional<JobStatusResult>>;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -21,6 +21,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 namespace hemlockvane::detail {
 
@@ -38,6 +40,7 @@
 // Planning takes at most a quarter of the time, so that requests are served and the ownership is renewed however large
 // the fleet is; what happens between two plans goes into one.
 constexpr int planningPauseFactor = 3;
+constexpr Duration statusReadTime { 300 }; // Reading for one query; another instance waits 500 ms for the answer.
 
 // Retires executors and removes their records from the journal.
 auto dropExecutorRecords(CoordinatorState& state) -> void
@@ -95,6 +98,27 @@
     }
 }
 
+// Reads submissions until a job is known, or up to the end that the topic has at the time of the call.
+// Returns false when neither is reached in time.
+auto readForJob(std::shared_ptr<CoordinatorState> state, scheduling::JobId id) -> asio::awaitable<bool>
+{
+    const auto deadline = monotonicNow() + statusReadTime;
+    std::optional<std::uint64_t> end;
+    while (monotonicNow() < deadline) {
+        const auto from = state->m_nextSubmissionOffset;
+        const auto isRead = co_await readSubmissions(*state, Duration { 0 });
+        if (!isRead)
+            co_return false;
+        if (!end)
+            end = state->m_submissionEnd;
+        if (scheduling::findJob(state->m_scheduler, id) != nullptr || state->m_nextSubmissionOffset >= *end)
+            co_return true;
+        if (state->m_nextSubmissionOffset == from)
+            co_return false;
+    }
+    co_return false;
+}
+
 } // namespace
 
 Coordinator::Coordinator(asio::io_context& context, const CoordinatorPorts& ports, std::uint64_t epoch)
@@ -158,13 +182,12 @@
     const auto state = m_state;
     if (!state->m_isLoaded || state->m_isStopped)
         co_return std::nullopt;
-    const auto* job = scheduling::findJob(state->m_scheduler, id);
-    if (job == nullptr) {
-        const auto isRead = co_await readSubmissions(*state, Duration { 0 });
+    if (scheduling::findJob(state->m_scheduler, id) == nullptr) {
+        const auto isRead = co_await readForJob(state, id);
         if (!isRead)
             co_return std::nullopt;
-        job = scheduling::findJob(state->m_scheduler, id);
     }
+    const auto* job = scheduling::findJob(state->m_scheduler, id);
     if (job == nullptr)
         co_return JobStatusResult {};
     // A final state is shown only once it is stored, since a new owner would otherwise revert it.
--- a/src/detail/intake/JobIntake.cpp
+++ b/src/detail/intake/JobIntake.cpp
@@ -107,12 +107,7 @@
         co_return co_await coordinator->statusOf(id);
     auto target = std::string(statusPath) + jobIdText(id);
     const auto text = co_await askOwner(std::move(target));
-    if (!text)
-        co_return std::nullopt;
-    const auto phase = parseNumber(*text);
-    if (!phase)
-        co_return JobStatusResult {};
-    co_return JobStatusResult { true, static_cast<scheduling::JobPhase>(*phase) };
+    co_return text ? decodeJobStatus(*text) : std::nullopt;
 }
 
 auto JobIntake::countWaitingJobs(std::string queue) -> asio::awaitable<std::optional<std::size_t>>
--- a/tests/shell/coordinator/MemoryStore.cpp
+++ b/tests/shell/coordinator/MemoryStore.cpp
@@ -52,7 +52,7 @@
     const auto& records = m_topics[topic];
     StoreRead read;
     read.m_end = records.size();
-    for (auto offset = from; offset < records.size(); ++offset)
+    for (auto offset = from; offset < records.size() && read.m_records.size() < m_maximumRead; ++offset)
         read.m_records.push_back(records[offset]);
     co_return read;
 }
--- a/tests/shell/coordinator/MemoryStore.h
+++ b/tests/shell/coordinator/MemoryStore.h
@@ -4,7 +4,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -22,6 +24,7 @@
 
     bool m_isDown = false; ///< Calls get no answer and have no effect.
     bool m_losesAnswers = false; ///< Appends are carried out but not answered.
+    std::size_t m_maximumRead = std::numeric_limits<std::size_t>::max(); ///< Maximum number of records in one read.
     std::map<std::string, std::vector<std::string>> m_topics;
     std::map<std::string, std::uint64_t> m_epochs; ///< By topic and producer.
 };
