--- a/tests/shell/platform/DecodeTest.cpp
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -11,12 +11,17 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <string>
+
 namespace hemlockvane::platform {
 
 class DecodeTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DecodeTest);
     CPPUNIT_TEST(job_valid_isDecoded);
     CPPUNIT_TEST(job_invalid_isRefusedWithReason);
+    CPPUNIT_TEST(job_stepLimitInvalid_isRefusedByName);
+    CPPUNIT_TEST(job_stepLimitHuge_isKeptAsLimit);
     CPPUNIT_TEST(executorEntry_invalid_isIgnored);
     CPPUNIT_TEST(configuration_routes_longestPrefixWins);
     CPPUNIT_TEST(configuration_unreadable_isEmpty);
@@ -51,6 +56,30 @@
         }
     }
 
+    // Guards against a limit that is lost or becomes another one.
+    auto job_stepLimitInvalid_isRefusedByName() -> void
+    {
+        for (const std::string name : { "antiAffinity", "mayMiss" }) {
+            for (const auto* value : { "-1", "-4294967295", "1.5", R"("2")", "true", "[]", "null", "1e30" }) {
+                FailureReason reason;
+                const auto body = R"({"steps":[{},{")" + name + R"(":)" + value + "}]}";
+                CPPUNIT_ASSERT_MESSAGE(body, !decodeJob(body, reason));
+                CPPUNIT_ASSERT_MESSAGE(body, reason.m_text.find("step 1: " + name) == 0);
+                CPPUNIT_ASSERT_MESSAGE(body, reason.m_kind == ErrorKind::BadRequest);
+            }
+        }
+    }
+
+    auto job_stepLimitHuge_isKeptAsLimit() -> void
+    {
+        constexpr std::uint32_t maximumTasks = 20000; // In one job, so a higher limit is none.
+        FailureReason reason;
+        const auto job = decodeJob(R"({"steps":[{"antiAffinity":4294967296,"mayMiss":4294967296}]})", reason);
+        CPPUNIT_ASSERT(job);
+        CPPUNIT_ASSERT_EQUAL(maximumTasks, job->m_steps[0].m_perExecutorLimit);
+        CPPUNIT_ASSERT_EQUAL(maximumTasks, job->m_steps[0].m_maxUnavailable);
+    }
+
     auto executorEntry_invalid_isIgnored() -> void
     {
         const std::string good
