--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -251,7 +251,7 @@
         spec.m_occurrences = 2;
         spec.m_firstDue = m_wall;
         spec.m_intervalMs = 60000;
-        addJob(m_scheduler, std::move(spec), m_now);
+        addJob(m_scheduler, std::move(spec), m_now, m_wall);
         reportEnd(plan().at(0), RunOutcome::Failed);
         reportEnd(plan().at(0), RunOutcome::Done);
         lowerLimitTo(1);
--- a/tests/shell/coordinator/ManageFleetTest.cpp
+++ b/tests/shell/coordinator/ManageFleetTest.cpp
@@ -94,7 +94,7 @@
         spec.m_queue = "batch";
         spec.m_steps.resize(1);
         spec.m_steps[0].m_isLongRunning = true;
-        scheduling::addJob(scheduler, std::move(spec), monotonicNow());
+        scheduling::addJob(scheduler, std::move(spec), monotonicNow(), wallNow());
         scheduling::addRun(
             scheduler, task, 1, scheduler.m_executorById.at("e1"), scheduling::RunPhase::Running, monotonicNow())
             .m_percent
--- a/tests/shell/coordinator/StartLeaseTest.cpp
+++ b/tests/shell/coordinator/StartLeaseTest.cpp
@@ -45,7 +45,7 @@
         spec.m_id = 7;
         spec.m_queue = "checks";
         spec.m_steps.resize(1);
-        scheduling::addJob(m_state->m_scheduler, std::move(spec), m_now);
+        scheduling::addJob(m_state->m_scheduler, std::move(spec), m_now, wallNow());
     }
 
     auto start_ownershipJustRenewed_hasWholeLease() -> void
