Check a start against the state right before it is written

Cause: a start was planned while the outcome of an earlier run was unknown, and then waited 2.3 s in the sender, behind other orders for one of the two connections to its executor. The run's phase was looked at before the request joined that queue, never after it, so it went out although its task had ended. Likewise a start went out for a cancelled job, after the ownership was lost, to a later life of the executor, to one that drains or whose machine has accepted an order, and beside an earlier run that had been reported again.

Beside it, a start's answer of another life (421) ended whatever life the executor had by then, with all its runs.

Now HttpPool::call takes a check that is called once there is a connection, right before the request is written (and before a new connection is opened). The check of a start is made of the scheduler's state (obstacleToStart), of the ownership (a lease of full length must end before a new owner may start tasks elsewhere), of the start's own lease and of a bound of 1 s in the sender: after that time the executor has sent a newer report than the one that the start was planned with. A start that is dropped is answered as not sent: its run is removed, since it certainly did not start, and planned anew where it is needed. A repeat that is dropped leaves the outcome of the request before it unknown, and its run is stopped as before. The other members of a gang are stopped, as they would only wait. An answer for an earlier life of the executor is ignored; that life's runs are gone already.

OutcomeNamesTest counts one more answer.

Not covered: what is on the wire already, and stops, paces, moves and upkeep that wait.

--- a/include/hemlockvane/detail/http/HttpPool.h
+++ b/include/hemlockvane/detail/http/HttpPool.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +34,12 @@
     auto call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, FailureReason& reason)
         -> boost::asio::awaitable<std::optional<HttpResponse>>;
 
+    /// @brief As above, but decides as late as possible whether the request is sent.
+    /// @param mayBeSent called once there is a connection, right before the request is written; may be empty
+    /// @param reason receives Cancelled when `mayBeSent` has returned false, so that no byte was sent
+    auto call(std::string address, HttpRequest request, std::chrono::milliseconds timeout,
+        std::function<bool()> mayBeSent, FailureReason& reason) -> boost::asio::awaitable<std::optional<HttpResponse>>;
+
     /// @brief Number of open connections, idle and in use.
     [[nodiscard]] auto openConnections() const -> std::size_t;
 
--- a/include/hemlockvane/detail/ports/ExecutorPort.h
+++ b/include/hemlockvane/detail/ports/ExecutorPort.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace hemlockvane::detail {
@@ -20,7 +21,9 @@
 
     /// @param address address of the executor
     /// @param id id of the intended executor
-    virtual auto start(std::string address, std::string id, StartRequest order)
+    /// @param mayBeSent called right before the request is sent, which may be long after the call
+    /// @result NotSent if `mayBeSent` has returned false
+    virtual auto start(std::string address, std::string id, StartRequest order, std::function<bool()> mayBeSent)
         -> boost::asio::awaitable<scheduling::StartAnswer> = 0;
     virtual auto stop(std::string address, std::string id, scheduling::TaskKey task, std::uint32_t run,
         std::uint64_t epoch) -> boost::asio::awaitable<CallOutcome> = 0;
--- a/include/hemlockvane/scheduling/StartAnswer.h
+++ b/include/hemlockvane/scheduling/StartAnswer.h
@@ -14,6 +14,7 @@
     StaleFence, ///< The executor has accepted requests of a newer owner.
     Refused, ///< Nothing was done: unhealthy executor or invalid request.
     OtherIncarnation, ///< Another executor uses the address.
+    NotSent, ///< The request was dropped before it was sent, since it was not wanted any more.
     Unknown, ///< No answer: the request may still be carried out.
 };
 
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -9,6 +9,7 @@
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/AdvicePort.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
+#include "hemlockvane/scheduling/CheckStart.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -18,6 +19,9 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <string_view>
+#include <utility>
 
 namespace hemlockvane::detail {
 
@@ -27,6 +31,9 @@
 
 constexpr int startAttempts = 3; // A repeated start is the same run; usually only one call loses its answer.
 constexpr Duration unansweredBackoff { 400 }; // Until a poll shows whether the executor is unresponsive.
+// A start may wait this long in the sender: after it, the executor has sent a newer report than the one that the start
+// was planned with.
+constexpr Duration longestStartWait { 1000 };
 
 auto makeStartRequest(CoordinatorState& state, const scheduling::Action& action) -> StartRequest
 {
@@ -45,30 +52,68 @@
     return request;
 }
 
+// Whether a lease of full length would end before a new owner may start tasks elsewhere.
+auto isOwnershipRecent(const CoordinatorState& state, Instant now) -> bool
+{
+    return now + state.m_scheduler.m_timing.m_lease <= state.m_ports.m_renewedAt() + state.m_ports.m_longestLease;
+}
+
+// Why a start must not be sent any more; empty if it may be sent.
+auto obstacleToSending(CoordinatorState& state, const scheduling::Action& action, std::int64_t startedAtMs,
+    std::int64_t deadlineMs, Instant since) -> std::string_view
+{
+    const auto now = monotonicNow();
+    if (state.m_isStopped || !isOwnershipRecent(state, now))
+        return "ownership not renewed";
+    const auto obstacle = scheduling::obstacleToStart(state.m_scheduler, action, startedAtMs);
+    if (!obstacle.empty())
+        return obstacle;
+    const auto& executor = *state.m_scheduler.m_executors[action.m_executor];
+    const auto clockMs = executor.m_clockMs + (now - executor.m_clockReadAt).count();
+    return now - since > longestStartWait || clockMs >= deadlineMs ? "waited too long" : "";
+}
+
 auto sendStart(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[action.m_executor];
     const auto sentAt = monotonicNow();
     const auto request = makeStartRequest(*state, action);
     executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, request.m_deadlineMs);
-    auto answer = scheduling::StartAnswer::Unknown;
+    const auto startedAtMs = executor.m_entry.m_startedAtMs;
+    std::string_view obstacle;
+    const std::function<bool()> check = [&] {
+        obstacle = obstacleToSending(*state, action, startedAtMs, request.m_deadlineMs, sentAt);
+        return obstacle.empty();
+    };
+    auto answer = scheduling::StartAnswer::NotSent;
     auto wasRepeated = false;
-    for (int attempt = 0; attempt < startAttempts && !state->m_isStopped; ++attempt) {
-        const auto* run = scheduling::findRun(state->m_scheduler, action.m_task, action.m_run, action.m_executor);
-        if (run == nullptr || run->m_phase != scheduling::RunPhase::Starting)
+    for (int attempt = 0; attempt < startAttempts; ++attempt) {
+        auto mayBeSent = check;
+        const auto newAnswer = co_await state->m_ports.m_executors->start(
+            executor.m_entry.m_address, executor.m_entry.m_id, request, std::move(mayBeSent));
+        // A repeat that was not sent leaves the outcome of the request before it unknown.
+        if (newAnswer == scheduling::StartAnswer::NotSent)
             break;
         wasRepeated = attempt > 0;
-        answer = co_await state->m_ports.m_executors->start(executor.m_entry.m_address, executor.m_entry.m_id, request);
-        if (answer != scheduling::StartAnswer::Unknown)
+        answer = newAnswer;
+        if (answer != scheduling::StartAnswer::Unknown || state->m_isStopped)
             break;
         executor.m_backoffUntil = std::max(executor.m_backoffUntil, monotonicNow() + unansweredBackoff);
     }
     if (state->m_isStopped)
         co_return;
-    logOf("orders").info("event=start task={} run={} executor={} used_cpu={} reason=\"{}\" answer={} took_ms={}",
+    logOf("orders").info("event=start task={} run={} executor={} used_cpu={} reason=\"{}\" answer={} "
+                         "obstacle=\"{}\" took_ms={}",
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, executor.m_used.m_cpuMilliCores, action.m_reason,
-        nameOf(answer), (monotonicNow() - sentAt).count());
+        nameOf(answer), obstacle, (monotonicNow() - sentAt).count());
     state->m_ports.m_metrics->count("starts_total{answer=\"" + std::string(nameOf(answer)) + "\"}");
+    // The runs of an earlier life are gone, and its answer says nothing about the life that the executor has now.
+    if (executor.m_entry.m_startedAtMs != startedAtMs) {
+        state->m_planSignal.notify();
+        co_return;
+    }
+    if (answer == scheduling::StartAnswer::NotSent && monotonicNow() - sentAt > longestStartWait)
+        executor.m_backoffUntil = std::max(executor.m_backoffUntil, monotonicNow() + unansweredBackoff);
     scheduling::applyStartAnswer(
         state->m_scheduler, action.m_executor, action.m_task, action.m_run, answer, wasRepeated, monotonicNow());
     wakePolling(*state, executor.m_entry.m_id);
--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -148,6 +148,12 @@
 
 auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, FailureReason& reason)
     -> asio::awaitable<std::optional<HttpResponse>>
+{
+    return call(std::move(address), std::move(request), timeout, {}, reason);
+}
+
+auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout,
+    std::function<bool()> mayBeSent, FailureReason& reason) -> asio::awaitable<std::optional<HttpResponse>>
 {
     const auto server = m_impl->serverAt(address);
     ++server->m_calls;
@@ -157,12 +163,18 @@
     auto connection = m_impl->takeIdle(*server);
     m_impl->closeUnneeded();
     auto isConnected = connection.has_value();
+    // A request that is not wanted any more needs no new connection either.
+    auto isWanted = !mayBeSent || mayBeSent();
     if (!isConnected) {
         connection.emplace(m_impl->m_context.get_executor());
-        isConnected = co_await connection->connect(address, std::min(timeout, connectTimeout), reason);
+        if (isWanted)
+            isConnected = co_await connection->connect(address, std::min(timeout, connectTimeout), reason);
+        isWanted = isWanted && (!mayBeSent || mayBeSent()); // Connecting takes time.
     }
     std::optional<HttpResponse> response;
-    if (isConnected)
+    if (!isWanted)
+        fail(reason, ErrorKind::Cancelled, "the request is not wanted any more");
+    else if (isConnected)
         response = co_await connection->exchange(request, timeout, maximumResponseBytes, reason);
     m_impl->release(server, std::move(*connection));
     --server->m_calls;
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -95,6 +95,8 @@
         return "refused";
     case scheduling::StartAnswer::OtherIncarnation:
         return "other_incarnation";
+    case scheduling::StartAnswer::NotSent:
+        return "not_sent";
     case scheduling::StartAnswer::Unknown:
         return "no_answer";
     }
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -203,6 +203,10 @@
         found->m_stopAnsweredAt = now;
         return;
     }
+    if (answer == StartAnswer::NotSent && findJob(scheduler, key.m_job)->m_spec.m_steps[key.m_step].m_isGang) {
+        for (auto& member : findStep(scheduler, key)->m_tasks)
+            stopOtherRuns(member);
+    }
     removeRun(scheduler, key, run, executor);
 }
 
--- a/tests/shell/coordinator/TakeoverOrderTest.cpp
+++ b/tests/shell/coordinator/TakeoverOrderTest.cpp
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,7 +61,8 @@
 // Executors that never answer, so that a takeover knows only what is stored.
 class SilentExecutors : public ExecutorPort {
 public:
-    auto start(std::string, std::string, StartRequest) -> asio::awaitable<scheduling::StartAnswer> override
+    auto start(std::string, std::string, StartRequest, std::function<bool()>)
+        -> asio::awaitable<scheduling::StartAnswer> override
     {
         co_await sleepFor(silence);
         co_return scheduling::StartAnswer::Unknown;
--- a/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
+++ b/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
@@ -15,6 +15,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,7 +49,8 @@
 // An executor that reports the newest run as failed until this is acknowledged.
 class ExecutorWithFailedRun : public ExecutorPort {
 public:
-    auto start(std::string, std::string, StartRequest order) -> asio::awaitable<scheduling::StartAnswer> override
+    auto start(std::string, std::string, StartRequest order, std::function<bool()>)
+        -> asio::awaitable<scheduling::StartAnswer> override
     {
         m_startedRuns.push_back(order.m_run);
         co_return scheduling::StartAnswer::Started;
--- a/tests/shell/http/HttpPoolTest.cpp
+++ b/tests/shell/http/HttpPoolTest.cpp
@@ -7,8 +7,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <exception>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlockvane::detail {
@@ -21,6 +24,8 @@
     CPPUNIT_TEST(call_manyServersOnceEach_staysWithinTotal);
     CPPUNIT_TEST(call_otherServerAfterIdleTimeout_closesIdleConnection);
     CPPUNIT_TEST(call_moreInUseThanTotal_isNotDelayed);
+    CPPUNIT_TEST(call_notWantedAnyMore_isNotWritten);
+    CPPUNIT_TEST(call_notWantedAnyMoreOnceConnected_isNotWritten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -29,6 +34,7 @@
         m_context = std::make_unique<asio::io_context>();
         m_servers.clear();
         m_addresses.clear();
+        m_requests = 0;
         for (int number = 0; number < serverCount; ++number)
             addServer();
     }
@@ -76,11 +82,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, pool.openConnections());
     }
 
+    auto call_notWantedAnyMore_isNotWritten() -> void
+    {
+        HttpPool pool(*m_context, {});
+        callServer(pool, 0);
+        CPPUNIT_ASSERT(callIfWanted(pool, [] { return false; }).m_kind == ErrorKind::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(1, m_requests);
+        // The connection can be used by the next call.
+        callServer(pool, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_servers[0]->connectionCount());
+    }
+
+    auto call_notWantedAnyMoreOnceConnected_isNotWritten() -> void
+    {
+        HttpPool pool(*m_context, {});
+        int checks = 0;
+        CPPUNIT_ASSERT(callIfWanted(pool, [&] { return ++checks == 1; }).m_kind == ErrorKind::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(0, m_requests);
+    }
+
 private:
     static constexpr int serverCount = 6;
 
-    static auto answer(HttpRequest) -> asio::awaitable<HttpResponse>
+    auto answer() -> asio::awaitable<HttpResponse>
     {
+        ++m_requests;
         HttpResponse response;
         response.m_status = 200;
         co_return response;
@@ -89,7 +115,8 @@
     auto addServer() -> void
     {
         FailureReason reason;
-        m_servers.push_back(std::make_unique<HttpServer>(*m_context, HttpLimits {}, answer));
+        m_servers.push_back(
+            std::make_unique<HttpServer>(*m_context, HttpLimits {}, [this](const HttpRequest&) { return answer(); }));
         const auto port = m_servers.back()->listen("127.0.0.1:0", reason);
         CPPUNIT_ASSERT(port);
         m_addresses.push_back("127.0.0.1:" + std::to_string(*port));
@@ -119,6 +146,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, answered);
     }
 
+    auto callIfWanted(HttpPool& pool, std::function<bool()> mayBeSent) -> FailureReason
+    {
+        FailureReason reason;
+        auto isOver = false;
+        asio::co_spawn(*m_context,
+            pool.call(m_addresses[0], HttpRequest {}, std::chrono::milliseconds(2000), std::move(mayBeSent), reason),
+            [&](const std::exception_ptr&, const std::optional<HttpResponse>& response) {
+                CPPUNIT_ASSERT(!response);
+                isOver = true;
+            });
+        runUntil([&] { return isOver; });
+        CPPUNIT_ASSERT(isOver);
+        return reason;
+    }
+
     template <typename Condition> auto runUntil(Condition condition) -> void
     {
         m_context->restart();
@@ -129,6 +171,7 @@
     std::unique_ptr<asio::io_context> m_context;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::vector<std::string> m_addresses;
+    int m_requests = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpPoolTest);
--- a/tests/shell/logging/OutcomeNamesTest.cpp
+++ b/tests/shell/logging/OutcomeNamesTest.cpp
@@ -19,7 +19,7 @@
 public:
     auto nameOf_everyStartAnswer_isUnique() -> void
     {
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 9 }, namesUpTo(scheduling::StartAnswer::Unknown).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 10 }, namesUpTo(scheduling::StartAnswer::Unknown).size());
     }
 
     auto nameOf_everyMachineOutcome_isUnique() -> void
