Count a job as begun only when a task has started

GET of a queue gave too low a number, and a job was shown as running, while none of its tasks had started.

Cause: addRun set a job's phase to running, so it began with the plan of its first start. Ruled out: submissions that were not read yet (they are answered by a read of the store first) and jobs already dropped.

Now a job begins when a start is answered as started, when an executor lists a run of it, or lists the end of one. That a job has begun is not stored by itself, which would be one more record for each job: it goes with the next change, and active runs show it anyway.

countWaitingJobs is a function of the scheduler's state now; it looks at the phase before it compares names.

--- a/include/hemlockvane/scheduling/TrackJobs.h
+++ b/include/hemlockvane/scheduling/TrackJobs.h
@@ -4,6 +4,10 @@
 #include "hemlockvane/scheduling/TaskKey.h"
 #include "hemlockvane/time/Time.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
 namespace hemlockvane::scheduling {
 
 struct Scheduler;
@@ -24,6 +28,10 @@
 /// @brief Sets the phase of a job; on a final phase its runs are stopped. A job that has ended keeps its phase.
 auto enterPhase(Scheduler& scheduler, Job& job, JobPhase phase, WallMillis wall) -> void;
 
+/// @brief Notes that a task of the job has started. This is stored with the job's next change: after a takeover the
+/// executors' reports show it again.
+auto markBegun(Job& job) -> void;
+
 /// @brief Occurrence of a job, created if it does not exist yet.
 /// @result null when the job has no such occurrence
 auto ensureOccurrence(Job& job, std::uint32_t number) -> Occurrence*;
@@ -48,6 +56,9 @@
 /// @brief Removes ended jobs without runs from the active ones.
 auto retireJobs(Scheduler& scheduler) -> void;
 
+/// @brief Number of a queue's jobs of which no task is known to have started.
+auto countWaitingJobs(const Scheduler& scheduler, std::string_view queue) -> std::size_t;
+
 /// @brief Whether all steps that a step depends on are done.
 auto isStepReady(const StepSpec& spec, const Occurrence& occurrence) -> bool;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -178,13 +178,7 @@
 {
     if (!m_state->m_isLoaded || m_state->m_isStopped)
         return std::nullopt;
-    std::size_t waiting = 0;
-    for (const auto id : m_state->m_scheduler.m_active) {
-        const auto& job = *m_state->m_scheduler.m_jobs.at(id);
-        if (job.m_spec.m_queue == queue && job.m_phase == scheduling::JobPhase::Queued)
-            ++waiting;
-    }
-    return waiting;
+    return scheduling::countWaitingJobs(m_state->m_scheduler, queue);
 }
 
 } // namespace hemlockvane::detail
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -45,8 +45,9 @@
         actions.push_back({ ActionKind::Stop, index, reported.m_task, reported.m_run, 100, {}, {}, "unknown run" });
         return;
     }
-    const auto& job = *findJob(scheduler, reported.m_task.m_job);
+    auto& job = *findJob(scheduler, reported.m_task.m_job);
     const auto& spec = job.m_spec.m_steps[reported.m_task.m_step];
+    markBegun(job);
     const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone
         && (task->m_runs.empty() || (spec.m_allowsDuplicates && !spec.m_isGang));
     auto& run = addRun(
@@ -57,14 +58,15 @@
         task->m_checkpoint = reported.m_checkpoint;
 }
 
-auto refreshRun(TaskRun& run, TaskState& task, const ReportedRun& reported) -> void
+auto refreshRun(Scheduler& scheduler, TaskRun& run, const ReportedRun& reported) -> void
 {
+    markBegun(*findJob(scheduler, reported.m_task.m_job));
     if (run.m_phase == RunPhase::Starting)
         run.m_phase = RunPhase::Running;
     run.m_percent = reported.m_percent;
     run.m_measurement = reported.m_measurement;
     if (!reported.m_checkpoint.empty())
-        task.m_checkpoint = reported.m_checkpoint;
+        findTask(scheduler, reported.m_task)->m_checkpoint = reported.m_checkpoint;
 }
 
 auto isReported(const ExecutorReport& report, const ExecutorRun& item) -> bool
@@ -221,7 +223,7 @@
         if (run == nullptr)
             adoptRun(scheduler, index, reported, now, actions);
         else
-            refreshRun(*run, *findTask(scheduler, reported.m_task), reported);
+            refreshRun(scheduler, *run, reported);
     }
     stopUnconfirmedStarts(scheduler, index, report);
     removeStoppedRuns(scheduler, index, report);
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -140,6 +140,12 @@
     markDirty(scheduler, job);
 }
 
+auto markBegun(Job& job) -> void
+{
+    if (job.m_phase == JobPhase::Queued)
+        job.m_phase = JobPhase::Running;
+}
+
 auto ensureOccurrence(Job& job, std::uint32_t number) -> Occurrence*
 {
     const auto found = job.m_occurrences.find(number);
@@ -197,6 +203,14 @@
     });
 }
 
+auto countWaitingJobs(const Scheduler& scheduler, std::string_view queue) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(scheduler.m_active.begin(), scheduler.m_active.end(), [&](JobId id) {
+        const auto& job = *scheduler.m_jobs.at(id);
+        return job.m_phase == JobPhase::Queued && job.m_spec.m_queue == queue;
+    }));
+}
+
 auto isStepReady(const StepSpec& spec, const Occurrence& occurrence) -> bool
 {
     return std::all_of(spec.m_after.begin(), spec.m_after.end(), [&](std::uint32_t earlier) {
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -118,7 +118,6 @@
     target.m_activeLongRunningRuns += spec.m_isLongRunning ? 1 : 0;
     addTo(target.m_used, requiredResources(spec));
     addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
-    enterPhase(scheduler, job, JobPhase::Running, 0);
     markDirty(scheduler, job);
     return task.m_runs.back();
 }
@@ -153,6 +152,7 @@
     auto& job = *findJob(scheduler, end.m_task.m_job);
     auto& step = *findStep(scheduler, end.m_task);
     const auto& spec = job.m_spec.m_steps[end.m_task.m_step];
+    markBegun(job);
     task->m_highestRun = std::max(task->m_highestRun, end.m_run);
     if (!end.m_checkpoint.empty())
         task->m_checkpoint = end.m_checkpoint;
@@ -187,6 +187,7 @@
     if (answer == StartAnswer::Started) {
         if (found->m_phase == RunPhase::Starting)
             found->m_phase = RunPhase::Running;
+        markBegun(*findJob(scheduler, key.m_job));
         return;
     }
     if (answer == StartAnswer::NoCapacity || answer == StartAnswer::Refused || answer == StartAnswer::Unknown)
