Check a machine order against the ownership right before it is written

Cause: sendMachineOrders asks whether the ownership was renewed within the last 0.9 s before it hands the order to the sender, which may then hold it while the service is slow (up to 1 s for each order before it). A new owner reckons with orders that are sent within 0.9 s of the renewal stored with them (restoreMachineOrder), so a later one breaks its bound.

Now the same question is asked once there is a connection, right before the order is written. One that is dropped counts as refused: nothing was done, the reservation is released, and the machine is ordered anew by whoever owns the fleet.

--- a/include/hemlockvane/detail/ports/MachinePort.h
+++ b/include/hemlockvane/detail/ports/MachinePort.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,9 +21,12 @@
 
     /// @result empty without a complete answer
     virtual auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> = 0;
-    virtual auto move(std::string machine, std::string pool, std::uint64_t epoch)
+    /// @param mayBeSent called right before the order is sent, which may be long after the call
+    /// @result Refused if `mayBeSent` has returned false
+    virtual auto move(std::string machine, std::string pool, std::uint64_t epoch, std::function<bool()> mayBeSent)
         -> boost::asio::awaitable<MachineOutcome> = 0;
-    virtual auto maintain(std::string machine, std::uint64_t wave, std::uint64_t epoch)
+    /// @param mayBeSent as for `move`
+    virtual auto maintain(std::string machine, std::uint64_t wave, std::uint64_t epoch, std::function<bool()> mayBeSent)
         -> boost::asio::awaitable<MachineOutcome> = 0;
 };
 
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace hemlockvane::detail {
 
@@ -100,10 +102,13 @@
 {
     const auto sentAt = monotonicNow();
     auto outcome = MachineOutcome::Unknown;
+    std::function<bool()> mayBeSent = [state] { return !state->m_isStopped && mayOrderMachines(*state); };
     if (action.m_kind == FleetActionKind::Maintain)
-        outcome = co_await state->m_ports.m_machines->maintain(action.m_machine, action.m_wave, state->m_epoch);
+        outcome = co_await state->m_ports.m_machines->maintain(
+            action.m_machine, action.m_wave, state->m_epoch, std::move(mayBeSent));
     else
-        outcome = co_await state->m_ports.m_machines->move(action.m_machine, action.m_pool, state->m_epoch);
+        outcome = co_await state->m_ports.m_machines->move(
+            action.m_machine, action.m_pool, state->m_epoch, std::move(mayBeSent));
     if (state->m_isStopped)
         co_return;
     logOf("fleet").info("event=order machine={} wave={} pool={} reason=\"{}\" outcome={} took_ms={}", action.m_machine,
--- a/tests/shell/coordinator/RecordingMachines.h
+++ b/tests/shell/coordinator/RecordingMachines.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/ports/MachinePort.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -15,15 +16,15 @@
         co_return std::nullopt;
     }
 
-    auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/)
+    auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/, std::function<bool()> /*mayBeSent*/)
         -> boost::asio::awaitable<MachineOutcome> override
     {
         m_moved.push_back(std::move(machine));
         co_return m_outcome;
     }
 
-    auto maintain(std::string /*machine*/, std::uint64_t /*wave*/, std::uint64_t /*epoch*/)
-        -> boost::asio::awaitable<MachineOutcome> override
+    auto maintain(std::string /*machine*/, std::uint64_t /*wave*/, std::uint64_t /*epoch*/,
+        std::function<bool()> /*mayBeSent*/) -> boost::asio::awaitable<MachineOutcome> override
     {
         co_return m_outcome;
     }
