Drop a stop that is not wanted any more when it can be written

A stop without answer is planned again each 0.3 s, and each of them joins the queue for the two connections to the executor, before the next starts.

Cause: once a stop was handed to the sender nothing looked at it again. It was written also when an earlier one had been answered, the end of the run was listed, the run's start had been dropped, the executor had started again or the ownership was lost.

Now a stop has a check like a start. A run that the scheduler does not know is stopped because its executor reports it, so only the executor's life and the ownership count there. An answer for an earlier life of the executor is ignored.

Two guard that a wanted stop, and the stop of an unknown run, are still written.

Not covered: paces, and whether a stop that empties an executor still leaves its step enough tasks at work when it is written.

--- a/include/hemlockvane/detail/ports/ExecutorPort.h
+++ b/include/hemlockvane/detail/ports/ExecutorPort.h
@@ -25,8 +25,9 @@
     /// @result NotSent if `mayBeSent` has returned false
     virtual auto start(std::string address, std::string id, StartRequest order, std::function<bool()> mayBeSent)
         -> boost::asio::awaitable<scheduling::StartAnswer> = 0;
+    /// @param mayBeSent as for `start`
     virtual auto stop(std::string address, std::string id, scheduling::TaskKey task, std::uint32_t run,
-        std::uint64_t epoch) -> boost::asio::awaitable<CallOutcome> = 0;
+        std::uint64_t epoch, std::function<bool()> mayBeSent) -> boost::asio::awaitable<CallOutcome> = 0;
     virtual auto pace(std::string address, std::string id, scheduling::TaskKey task, std::uint32_t run,
         std::int32_t percent, std::uint64_t epoch) -> boost::asio::awaitable<CallOutcome> = 0;
     virtual auto poll(std::string address, std::string id, PollRequest order) -> boost::asio::awaitable<PollResult> = 0;
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -121,16 +121,30 @@
         state->m_planSignal.notify();
 }
 
+// Whether the run may still be active on its executor and no stop of it has been answered.
+auto isStopWanted(CoordinatorState& state, const scheduling::Action& action) -> bool
+{
+    const auto* run = scheduling::findRun(state.m_scheduler, action.m_task, action.m_run, action.m_executor);
+    return run != nullptr && !run->m_stopAnsweredAt;
+}
+
 auto sendStop(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[action.m_executor];
-    const auto outcome = co_await state->m_ports.m_executors->stop(
-        executor.m_entry.m_address, executor.m_entry.m_id, action.m_task, action.m_run, state->m_epoch);
+    const auto startedAtMs = executor.m_entry.m_startedAtMs;
+    const auto isKnown = isStopWanted(*state, action);
+    // A run that the scheduler does not know was reported by its executor, and is stopped for that.
+    std::function<bool()> mayBeSent = [state, &action, &executor, startedAtMs, isKnown] {
+        return !state->m_isStopped && executor.m_entry.m_startedAtMs == startedAtMs
+            && (!isKnown || isStopWanted(*state, action));
+    };
+    const auto outcome = co_await state->m_ports.m_executors->stop(executor.m_entry.m_address, executor.m_entry.m_id,
+        action.m_task, action.m_run, state->m_epoch, std::move(mayBeSent));
     if (state->m_isStopped)
         co_return;
     logOf("orders").info("event=stop task={} run={} executor={} reason=\"{}\" outcome={}", taskText(action.m_task),
         action.m_run, executor.m_entry.m_id, action.m_reason, nameOf(outcome));
-    if (outcome == CallOutcome::Answered)
+    if (outcome == CallOutcome::Answered && executor.m_entry.m_startedAtMs == startedAtMs)
         scheduling::applyStopAnswer(state->m_scheduler, action.m_executor, action.m_task, action.m_run, monotonicNow());
     wakePolling(*state, executor.m_entry.m_id);
 }
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -19,6 +19,8 @@
         return "other_incarnation";
     case CallOutcome::Refused:
         return "refused";
+    case CallOutcome::NotSent:
+        return "not_sent";
     case CallOutcome::Unknown:
         return "no_answer";
     }
--- a/tests/shell/coordinator/SendActionsTest.cpp
+++ b/tests/shell/coordinator/SendActionsTest.cpp
@@ -34,6 +34,7 @@
 const std::string stopTarget = "/hemlockvane/run-stop";
 const std::string holdTarget = "/hold"; // A request that keeps the connection until it is released.
 constexpr scheduling::TaskKey task { 7, 0, 0, 0 };
+constexpr scheduling::JobId unknownJob = 8;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusOtherIncarnation = 421;
 constexpr Duration roundTime { 5 };
@@ -58,6 +59,11 @@
     CPPUNIT_TEST(start_waitedTooLong_isNotWrittenAndPlannedAgain);
     CPPUNIT_TEST(start_writtenWithoutAnswerThenTaskEnded_isStopped);
     CPPUNIT_TEST(start_otherIncarnationAnsweredForEarlierLife_newerLifeIsKept);
+    CPPUNIT_TEST(stop_runListedAsEndedMeanwhile_isNotWritten);
+    CPPUNIT_TEST(stop_executorRestartedMeanwhile_isNotWritten);
+    CPPUNIT_TEST(stop_ownershipLostMeanwhile_isNotWritten);
+    CPPUNIT_TEST(stop_stillWanted_isWritten);
+    CPPUNIT_TEST(stop_ofUnknownRun_isWritten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -225,6 +231,57 @@
         CPPUNIT_ASSERT(!executor.m_isTerminated);
     }
 
+    auto stop_runListedAsEndedMeanwhile_isNotWritten() -> void
+    {
+        stopWhileHeld();
+        auto report = reportOf(m_target);
+        report.m_endedRuns.push_back({ 1, task, 2, scheduling::RunOutcome::Done, {} });
+        apply(m_target, report);
+        release();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 0 }, countReceived(stopTarget));
+    }
+
+    auto stop_executorRestartedMeanwhile_isNotWritten() -> void
+    {
+        stopWhileHeld();
+        auto entry = m_state->m_scheduler.m_executors[m_target]->m_entry;
+        ++entry.m_startedAtMs;
+        scheduling::registerExecutor(m_state->m_scheduler, entry, monotonicNow(), monotonicNow());
+        release();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 0 }, countReceived(stopTarget));
+    }
+
+    auto stop_ownershipLostMeanwhile_isNotWritten() -> void
+    {
+        stopWhileHeld();
+        m_state->m_isStopped = true;
+        release();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 0 }, countReceived(stopTarget));
+    }
+
+    auto stop_stillWanted_isWritten() -> void
+    {
+        stopWhileHeld();
+        release();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 1 }, countReceived(stopTarget));
+        const auto* run = scheduling::findRun(m_state->m_scheduler, task, 2, m_target);
+        CPPUNIT_ASSERT(run != nullptr && run->m_stopAnsweredAt);
+    }
+
+    auto stop_ofUnknownRun_isWritten() -> void
+    {
+        hold();
+        auto report = reportOf(m_target);
+        report.m_runs.push_back({ { unknownJob, 0, 0, 0 }, 1, {}, 0, 0 });
+        std::vector<scheduling::Action> actions;
+        scheduling::applyReport(m_state->m_scheduler, m_target, report, monotonicNow(), wallNow(), actions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        sendActions(m_state, std::move(actions));
+        runFor(settleTime);
+        release();
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 1 }, countReceived(stopTarget));
+    }
+
 private:
     auto answer(HttpRequest request) -> asio::awaitable<HttpResponse>
     {
@@ -293,13 +350,34 @@
     // Sends a start while another request has the only connection.
     auto sendWhileHeld() -> void
     {
-        asio::co_spawn(*m_context, holdConnection(), [](const std::exception_ptr&) {});
-        runUntil([this] { return m_isHolding; });
+        hold();
         send();
         runFor(settleTime);
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 0 }, countReceived(startTarget));
     }
 
+    // Sends the stop of a running task while another request has the only connection.
+    auto stopWhileHeld() -> void
+    {
+        send();
+        runUntil([this] { return countReceived(startTarget) == 1; });
+        runFor(settleTime);
+        hold();
+        scheduling::cancelJob(m_state->m_scheduler, task.m_job, wallNow());
+        std::vector<scheduling::Action> actions;
+        scheduling::planStops(m_state->m_scheduler, monotonicNow(), actions);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        sendActions(m_state, std::move(actions));
+        runFor(settleTime);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 0 }, countReceived(stopTarget));
+    }
+
+    auto hold() -> void
+    {
+        asio::co_spawn(*m_context, holdConnection(), [](const std::exception_ptr&) {});
+        runUntil([this] { return m_isHolding; });
+    }
+
     auto holdConnection() -> asio::awaitable<void>
     {
         HttpRequest request;
--- a/tests/shell/coordinator/TakeoverOrderTest.cpp
+++ b/tests/shell/coordinator/TakeoverOrderTest.cpp
@@ -67,7 +67,7 @@
         co_await sleepFor(silence);
         co_return scheduling::StartAnswer::Unknown;
     }
-    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t, std::function<bool()>)
         -> asio::awaitable<CallOutcome> override
     {
         co_await sleepFor(silence);
--- a/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
+++ b/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
@@ -55,7 +55,7 @@
         m_startedRuns.push_back(order.m_run);
         co_return scheduling::StartAnswer::Started;
     }
-    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t, std::function<bool()>)
         -> asio::awaitable<CallOutcome> override
     {
         co_return CallOutcome::Answered;
