Hand a connection to the call that has waited longest for it

Found while following starts of the small twin that waited up to 2.3 s in the sender; whether this made those waits was not traced.

Fault: release counted the slot as free and woke the longest waiting call by a timer, which runs later. The caller whose call had ended goes on at once; when it calls again, as a start that is repeated without answer does, it took the slot first, and the woken call went to the end of the queue. A repeat could keep the only connection for all its attempts of 0.3 s each.

Now the slot is left to the woken call. The order is that of the calls, so each waits for those before it only.

Test: two callers share one connection, one calls four times and the other twice. Before, the order of the answers was "aaaabb"; now it is "ababaa".

--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -33,7 +33,7 @@
 struct ServerConnections {
     std::string m_address;
     std::deque<IdleConnections::iterator> m_idle; // The one used last at the end.
-    std::size_t m_inUse = 0;
+    std::size_t m_inUse = 0; // Slots of calls that have one, also of those that are about to be woken.
     std::size_t m_calls = 0; // In progress, including those that wait.
     std::deque<std::shared_ptr<asio::steady_timer>> m_waiting; // Timers of waiting calls; cancelled to wake them.
 };
@@ -76,12 +76,15 @@
 
 auto HttpPool::Impl::waitForSlot(SharedServer server) -> asio::awaitable<void>
 {
-    while (server->m_inUse >= m_limits.m_perServer) {
-        auto wakeUp = std::make_shared<asio::steady_timer>(m_context, asio::steady_timer::time_point::max());
-        server->m_waiting.push_back(wakeUp);
-        boost::system::error_code error;
-        co_await wakeUp->async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (server->m_inUse < m_limits.m_perServer) {
+        ++server->m_inUse;
+        co_return;
     }
+    // Whoever cancels the timer leaves its own slot to this call, so that no later call takes it meanwhile.
+    auto wakeUp = std::make_shared<asio::steady_timer>(m_context, asio::steady_timer::time_point::max());
+    server->m_waiting.push_back(wakeUp);
+    boost::system::error_code error;
+    co_await wakeUp->async_wait(asio::redirect_error(asio::use_awaitable, error));
 }
 
 auto HttpPool::Impl::takeIdle(ServerConnections& server) -> std::optional<HttpConnection>
@@ -119,13 +122,14 @@
 auto HttpPool::Impl::release(const SharedServer& server, HttpConnection connection) -> void
 {
     --m_inUse;
-    --server->m_inUse;
     if (connection.isOpen()) {
         m_idle.push_back({ server, std::move(connection), std::chrono::steady_clock::now() });
         server->m_idle.push_back(std::prev(m_idle.end()));
     }
-    if (server->m_waiting.empty())
+    if (server->m_waiting.empty()) {
+        --server->m_inUse;
         return;
+    }
     const auto wakeUp = std::move(server->m_waiting.front());
     server->m_waiting.pop_front();
     wakeUp->cancel();
@@ -158,7 +162,6 @@
     const auto server = m_impl->serverAt(address);
     ++server->m_calls;
     co_await m_impl->waitForSlot(server);
-    ++server->m_inUse;
     ++m_impl->m_inUse;
     auto connection = m_impl->takeIdle(*server);
     m_impl->closeUnneeded();
--- a/tests/shell/http/HttpPoolTest.cpp
+++ b/tests/shell/http/HttpPoolTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(call_moreInUseThanTotal_isNotDelayed);
     CPPUNIT_TEST(call_notWantedAnyMore_isNotWritten);
     CPPUNIT_TEST(call_notWantedAnyMoreOnceConnected_isNotWritten);
+    CPPUNIT_TEST(call_otherCallerRepeatsAtOnce_isNotOvertaken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,22 @@
         CPPUNIT_ASSERT_EQUAL(0, m_requests);
     }
 
+    // Guards against a caller that keeps the connection by calling again before the next one is woken.
+    auto call_otherCallerRepeatsAtOnce_isNotOvertaken() -> void
+    {
+        HttpPool pool(*m_context, { .m_perServer = 1 });
+        std::string order;
+        std::size_t finished = 0;
+        asio::co_spawn(
+            *m_context, callOften(pool, m_addresses[0], 4, 'a', order), [&](const std::exception_ptr&) { ++finished; });
+        asio::co_spawn(
+            *m_context, callOften(pool, m_addresses[0], 2, 'b', order), [&](const std::exception_ptr&) { ++finished; });
+        runUntil([&] { return finished == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::string("ababaa"), order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, pool.openConnections());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_servers[0]->connectionCount());
+    }
+
 private:
     static constexpr int serverCount = 6;
 
@@ -138,6 +155,15 @@
         co_return response.has_value();
     }
 
+    static auto callOften(HttpPool& pool, std::string address, int times, char name, std::string& order)
+        -> asio::awaitable<void>
+    {
+        for (int call = 0; call < times; ++call) {
+            co_await callOnce(pool, address);
+            order += name;
+        }
+    }
+
     auto callServer(HttpPool& pool, std::size_t server) -> void
     {
         std::size_t answered = 0;
