--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -19,6 +19,8 @@
         return "other_incarnation";
     case CallOutcome::Refused:
         return "refused";
+    case CallOutcome::NotSent:
+        return "not_sent";
     case CallOutcome::Unknown:
         return "no_answer";
     }
@@ -95,6 +97,8 @@
         return "refused";
     case scheduling::StartAnswer::OtherIncarnation:
         return "other_incarnation";
+    case scheduling::StartAnswer::NotSent:
+        return "not_sent";
     case scheduling::StartAnswer::Unknown:
         return "no_answer";
     }
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -120,7 +120,6 @@
     target.m_activeLongRunningRuns += spec.m_isLongRunning ? 1 : 0;
     addTo(target.m_used, requiredResources(spec));
     addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
-    enterPhase(scheduler, job, JobPhase::Running, 0);
     markDirty(scheduler, job);
     return task.m_runs.back();
 }
@@ -164,6 +163,7 @@
     auto& job = *findJob(scheduler, end.m_task.m_job);
     auto& step = *findStep(scheduler, end.m_task);
     const auto& spec = job.m_spec.m_steps[end.m_task.m_step];
+    markBegun(job);
     task->m_highestRun = std::max(task->m_highestRun, end.m_run);
     if (!end.m_checkpoint.empty())
         task->m_checkpoint = end.m_checkpoint;
@@ -198,6 +198,7 @@
     if (answer == StartAnswer::Started) {
         if (found->m_phase == RunPhase::Starting)
             found->m_phase = RunPhase::Running;
+        markBegun(*findJob(scheduler, key.m_job));
         return;
     }
     if (answer == StartAnswer::NoCapacity || answer == StartAnswer::Refused || answer == StartAnswer::Unknown)
@@ -214,6 +215,10 @@
         found->m_stopAnsweredAt = now;
         return;
     }
+    if (answer == StartAnswer::NotSent && findJob(scheduler, key.m_job)->m_spec.m_steps[key.m_step].m_isGang) {
+        for (auto& member : findStep(scheduler, key)->m_tasks)
+            stopOtherRuns(member);
+    }
     removeRun(scheduler, key, run, executor);
 }
 
--- a/tests/shell/coordinator/RecordingMachines.h
+++ b/tests/shell/coordinator/RecordingMachines.h
@@ -4,6 +4,7 @@
 
 #include "hemlockvane/fleet/Machine.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,15 +16,15 @@
 public:
     auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> override { co_return m_listed; }
 
-    auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/)
+    auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/, std::function<bool()> /*mayBeSent*/)
         -> boost::asio::awaitable<MachineOutcome> override
     {
         m_moved.push_back(std::move(machine));
         co_return m_outcome;
     }
 
-    auto maintain(std::string /*machine*/, std::uint64_t /*wave*/, std::uint64_t /*epoch*/)
-        -> boost::asio::awaitable<MachineOutcome> override
+    auto maintain(std::string /*machine*/, std::uint64_t /*wave*/, std::uint64_t /*epoch*/,
+        std::function<bool()> /*mayBeSent*/) -> boost::asio::awaitable<MachineOutcome> override
     {
         co_return m_outcome;
     }
--- a/tests/shell/coordinator/ScriptedExecutors.h
+++ b/tests/shell/coordinator/ScriptedExecutors.h
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -22,9 +23,11 @@
         int m_polls = 0; ///< Number of polls answered.
     };
 
-    auto start(std::string, std::string id, StartRequest order)
+    auto start(std::string, std::string id, StartRequest order, std::function<bool()> mayBeSent)
         -> boost::asio::awaitable<scheduling::StartAnswer> override
     {
+        if (!mayBeSent())
+            co_return scheduling::StartAnswer::NotSent;
         auto& life = m_lives[id];
         if (life.m_isSilent)
             co_return scheduling::StartAnswer::Unknown;
@@ -33,7 +36,7 @@
         co_return scheduling::StartAnswer::Started;
     }
 
-    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t, std::function<bool()>)
         -> boost::asio::awaitable<CallOutcome> override
     {
         co_return CallOutcome::Answered;
--- a/tests/shell/coordinator/TakeoverOrderTest.cpp
+++ b/tests/shell/coordinator/TakeoverOrderTest.cpp
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,12 +61,13 @@
 // Executors that never answer, so that a takeover knows only what is stored.
 class SilentExecutors : public ExecutorPort {
 public:
-    auto start(std::string, std::string, StartRequest) -> asio::awaitable<scheduling::StartAnswer> override
+    auto start(std::string, std::string, StartRequest, std::function<bool()>)
+        -> asio::awaitable<scheduling::StartAnswer> override
     {
         co_await sleepFor(silence);
         co_return scheduling::StartAnswer::Unknown;
     }
-    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t, std::function<bool()>)
         -> asio::awaitable<CallOutcome> override
     {
         co_await sleepFor(silence);
--- a/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
+++ b/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
@@ -15,6 +15,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,12 +49,13 @@
 // An executor that has no active run, and may report the newest one as failed until this is acknowledged.
 class ExecutorWithFailedRun : public ExecutorPort {
 public:
-    auto start(std::string, std::string, StartRequest order) -> asio::awaitable<scheduling::StartAnswer> override
+    auto start(std::string, std::string, StartRequest order, std::function<bool()>)
+        -> asio::awaitable<scheduling::StartAnswer> override
     {
         m_startedRuns.push_back(order.m_run);
         co_return scheduling::StartAnswer::Started;
     }
-    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t)
+    auto stop(std::string, std::string, scheduling::TaskKey, std::uint32_t, std::uint64_t, std::function<bool()>)
         -> asio::awaitable<CallOutcome> override
     {
         co_return CallOutcome::Answered;
