--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -47,7 +47,7 @@
 {
     auto& failures = isGang ? step.m_gangFailures : task.m_failures;
     ++failures;
-    // Without a limit the job goes on; it is judged by `applyRules` once its queue is configured.
+    // Without a limit the job goes on; `applyRules` checks it once its queue is configured.
     const auto attempts = maximumAttempts(scheduler.m_rules, job);
     if (attempts && failures >= *attempts)
         enterPhase(scheduler, job, JobPhase::Failed, wall);
