--- /dev/null
+++ b/include/hemlockvane/scheduling/LostRun.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "hemlockvane/scheduling/TaskKey.h"
+#include "hemlockvane/scheduling/TaskRun.h"
+#include "hemlockvane/time/Time.h"
+
+#include <cstdint>
+
+namespace hemlockvane::scheduling {
+
+/// @brief A run that was lost with its executor, without an outcome.
+struct LostRun {
+    TaskKey m_task;
+    std::uint32_t m_run = 0;
+    ExecutorIndex m_executor = 0;
+    Duration m_age {}; ///< From the decision on its start to the time when it was given up.
+};
+
+} // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -4,6 +4,7 @@
 #include "hemlockvane/scheduling/Executor.h"
 #include "hemlockvane/scheduling/FleetRules.h"
 #include "hemlockvane/scheduling/Job.h"
+#include "hemlockvane/scheduling/LostRun.h"
 #include "hemlockvane/scheduling/SchedulerTiming.h"
 #include "hemlockvane/scheduling/TaskKey.h"
 
@@ -32,6 +33,7 @@
     std::vector<JobId> m_dirtyJobs; ///< Jobs with progress that is not in the journal yet.
     std::uint64_t m_openBatch = 1; ///< Number of the journal batch that will contain the next changes.
     std::set<JobId> m_earlyCancellations; ///< Jobs whose cancellation was read before their submission.
+    std::vector<LostRun> m_lostRuns; ///< Runs that were lost since the owner last logged them.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -34,7 +34,7 @@
 auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void;
 
 /// @brief Marks an executor's incarnation as ended and removes its runs. The caller must be certain that it has ended.
-auto markTerminated(Scheduler& scheduler, ExecutorIndex index) -> void;
+auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void;
 
 /// @brief Applies an executor's answer to a poll. A newer start time removes all runs there, and no task is started
 /// there until the registry shows it.
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -53,6 +53,14 @@
     }
 }
 
+auto logLostRuns(CoordinatorState& state) -> void
+{
+    for (const auto& lost : state.m_scheduler.m_lostRuns)
+        logOf("jobs").info("event=run_lost task={} run={} executor={} age_ms={}", taskText(lost.m_task), lost.m_run,
+            state.m_scheduler.m_executors[lost.m_executor]->m_entry.m_id, lost.m_age.count());
+    state.m_scheduler.m_lostRuns.clear();
+}
+
 // Plans whatever follows from the passing of time.
 auto sweep(CoordinatorState& state, Instant now, std::vector<scheduling::Action>& actions) -> void
 {
@@ -60,6 +68,7 @@
     const auto expired = scheduling::expireLeases(scheduler, now);
     if (expired > 0)
         logOf("executors").info("event=leases_lapsed runs={}", expired);
+    logLostRuns(state);
     dropExecutorRecords(state);
     scheduling::retireJobs(scheduler);
     scheduling::planStops(scheduler, now, actions);
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -177,7 +177,7 @@
         logOf("executors")
             .info("event=gone executor={} born={} runs={}", executor.m_entry.m_id, executor.m_entry.m_startedAtMs,
                 executor.m_runs.size());
-        scheduling::markTerminated(state->m_scheduler, index);
+        scheduling::markTerminated(state->m_scheduler, index, monotonicNow());
         state->m_planSignal.notify();
         co_return true;
     }
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -48,7 +48,7 @@
         const auto& executor = *state.m_scheduler.m_executors[found->second];
         if (!executor.m_runs.empty())
             logOf("fleet").info("event=gone executor={} runs={}", id, executor.m_runs.size());
-        scheduling::markTerminated(state.m_scheduler, found->second);
+        scheduling::markTerminated(state.m_scheduler, found->second, monotonicNow());
         state.m_planSignal.notify();
     }
 }
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -18,11 +18,23 @@
     return entry.m_labels.size() > 1 ? entry.m_labels.back() : std::string();
 }
 
+// Removes all runs of an executor, which were lost with it or with their lease.
+auto loseRuns(Scheduler& scheduler, ExecutorIndex index, Instant now) -> std::size_t
+{
+    const auto runs = scheduler.m_executors[index]->m_runs;
+    for (const auto& item : runs) {
+        const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        scheduler.m_lostRuns.push_back({ item.m_task, item.m_run, index, now - run->m_orderedAt });
+        removeRun(scheduler, item.m_task, item.m_run, index);
+    }
+    return runs.size();
+}
+
 // The executor stays unregistered until the registry shows the new life: only the registry tells its service, labels
 // and capacity, which may differ.
-auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index) -> void
+auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
 {
-    markTerminated(scheduler, index);
+    markTerminated(scheduler, index, now);
     auto& executor = *scheduler.m_executors[index];
     executor.m_acknowledgedEnd = 0;
     executor.m_appliedEnd = 0;
@@ -149,7 +161,7 @@
         || (executor.m_isTerminated && entry.m_startedAtMs == executor.m_entry.m_startedAtMs))
         return found->second;
     if (entry.m_startedAtMs > executor.m_entry.m_startedAtMs)
-        resetIncarnation(scheduler, found->second);
+        resetIncarnation(scheduler, found->second, now);
     executor.m_entry = entry;
     executor.m_rack = rackOf(entry);
     executor.m_isRegistered = true;
@@ -187,12 +199,10 @@
         scheduler.m_executors[found->second]->m_isRegistered = false;
 }
 
-auto markTerminated(Scheduler& scheduler, ExecutorIndex index) -> void
+auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
 {
     auto& executor = *scheduler.m_executors[index];
-    const auto runs = executor.m_runs;
-    for (const auto& run : runs)
-        removeRun(scheduler, run.m_task, run.m_run, index);
+    loseRuns(scheduler, index, now);
     executor.m_isRegistered = false;
     executor.m_isTerminated = true;
     executor.m_isReconciled = true;
@@ -205,7 +215,7 @@
     if (report.m_startedAtMs != 0 && report.m_startedAtMs < executor.m_entry.m_startedAtMs)
         return;
     if (report.m_startedAtMs > executor.m_entry.m_startedAtMs) {
-        resetIncarnation(scheduler, index);
+        resetIncarnation(scheduler, index, now);
         executor.m_entry.m_startedAtMs = report.m_startedAtMs;
     }
     activateExecutor(scheduler, index);
@@ -244,10 +254,7 @@
             && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
-        const auto runs = executor.m_runs;
-        for (const auto& run : runs)
-            removeRun(scheduler, run.m_task, run.m_run, index);
-        removed += runs.size();
+        removed += loseRuns(scheduler, index, now);
     }
     return removed;
 }
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -189,7 +189,7 @@
 {
     auto& target = *scheduler.m_executors[executor];
     if (answer == StartAnswer::OtherIncarnation) {
-        markTerminated(scheduler, executor);
+        markTerminated(scheduler, executor, now);
         return;
     }
     auto* found = findRun(scheduler, key, run, executor);
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -106,7 +106,7 @@
 
     auto executor_terminated_isNotRegisteredAgainWithSameStartTime() -> void
     {
-        markTerminated(m_scheduler, 0);
+        markTerminated(m_scheduler, 0, m_now);
         const auto entry = m_scheduler.m_executors[0]->m_entry;
         registerExecutor(m_scheduler, entry, m_now, m_now);
         CPPUNIT_ASSERT(!isSchedulable(*m_scheduler.m_executors[0], m_now));
--- a/tests/core/scheduling/WaitingJobsTest.cpp
+++ b/tests/core/scheduling/WaitingJobsTest.cpp
@@ -95,7 +95,7 @@
     {
         const auto start = startOne();
         answer(start, StartAnswer::Started);
-        markTerminated(m_scheduler, start.m_executor);
+        markTerminated(m_scheduler, start.m_executor, m_now);
         assertHasBegun();
     }
 
