Give up a task under which two executors have crashed

Cause: a run that is lost with its executor had no outcome. Only a run that an executor lists as failed counted against its task, and a crashed executor lists nothing, so the loss was taken for none and the task was started again at once. Where copies are allowed, silence of the executor alone started the next one.

The runs whose start was sent in the last 150 ms before the crash are suspected. A suspect is started again on the executor with the least other work, and for 150 ms nothing else is started beside it, so that a second crash names one task, which is given up. The count is stored with the progress, so that it outlives the owner. Crashes that were ordered or announced, starts that were on their way, and silence that ends do not count; silence alone never gives up a task with two.

Evidence: the first test failed before.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,9 @@
     bool m_isReconciled = false; ///< Its runs are known: it answered a poll of this owner, or it has terminated.
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases granted by earlier owners have expired.
     bool m_isUnresponsive = false; ///< The last poll was not answered.
+    Instant m_lostSince; ///< While it is unresponsive: earliest time at which it may have crashed.
+    std::vector<TaskKey> m_suspectsOfSilence; ///< Tasks whose crashes were counted because its leases expired.
+    std::optional<ExecutorRun> m_trial; ///< The run that was started on trial last.
     bool m_isReserved = false; ///< Reserved for a move or maintenance of its machine: no task is started there.
     bool m_isLeaving = false; ///< Its machine accepted an order that ends the executor: no task is started there.
     bool m_isMaintenanceDue
--- a/include/hemlockvane/scheduling/LostRun.h
+++ b/include/hemlockvane/scheduling/LostRun.h
@@ -14,6 +14,7 @@
     std::uint32_t m_run = 0;
     ExecutorIndex m_executor = 0;
     Duration m_age {}; ///< From the decision on its start to the time when it was given up.
+    std::uint32_t m_crashes = 0; ///< Crashes that are counted for its task.
 };
 
 } // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -13,6 +13,7 @@
 #include "hemlockvane/detail/logging/Log.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/scheduling/AttemptLimits.h"
+#include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -56,11 +57,19 @@
 auto logLostRuns(CoordinatorState& state) -> void
 {
     for (const auto& lost : state.m_scheduler.m_lostRuns)
-        logOf("jobs").info("event=run_lost task={} run={} executor={} age_ms={}", taskText(lost.m_task), lost.m_run,
-            state.m_scheduler.m_executors[lost.m_executor]->m_entry.m_id, lost.m_age.count());
+        logOf("jobs").info("event=run_lost task={} run={} executor={} age_ms={} crashes={}", taskText(lost.m_task),
+            lost.m_run, state.m_scheduler.m_executors[lost.m_executor]->m_entry.m_id, lost.m_age.count(),
+            lost.m_crashes);
     state.m_scheduler.m_lostRuns.clear();
 }
 
+auto giveUpCrashingTasks(CoordinatorState& state) -> void
+{
+    for (const auto& key : scheduling::giveUpCrashingTasks(state.m_scheduler, wallNow()))
+        logOf("jobs").warn("event=given_up task={} crashes={} reason=\"executors crashed under it\"", taskText(key),
+            scheduling::findTask(state.m_scheduler, key)->m_crashes);
+}
+
 // Plans whatever follows from the passing of time.
 auto sweep(CoordinatorState& state, Instant now, std::vector<scheduling::Action>& actions) -> void
 {
@@ -84,6 +93,7 @@
         sweep(*state, now, actions);
         state->m_nextSweepAt = now + sweepInterval;
     }
+    giveUpCrashingTasks(*state);
     scheduling::planStarts(scheduler, now, wallNow(), actions);
     if (!scheduler.m_dirtyJobs.empty())
         state->m_journalSignal.notify();
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -12,6 +12,7 @@
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling/AttemptLimits.h"
+#include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -185,7 +186,9 @@
         logOf("executors")
             .info("event=lost executor={} outcome={} runs={} lease_until={}", executor.m_entry.m_id,
                 nameOf(result.m_outcome), executor.m_runs.size(), executor.m_leaseUntilMs);
-    executor.m_isUnresponsive = true;
+    // A poll that ends before its wait has not timed out: its connection broke just now.
+    const auto lostAt = monotonicNow();
+    scheduling::markUnresponsive(executor, lostAt - now < request.m_wait ? lostAt : now);
     co_return false;
 }
 
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -19,6 +19,8 @@
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
+#include <algorithm>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -39,13 +41,27 @@
 // A wave that is known only from the journal has no machines yet and is skipped until its order is read.
 auto hasOrder(const fleet::WaveState& wave) -> bool { return !wave.m_order.m_machines.empty(); }
 
+// Whether the machine of an executor that it had before is moving or under upkeep now: the executor was ended by an
+// order, perhaps of an earlier owner.
+auto isAway(const std::vector<fleet::Machine>& machines, const std::string& executorId,
+    const std::vector<fleet::Machine>& before) -> bool
+{
+    const auto earlier = std::find_if(before.begin(), before.end(),
+        [&](const fleet::Machine& machine) { return machine.m_executorId == executorId; });
+    return earlier != before.end() && std::any_of(machines.begin(), machines.end(), [&](const fleet::Machine& machine) {
+        return machine.m_id == earlier->m_id
+            && (machine.m_state == fleet::MachineState::Moving || machine.m_state == fleet::MachineState::Upkeep);
+    });
+}
+
 auto markEndedExecutors(CoordinatorState& state, const std::vector<fleet::Machine>& machines) -> void
 {
     for (const auto& id : fleet::endedExecutors(state.m_fleet.m_machines, machines)) {
         const auto found = state.m_scheduler.m_executorById.find(id);
         if (found == state.m_scheduler.m_executorById.end())
             continue;
-        const auto& executor = *state.m_scheduler.m_executors[found->second];
+        auto& executor = *state.m_scheduler.m_executors[found->second];
+        executor.m_isLeaving = executor.m_isLeaving || isAway(machines, id, state.m_fleet.m_machines);
         if (!executor.m_runs.empty())
             logOf("fleet").info("event=gone executor={} runs={}", id, executor.m_runs.size());
         scheduling::markTerminated(state.m_scheduler, found->second, monotonicNow());
@@ -59,8 +75,9 @@
     auto machines = co_await state->m_ports.m_machines->list();
     if (state->m_isStopped || !machines)
         co_return;
-    settleOrders(*state, *machines, askedAt);
+    // Before orders are settled, while it is known which executors they ended.
     markEndedExecutors(*state, *machines);
+    settleOrders(*state, *machines, askedAt);
     state->m_fleet.m_machines = std::move(*machines);
     state->m_fleet.m_listedAt = askedAt;
 }
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -22,6 +22,7 @@
     record.set_done(task.m_isDone);
     record.set_failures(task.m_failures);
     record.set_gang_failures(task.m_gangFailures);
+    record.set_crashes(task.m_crashes);
     record.set_highest_run(task.m_highestRun);
     record.set_ended_runs(task.m_countedRunBits);
     record.set_checkpoint(task.m_checkpoint);
@@ -45,6 +46,7 @@
     task.m_isDone = record.done();
     task.m_failures = record.failures();
     task.m_gangFailures = record.gang_failures();
+    task.m_crashes = record.crashes();
     task.m_highestRun = record.highest_run();
     task.m_countedRunBits = record.ended_runs();
     task.m_checkpoint = record.checkpoint();
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -10,6 +10,7 @@
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/AdvicePort.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
+#include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/CheckStart.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -94,6 +95,8 @@
     std::string_view obstacle;
     const std::function<bool()> check = [&] {
         obstacle = obstacleToSending(*state, action, startedAtMs, request.m_deadlineMs, sentAt);
+        if (obstacle.empty())
+            scheduling::noteStartSent(state->m_scheduler, action, monotonicNow());
         return obstacle.empty();
     };
     auto answer = scheduling::StartAnswer::NotSent;
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/PlanStarts.h"
 
+#include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/RankPlacement.h"
 #include "hemlockvane/scheduling/Scheduler.h"
@@ -35,19 +36,25 @@
 
 // Executors of a service on which tasks may be started now.
 struct Pool {
-    std::vector<ExecutorIndex> m_schedulable;
+    std::vector<ExecutorIndex> m_schedulable; // Without those on which a task is on trial.
+    std::size_t m_trials = 0; // Executors on which a task is on trial.
     std::vector<UnmetNeed> m_unmetNeeds; // In this plan; since a plan only adds runs, they stay unmet.
 };
 
 using Pools = std::map<std::string_view, Pool>;
 
-auto schedulablePools(const Scheduler& scheduler, Instant now) -> Pools
+auto schedulablePools(Scheduler& scheduler, Instant now) -> Pools
 {
     Pools pools;
     for (const auto index : scheduler.m_activeExecutors) {
         const auto& executor = *scheduler.m_executors[index];
-        if (isSchedulable(executor, now))
-            pools[executor.m_entry.m_service].m_schedulable.push_back(index);
+        if (!isSchedulable(executor, now))
+            continue;
+        auto& pool = pools[executor.m_entry.m_service];
+        if (hasTrial(scheduler, executor, now))
+            ++pool.m_trials;
+        else
+            pool.m_schedulable.push_back(index);
     }
     return pools;
 }
@@ -164,6 +171,40 @@
     return best;
 }
 
+// At most half of a pool's executors are closed for trials.
+auto mayBeginTrial(const Pool& pool) -> bool
+{
+    return pool.m_trials < std::max<std::size_t>(pool.m_schedulable.size(), 1);
+}
+
+// Chooses the executor on which a crash would end the least other work.
+auto chooseForTrial(Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task, const Pool& pool,
+    Instant now) -> std::optional<ExecutorIndex>
+{
+    std::optional<ExecutorIndex> best;
+    auto leastWork = std::pair<std::uint32_t, std::size_t> {};
+    for (const auto index : pool.m_schedulable) {
+        const auto& executor = *scheduler.m_executors[index];
+        const auto hasRun = std::any_of(
+            task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) { return run.m_executor == index; });
+        const auto work = std::pair(executor.m_activeLongRunningRuns, executor.m_runs.size());
+        if ((best && work >= leastWork) || hasRun || !canHold(candidate, executor, index, {})
+            || hasRecentStart(scheduler, index, now))
+            continue;
+        best = index;
+        leastWork = work;
+    }
+    return best;
+}
+
+// Closes an executor for other starts while a run is on trial there.
+auto beginTrial(Scheduler& scheduler, Pool& pool, ExecutorIndex index, const ExecutorRun& run) -> void
+{
+    scheduler.m_executors[index]->m_trial = run;
+    std::erase(pool.m_schedulable, index);
+    ++pool.m_trials;
+}
+
 auto emitStart(Scheduler& scheduler, const StartCandidate& candidate, std::uint32_t index, std::uint32_t run,
     ExecutorIndex executor, Instant now, std::vector<Action>& actions) -> void
 {
@@ -197,15 +238,15 @@
 }
 
 // Chooses executors for all members of a gang, only on the given rack if there is one; empty if they do not all fit.
-auto placeGang(const Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool,
-    const std::optional<std::string>& rack) -> std::vector<ExecutorIndex>
+auto placeGang(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool,
+    const std::optional<std::string>& rack, bool isOnTrial, Instant now) -> std::vector<ExecutorIndex>
 {
     std::vector<ExecutorIndex> chosen;
     std::map<ExecutorIndex, std::uint32_t> counts;
     const auto members = candidate.m_state->m_tasks.size();
     for (const auto index : pool.m_schedulable) {
         const auto& executor = *scheduler.m_executors[index];
-        if (rack && executor.m_rack != *rack)
+        if ((rack && executor.m_rack != *rack) || (isOnTrial && hasRecentStart(scheduler, index, now)))
             continue;
         Resources planned;
         while (chosen.size() < members && canHold(candidate, executor, index, planned)) {
@@ -220,7 +261,7 @@
     return chosen.size() == members ? chosen : std::vector<ExecutorIndex> {};
 }
 
-auto startGang(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
+auto startGang(Scheduler& scheduler, const StartCandidate& candidate, Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
     auto& tasks = candidate.m_state->m_tasks;
@@ -230,14 +271,18 @@
         || !isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask,
             static_cast<std::uint32_t>(tasks.size())))
         return;
+    const auto isOnTrial
+        = std::any_of(tasks.begin(), tasks.end(), [&](const TaskState& task) { return needsTrial(scheduler, task); });
+    if (isOnTrial && !mayBeginTrial(pool))
+        return;
     std::vector<ExecutorIndex> chosen;
     std::set<std::string> racks;
     for (const auto index : pool.m_schedulable)
         racks.insert(scheduler.m_executors[index]->m_rack);
     for (auto rack = racks.begin(); chosen.empty() && rack != racks.end(); ++rack)
-        chosen = placeGang(scheduler, candidate, pool, *rack);
+        chosen = placeGang(scheduler, candidate, pool, *rack, isOnTrial, now);
     if (chosen.empty())
-        chosen = placeGang(scheduler, candidate, pool, std::nullopt);
+        chosen = placeGang(scheduler, candidate, pool, std::nullopt, isOnTrial, now);
     if (chosen.empty())
         return;
     // All members get the same run number and resume from the same checkpoint.
@@ -250,9 +295,24 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         tasks[index].m_checkpoint = checkpoint;
         emitStart(scheduler, candidate, index, run + 1, chosen[index], now, actions);
+        if (isOnTrial && !scheduler.m_executors[chosen[index]]->m_trial)
+            beginTrial(scheduler, pool, chosen[index], { actions.back().m_task, actions.back().m_run });
     }
 }
 
+auto startOnTrial(Scheduler& scheduler, const StartCandidate& candidate, std::uint32_t index, Pool& pool, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    auto& task = candidate.m_state->m_tasks[index];
+    if (!mayBeginTrial(pool))
+        return;
+    const auto executor = chooseForTrial(scheduler, candidate, task, pool, now);
+    if (!executor)
+        return;
+    emitStart(scheduler, candidate, index, task.m_highestRun + 1, *executor, now, actions);
+    beginTrial(scheduler, pool, *executor, { actions.back().m_task, actions.back().m_run });
+}
+
 auto startTasks(Scheduler& scheduler, const StartCandidate& candidate, Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
@@ -265,10 +325,14 @@
         = spec.m_perExecutorLimit == 0 && !candidate.m_queue->m_needsAdvice && !spec.m_allowsDuplicates;
     for (std::uint32_t index = 0; index < candidate.m_state->m_tasks.size(); ++index) {
         auto& task = candidate.m_state->m_tasks[index];
-        if (!needsRun(scheduler, *candidate.m_spec, task, now))
+        if (!needsRun(scheduler, *candidate.m_spec, task, now) || isHeldBack(scheduler, task))
             continue;
         if (!isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask, 1))
             return;
+        if (needsTrial(scheduler, task)) {
+            startOnTrial(scheduler, candidate, index, pool, now, actions);
+            continue;
+        }
         const auto executor = chooseExecutor(scheduler, candidate, task, pool);
         if (!executor) {
             if (dependsOnNeedOnly)
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -21,6 +21,7 @@
     stored.m_isDone = task.m_isDone;
     stored.m_failures = task.m_failures;
     stored.m_gangFailures = step.m_gangFailures;
+    stored.m_crashes = task.m_crashes;
     stored.m_highestRun = task.m_highestRun;
     stored.m_countedRunBits = task.m_countedRunBits;
     stored.m_checkpoint = task.m_isDone ? std::string() : task.m_checkpoint;
@@ -48,8 +49,9 @@
         || findRun(scheduler, stored.m_task, stored.m_run, executor->second) != nullptr)
         return;
     const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone;
-    addRun(scheduler, stored.m_task, stored.m_run, executor->second, isNeeded ? RunPhase::Running : RunPhase::Stopping,
-        now);
+    auto& run = addRun(scheduler, stored.m_task, stored.m_run, executor->second,
+        isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
+    run.m_sentAt = now; // Its start may have been sent at any time before.
 }
 
 auto restoreTask(Scheduler& scheduler, JobId id, const TaskProgress& stored) -> void
@@ -63,6 +65,8 @@
         ++step.m_doneCount;
     task->m_isDone = stored.m_isDone;
     task->m_failures = stored.m_failures;
+    task->m_crashes = stored.m_crashes;
+    task->m_needsTrial = stored.m_crashes > 0;
     task->m_highestRun = stored.m_highestRun;
     task->m_countedRunBits = stored.m_countedRunBits;
     task->m_checkpoint = stored.m_checkpoint;
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
+#include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -19,12 +20,14 @@
 }
 
 // Removes all runs of an executor, which were lost with it or with their lease.
-auto loseRuns(Scheduler& scheduler, ExecutorIndex index, Instant now) -> std::size_t
+auto loseRuns(Scheduler& scheduler, ExecutorIndex index, bool isCrashCertain, Instant now) -> std::size_t
 {
+    blameCrash(scheduler, index, isCrashCertain);
     const auto runs = scheduler.m_executors[index]->m_runs;
     for (const auto& item : runs) {
         const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
-        scheduler.m_lostRuns.push_back({ item.m_task, item.m_run, index, now - run->m_orderedAt });
+        scheduler.m_lostRuns.push_back(
+            { item.m_task, item.m_run, index, now - run->m_orderedAt, findTask(scheduler, item.m_task)->m_crashes });
         removeRun(scheduler, item.m_task, item.m_run, index);
     }
     return runs.size();
@@ -41,6 +44,7 @@
     executor.m_leaseUntilMs = 0;
     executor.m_clockMs = 0;
     executor.m_unacknowledgedEnds.clear();
+    executor.m_isUnresponsive = false;
     executor.m_isReconciled = false;
     executor.m_isTerminated = false;
     executor.m_isLeaving = false;
@@ -71,13 +75,14 @@
         task->m_checkpoint = reported.m_checkpoint;
 }
 
-auto refreshRun(Scheduler& scheduler, TaskRun& run, const ReportedRun& reported) -> void
+auto refreshRun(Scheduler& scheduler, TaskRun& run, const ReportedRun& reported, Instant pollSentAt) -> void
 {
     markBegun(*findJob(scheduler, reported.m_task.m_job));
     if (run.m_phase == RunPhase::Starting)
         run.m_phase = RunPhase::Running;
     run.m_percent = reported.m_percent;
     run.m_measurement = reported.m_measurement;
+    endTrial(*findTask(scheduler, reported.m_task), run, pollSentAt);
     if (!reported.m_checkpoint.empty())
         findTask(scheduler, reported.m_task)->m_checkpoint = reported.m_checkpoint;
 }
@@ -202,7 +207,9 @@
 auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
 {
     auto& executor = *scheduler.m_executors[index];
-    loseRuns(scheduler, index, now);
+    markUnresponsive(executor, now);
+    loseRuns(scheduler, index, true, now);
+    executor.m_suspectsOfSilence.clear();
     executor.m_isRegistered = false;
     executor.m_isTerminated = true;
     executor.m_isReconciled = true;
@@ -222,6 +229,7 @@
     executor.m_clockMs = report.m_clockMs;
     executor.m_clockReadAt = now;
     executor.m_isUnresponsive = false;
+    withdrawBlame(scheduler, index);
     for (const auto& end : report.m_endedRuns) {
         if (end.m_number <= executor.m_appliedEnd)
             continue;
@@ -234,7 +242,7 @@
         if (run == nullptr)
             adoptRun(scheduler, index, reported, now, actions);
         else
-            refreshRun(scheduler, *run, reported);
+            refreshRun(scheduler, *run, reported, report.m_pollSentAt);
     }
     stopUnconfirmedStarts(scheduler, index, report);
     removeStoppedRuns(scheduler, index, report);
@@ -254,7 +262,7 @@
             && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
-        removed += loseRuns(scheduler, index, now);
+        removed += loseRuns(scheduler, index, false, now);
     }
     return removed;
 }
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -138,6 +138,8 @@
     if (--step.m_runsByExecutor[executor] == 0)
         step.m_runsByExecutor.erase(executor);
     std::erase(target.m_runs, ExecutorRun { key, run });
+    if (target.m_trial == ExecutorRun { key, run })
+        target.m_trial.reset();
     target.m_activeLongRunningRuns -= spec.m_isLongRunning ? 1 : 0;
     subtractFrom(target.m_used, requiredResources(spec));
     subtractFrom(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
@@ -167,6 +169,8 @@
     task->m_highestRun = std::max(task->m_highestRun, end.m_run);
     if (!end.m_checkpoint.empty())
         task->m_checkpoint = end.m_checkpoint;
+    if (end.m_kind == RunOutcome::Done || end.m_kind == RunOutcome::Failed)
+        task->m_needsTrial = false;
     markDirty(scheduler, job);
     const auto wasCounted = (task->m_countedRunBits & endBit(end.m_run)) != 0;
     task->m_countedRunBits |= endBit(end.m_run);
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -1,14 +1,38 @@
 #include "core/scheduling/SchedulerFixture.h"
 
+#include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/JobProgress.h"
+#include "hemlockvane/scheduling/StoreProgress.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
+#include "hemlockvane/scheduling/TrackJobs.h"
+#include "hemlockvane/scheduling/TrackRuns.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <set>
+
 namespace hemlockvane::scheduling {
 
 class CrashingTasksTest : public SchedulerFixture {
     CPPUNIT_TEST_SUITE(CrashingTasksTest);
     CPPUNIT_TEST(task_crashesEveryExecutor_isNotStartedThreeTimesAfterThreeCrashes);
+    CPPUNIT_TEST(task_crashesEveryExecutor_isGivenUpWithTheSecond);
+    CPPUNIT_TEST(longRunningTask_crashesEveryExecutor_isGivenUpWithTheSecond);
+    CPPUNIT_TEST(duplicates_executorsCrash_noThirdCopyIsStarted);
+    CPPUNIT_TEST(gang_crashesEveryExecutor_isGivenUp);
+    CPPUNIT_TEST(takeover_betweenTwoCrashes_countGoesOn);
+    CPPUNIT_TEST(crash_tasksThatWereAtWorkLonger_areNotSuspected);
+    CPPUNIT_TEST(crash_severalSuspects_areTriedAloneAndGoOn);
+    CPPUNIT_TEST(trial_executor_takesNoOtherStartUntilItIsOver);
+    CPPUNIT_TEST(trial_startedBesideOtherFreshStart_isNot);
+    CPPUNIT_TEST(trial_outlived_endsSuspicion);
+    CPPUNIT_TEST(trials_severalSuspects_leaveHalfOfThePool);
+    CPPUNIT_TEST(crash_executorDrainsOrLeaves_isNotCounted);
+    CPPUNIT_TEST(crash_startFoundOtherIncarnation_isNotCounted);
+    CPPUNIT_TEST(crash_startNeverSent_isNotCounted);
+    CPPUNIT_TEST(silence_executorAnswersAgain_isForgotten);
+    CPPUNIT_TEST(silence_leasesExpireAgainAndAgain_taskIsNotGivenUpEarly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -29,8 +53,227 @@
         CPPUNIT_ASSERT(startsAfterThreeCrashes < 3);
     }
 
+    auto task_crashesEveryExecutor_isGivenUpWithTheSecond() -> void
+    {
+        submit({ step(1, 1000) });
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT(phase() == JobPhase::Queued || phase() == JobPhase::Running);
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
+    auto longRunningTask_crashesEveryExecutor_isGivenUpWithTheSecond() -> void
+    {
+        auto spec = step(1, 1000);
+        spec.m_isLongRunning = true;
+        submit({ spec });
+        crashUnderNextStarts();
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
+    // Guards against a copy for each executor that stops answering, before it is known that it has crashed.
+    auto duplicates_executorsCrash_noThirdCopyIsStarted() -> void
+    {
+        addExecutor("e2");
+        auto spec = step(1, 1000);
+        spec.m_allowsDuplicates = true;
+        submit({ spec });
+        for (int copy = 0; copy < 2; ++copy) {
+            const auto starts = startAll();
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts.size());
+            m_now += crashAfter;
+            silence(starts[0].m_executor);
+        }
+        m_now += trialTime;
+        CPPUNIT_ASSERT(plan().empty());
+        restart(0);
+        CPPUNIT_ASSERT(plan().empty());
+        restart(1);
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
+    auto gang_crashesEveryExecutor_isGivenUp() -> void
+    {
+        auto spec = step(2, 1000);
+        spec.m_isGang = true;
+        submit({ spec });
+        crashUnderNextStarts();
+        report(0, {});
+        report(1, {});
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
+    auto takeover_betweenTwoCrashes_countGoesOn() -> void
+    {
+        submit({ step(1, 1000) });
+        crashUnderNextStarts();
+        const auto progress = progressOf(m_scheduler, *findJob(m_scheduler, job));
+        setUp();
+        submit({ step(1, 1000) });
+        restoreProgress(m_scheduler, job, progress, m_now);
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT(plan().empty());
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+    }
+
+    auto crash_tasksThatWereAtWorkLonger_areNotSuspected() -> void
+    {
+        submit({ step(2, 3000) });
+        const auto older = startAll();
+        CPPUNIT_ASSERT_EQUAL(older[0].m_executor, older[1].m_executor);
+        m_now += trialTime + crashAfter;
+        submitOther({ step(1, 100) });
+        const auto culprit = startAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, culprit.size());
+        CPPUNIT_ASSERT_EQUAL(older[0].m_executor, culprit[0].m_executor);
+        m_now += crashAfter;
+        restart(older[0].m_executor);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, older[0].m_task)->m_crashes);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, older[1].m_task)->m_crashes);
+        CPPUNIT_ASSERT_EQUAL(1U, findTask(m_scheduler, culprit[0].m_task)->m_crashes);
+    }
+
+    // One of four tasks crashes its executors; the others are done, and the job fails for that one only.
+    auto crash_severalSuspects_areTriedAloneAndGoOn() -> void
+    {
+        addExecutor("e2");
+        addExecutor("e3");
+        submit({ step(4, 1000) });
+        std::set<std::uint32_t> done;
+        int crashes = 0;
+        for (int round = 0; round < roundsPlayed && phase() != JobPhase::Failed; ++round) {
+            const auto starts = startAll();
+            m_now += crashAfter;
+            std::set<ExecutorIndex> crashed;
+            for (const auto& start : starts) {
+                if (start.m_task.m_index == 0)
+                    crashed.insert(start.m_executor);
+            }
+            for (const auto& start : starts) {
+                if (!crashed.contains(start.m_executor)) {
+                    reportEnd(start, RunOutcome::Done);
+                    done.insert(start.m_task.m_index);
+                }
+            }
+            for (const auto index : crashed)
+                restart(index);
+            crashes += static_cast<int>(crashed.size());
+            m_now += downTime;
+        }
+        CPPUNIT_ASSERT(phase() == JobPhase::Failed);
+        CPPUNIT_ASSERT_EQUAL(2, crashes);
+        CPPUNIT_ASSERT(!done.contains(0));
+    }
+
+    auto trial_executor_takesNoOtherStartUntilItIsOver() -> void
+    {
+        suspectOne();
+        markTerminated(m_scheduler, 1, m_now);
+        const auto trial = startAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, trial.size());
+        submitOther({ step(1, 1000) });
+        CPPUNIT_ASSERT(plan().empty());
+        m_now += trialTime;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan().size());
+    }
+
+    auto trial_startedBesideOtherFreshStart_isNot() -> void
+    {
+        suspectOne();
+        markTerminated(m_scheduler, 1, m_now);
+        submitOther({ step(1, 1000) });
+        // The other job's start is planned with the suspect's, or before it; never both on one executor.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
+        CPPUNIT_ASSERT(plan().empty());
+    }
+
+    auto trial_outlived_endsSuspicion() -> void
+    {
+        suspectOne();
+        const auto trial = startAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, trial.size());
+        auto& task = *findTask(m_scheduler, trial[0].m_task);
+        CPPUNIT_ASSERT(needsTrial(m_scheduler, task));
+        m_now += trialTime;
+        report(trial[0].m_executor, { { trial[0].m_task, trial[0].m_run, {}, 10, 0 } });
+        CPPUNIT_ASSERT(!needsTrial(m_scheduler, task));
+    }
+
+    auto trials_severalSuspects_leaveHalfOfThePool() -> void
+    {
+        for (const auto* id : { "e2", "e3" })
+            addExecutor(id);
+        submit({ step(6, 1000) });
+        startAll();
+        m_now += crashAfter;
+        for (ExecutorIndex index = 0; index < 4; ++index)
+            restart(index);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, startAll().size());
+        CPPUNIT_ASSERT(plan().empty());
+        m_now += trialTime;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, startAll().size());
+    }
+
+    auto crash_executorDrainsOrLeaves_isNotCounted() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto drained = startAll();
+        m_scheduler.m_executors[drained[0].m_executor]->m_entry.m_isDraining = true;
+        restart(drained[0].m_executor);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, drained[0].m_task)->m_crashes);
+        const auto moved = startAll();
+        m_scheduler.m_executors[moved[0].m_executor]->m_isLeaving = true;
+        restart(moved[0].m_executor);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, moved[0].m_task)->m_crashes);
+    }
+
+    // Guards against a sound task that is given up because it was sent to an executor that had crashed before.
+    auto crash_startFoundOtherIncarnation_isNotCounted() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto start = plan().at(0);
+        noteStartSent(m_scheduler, start, m_now);
+        applyStartAnswer(
+            m_scheduler, start.m_executor, start.m_task, start.m_run, StartAnswer::OtherIncarnation, false, m_now);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, start.m_task)->m_crashes);
+    }
+
+    auto crash_startNeverSent_isNotCounted() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto start = plan().at(0);
+        restart(start.m_executor);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, start.m_task)->m_crashes);
+    }
+
+    auto silence_executorAnswersAgain_isForgotten() -> void
+    {
+        const auto start = silentUntilLeaseExpires();
+        CPPUNIT_ASSERT_EQUAL(1U, findTask(m_scheduler, start.m_task)->m_crashes);
+        report(start.m_executor, {});
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, start.m_task)->m_crashes);
+        CPPUNIT_ASSERT(!needsTrial(m_scheduler, *findTask(m_scheduler, start.m_task)));
+    }
+
+    // Guards against sound work that is given up because executors were cut off.
+    auto silence_leasesExpireAgainAndAgain_taskIsNotGivenUpEarly() -> void
+    {
+        addExecutor("e2");
+        silentUntilLeaseExpires();
+        silentUntilLeaseExpires();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
 private:
     static constexpr int crashesPlayed = 8;
+    static constexpr int roundsPlayed = 20;
     static constexpr Duration crashAfter { 10 };
     static constexpr Duration downTime { 3000 };
 
@@ -39,9 +282,69 @@
     {
         auto entry = m_scheduler.m_executors[index]->m_entry;
         ++entry.m_startedAtMs;
+        entry.m_isDraining = false;
         registerExecutor(m_scheduler, entry, m_now, m_now);
+        m_endedRuns[index] = 0;
         report(index, {});
     }
+
+    // The executor stops answering, with a lease that has just been extended.
+    auto silence(ExecutorIndex index) -> void
+    {
+        auto& executor = *m_scheduler.m_executors[index];
+        executor.m_leaseUntilMs = clockLowerBound(executor, m_now) + m_scheduler.m_timing.m_lease.count();
+        markUnresponsive(executor, m_now);
+    }
+
+    auto startAll() -> std::vector<Action>
+    {
+        auto actions = plan();
+        answerStarts(actions);
+        return actions;
+    }
+
+    // Crashes all executors on which the next plan starts something.
+    auto crashUnderNextStarts() -> void
+    {
+        std::set<ExecutorIndex> crashed;
+        for (const auto& start : startAll())
+            crashed.insert(start.m_executor);
+        CPPUNIT_ASSERT(!crashed.empty());
+        m_now += crashAfter;
+        for (const auto index : crashed)
+            restart(index);
+        m_now += downTime;
+    }
+
+    // Leaves the job's only task with one crash.
+    auto suspectOne() -> void
+    {
+        submit({ step(1, 1000) });
+        crashUnderNextStarts();
+    }
+
+    // Starts the job's only task on an executor that stops answering at once, and waits until its leases have expired.
+    auto silentUntilLeaseExpires() -> Action
+    {
+        if (findJob(m_scheduler, job) == nullptr)
+            submit({ step(1, 1000) });
+        const auto start = startAll().at(0);
+        silence(start.m_executor);
+        m_now += m_scheduler.m_timing.m_lease * 2;
+        expireLeases(m_scheduler, m_now);
+        return start;
+    }
+
+    auto submitOther(std::vector<StepSpec> steps) -> void
+    {
+        JobSpec spec;
+        spec.m_id = job + 1;
+        spec.m_queue = "checks";
+        spec.m_workspace = "team";
+        spec.m_steps = std::move(steps);
+        spec.m_submittedAt = m_wall;
+        addJob(m_scheduler, std::move(spec), m_now, m_wall);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingTasksTest);
--- a/tests/core/scheduling/SchedulerFixture.cpp
+++ b/tests/core/scheduling/SchedulerFixture.cpp
@@ -1,5 +1,6 @@
 #include "core/scheduling/SchedulerFixture.h"
 
+#include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -56,15 +57,18 @@
     std::vector<Action> actions;
     expireLeases(m_scheduler, m_now);
     planStops(m_scheduler, m_now, actions);
+    giveUpCrashingTasks(m_scheduler, m_wall);
     planStarts(m_scheduler, m_now, m_wall, actions);
     return actions;
 }
 
 auto SchedulerFixture::answerStarts(const std::vector<Action>& actions) -> void
 {
-    for (const auto& action : actions)
+    for (const auto& action : actions) {
+        noteStartSent(m_scheduler, action, m_now);
         applyStartAnswer(
             m_scheduler, action.m_executor, action.m_task, action.m_run, StartAnswer::Started, false, m_now);
+    }
 }
 
 auto SchedulerFixture::reportEnd(const Action& start, RunOutcome kind) -> void
