Check a start against the executor's capacity when it is written, and plan pools by it

An executor's capacity may shrink and grow while it runs. A start was checked when it was planned, and written up to a second later; a pool's capacity was that of its machines, so that waiting tasks of a shrunk pool got no machine. Executors that do not check their capacity get no start while the registry has not been read for 2 s, so that a smaller one cannot bind unseen.

The tests of a shrunk room, of executors without a check and of the pool fail without the change (the calls left out).

--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -33,6 +33,7 @@
     std::vector<JobId> m_dirtyJobs; ///< Jobs with progress that is not in the journal yet.
     std::uint64_t m_openBatch = 1; ///< Number of the journal batch that will contain the next changes.
     std::set<JobId> m_earlyCancellations; ///< Jobs whose cancellation was read before their submission.
+    Instant m_registryReadAt; ///< When the newest answered read of the registry was sent.
     std::vector<TaskKey> m_crashingTasks; ///< Tasks found to crash executors, whose jobs are to be failed.
     std::vector<LostRun> m_lostRuns; ///< Runs that were lost since the owner last logged them.
 };
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -55,6 +55,10 @@
 /// @brief Whether tasks may be started on the executor.
 auto isSchedulable(const Executor& executor, Instant now) -> bool;
 
+/// @brief Whether the executor's capacity is known well enough for a start. An executor that does not check it by
+/// itself may have shrunk since the registry was last read.
+auto isCapacityKnown(const Scheduler& scheduler, const Executor& executor, Instant now) -> bool;
+
 /// @brief Emits a stop for each run that must be stopped and is due for a (repeated) request.
 auto planStops(Scheduler& scheduler, Instant now, std::vector<Action>& actions) -> void;
 
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -64,6 +64,7 @@
     const auto wasDraining = !isNew && scheduler.m_executors[known->second]->m_entry.m_isDraining;
     const auto wasRegistered = !isNew && scheduler.m_executors[known->second]->m_isRegistered;
     const auto knownStartMs = isNew ? 0 : scheduler.m_executors[known->second]->m_entry.m_startedAtMs;
+    const auto knownCapacity = isNew ? entry->m_capacity : scheduler.m_executors[known->second]->m_entry.m_capacity;
     const auto index = scheduling::registerExecutor(scheduler, *entry, state->m_earlierLeasesExpireBy, monotonicNow());
     if (!wasRegistered || knownStartMs != entry->m_startedAtMs) {
         state->m_pendingRecords[executorPrefix + entry->m_id] = encodeExecutor(*entry);
@@ -78,14 +79,23 @@
                 entry->m_service, entry->m_startedAtMs, entry->m_isDraining, entry->m_remainingMs, record.m_offset);
         state->m_planSignal.notify();
     }
+    if (knownCapacity != entry->m_capacity) {
+        logOf("executors")
+            .info("event=capacity executor={} cpu={} memory_mb={} used_cpu={}", entry->m_id,
+                entry->m_capacity.m_cpuMilliCores, entry->m_capacity.m_memoryMb,
+                scheduler.m_executors[index]->m_used.m_cpuMilliCores);
+        state->m_planSignal.notify();
+    }
     startPolling(state, index);
 }
 
 auto readRegistry(const std::shared_ptr<CoordinatorState>& state, std::uint64_t& offset) -> asio::awaitable<bool>
 {
+    const auto askedAt = monotonicNow();
     const auto read = co_await state->m_ports.m_store->read(state->m_ports.m_executorTopic, offset, Duration { 0 });
     if (!read || state->m_isStopped)
         co_return false;
+    state->m_scheduler.m_registryReadAt = askedAt;
     if (read->m_isExpired) {
         const auto content = co_await state->m_ports.m_store->newest(state->m_ports.m_executorTopic);
         if (content && !state->m_isStopped)
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -42,6 +42,8 @@
     auto* executor = findExecutor(state, machine.m_executorId);
     if (executor != nullptr) {
         executor->m_isReserved = view.m_isReserved;
+        if (executor->m_isRegistered)
+            view.m_machine.m_capacity = executor->m_entry.m_capacity; // It may shrink and grow while the executor runs.
         executor->m_isMaintenanceDue = isMaintenanceDue(fleetState, machine.m_id);
         view.m_hasExecutor = executor->m_isRegistered && !executor->m_isUnresponsive && !executor->m_entry.m_isDraining;
         view.m_mayHaveUnknownRuns = !executor->m_isReconciled && now < executor->m_earlierLeasesExpireBy;
@@ -93,7 +95,7 @@
         if (!added.m_destinationPool.empty() || isAvailable)
             view.m_pools[added.m_destinationPool.empty() ? machine.m_pool : added.m_destinationPool]
                 .m_capacityMilliCores
-                += machine.m_capacity.m_cpuMilliCores;
+                += added.m_machine.m_capacity.m_cpuMilliCores;
     }
     return view;
 }
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -70,7 +70,7 @@
     const auto now = monotonicNow();
     if (state.m_isStopped)
         return "ownership ended";
-    const auto obstacle = scheduling::obstacleToStart(state.m_scheduler, action, startedAtMs);
+    const auto obstacle = scheduling::obstacleToStart(state.m_scheduler, action, startedAtMs, now);
     if (!obstacle.empty())
         return obstacle;
     const auto& executor = *state.m_scheduler.m_executors[action.m_executor];
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -48,7 +48,7 @@
     Pools pools;
     for (const auto index : scheduler.m_activeExecutors) {
         const auto& executor = *scheduler.m_executors[index];
-        if (!isSchedulable(executor, now))
+        if (!isSchedulable(executor, now) || !isCapacityKnown(scheduler, executor, now))
             continue;
         auto& pool = pools[executor.m_entry.m_service];
         if (hasTrial(scheduler, executor, now))
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::int64_t minimumClockRatePercent = 98; // An executor's clock may run up to 2 % slow.
 
+// For executors that do not check their capacity: shorter than the time after which a smaller capacity binds.
+constexpr Duration capacityValidity { 2000 };
+
 auto rackOf(const ExecutorEntry& entry) -> std::string
 {
     // The labels are the kind and the rack, in this order.
@@ -144,6 +147,12 @@
         && !executor.m_isLeaving && !executor.m_entry.m_isDraining && executor.m_backoffUntil <= now;
 }
 
+auto isCapacityKnown(const Scheduler& scheduler, const Executor& executor, Instant now) -> bool
+{
+    return !scheduler.m_rules.m_unguardedServices.contains(executor.m_entry.m_service)
+        || now - scheduler.m_registryReadAt < capacityValidity;
+}
+
 auto registerExecutor(Scheduler& scheduler, const ExecutorEntry& entry, Instant earlierLeasesExpireBy, Instant now)
     -> ExecutorIndex
 {
--- a/tests/core/scheduling/CheckStartTest.cpp
+++ b/tests/core/scheduling/CheckStartTest.cpp
@@ -18,6 +18,11 @@
     CPPUNIT_TEST(start_notSent_isPlannedAnew);
     CPPUNIT_TEST(repeatedStart_notSent_isStopped);
     CPPUNIT_TEST(gangStart_notSent_stopsOtherMembers);
+    CPPUNIT_TEST(start_roomShrankMeanwhile_isNotSent);
+    CPPUNIT_TEST(start_roomGrewAgain_isSent);
+    CPPUNIT_TEST(unguardedExecutor_registryNotRead_getsNoStart);
+    CPPUNIT_TEST(unguardedExecutor_registryNotReadSincePlan_startIsNotSent);
+    CPPUNIT_TEST(guardedExecutor_registryNotRead_getsStart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,14 +84,67 @@
         CPPUNIT_ASSERT(!mayBeSent(members[1]));
     }
 
+    auto start_roomShrankMeanwhile_isNotSent() -> void
+    {
+        submit({ step(1, 4000) });
+        const auto start = plan().at(0);
+        setCapacity(start.m_executor, 3999);
+        CPPUNIT_ASSERT(!mayBeSent(start));
+    }
+
+    auto start_roomGrewAgain_isSent() -> void
+    {
+        markTerminated(m_scheduler, 1, m_now);
+        submit({ step(1, 4000) });
+        setCapacity(0, 3999);
+        CPPUNIT_ASSERT(plan().empty());
+        setCapacity(0, 4000);
+        CPPUNIT_ASSERT(mayBeSent(plan().at(0)));
+    }
+
+    // Guards against a start over a capacity that has shrunk while the registry could not be read.
+    auto unguardedExecutor_registryNotRead_getsNoStart() -> void
+    {
+        m_scheduler.m_rules.m_unguardedServices = { "counter" };
+        m_scheduler.m_registryReadAt = m_now - Duration(3000);
+        submit({ step(1, 4000) });
+        CPPUNIT_ASSERT(plan().empty());
+        m_scheduler.m_registryReadAt = m_now;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan().size());
+    }
+
+    auto unguardedExecutor_registryNotReadSincePlan_startIsNotSent() -> void
+    {
+        m_scheduler.m_rules.m_unguardedServices = { "counter" };
+        m_scheduler.m_registryReadAt = m_now;
+        submit({ step(1, 4000) });
+        const auto start = plan().at(0);
+        CPPUNIT_ASSERT(mayBeSent(start));
+        m_now += Duration(3000);
+        CPPUNIT_ASSERT(!mayBeSent(start));
+    }
+
+    auto guardedExecutor_registryNotRead_getsStart() -> void
+    {
+        submit({ step(1, 4000) });
+        CPPUNIT_ASSERT(mayBeSent(plan().at(0)));
+    }
+
 private:
+    auto setCapacity(ExecutorIndex index, std::int64_t milliCores) -> void
+    {
+        auto entry = m_scheduler.m_executors[index]->m_entry;
+        entry.m_capacity.m_cpuMilliCores = milliCores;
+        registerExecutor(m_scheduler, entry, m_now, m_now);
+    }
+
     auto startOne(const StepSpec& spec) -> Action
     {
         submit({ spec });
         return plan().at(0);
     }
 
-    auto mayBeSent(const Action& start) -> bool { return obstacleToStart(m_scheduler, start, 1).empty(); }
+    auto mayBeSent(const Action& start) -> bool { return obstacleToStart(m_scheduler, start, 1, m_now).empty(); }
 
     auto answer(const Action& start, bool wasRepeated) -> void
     {
--- a/tests/shell/coordinator/FleetViewsTest.cpp
+++ b/tests/shell/coordinator/FleetViewsTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(executor_notAnsweredYet_machineIsNotMoved);
     CPPUNIT_TEST(executor_notAnsweredYet_machineIsNotMaintained);
     CPPUNIT_TEST(executor_notAnsweredYet_countsAsCapacity);
+    CPPUNIT_TEST(executor_capacityShrinks_poolShrinks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,6 +40,7 @@
             entry.m_id = "of-" + id;
             entry.m_startedAtMs = 1;
             entry.m_service = "counter";
+            entry.m_capacity = { machineMilliCores, 16000, 0 };
             scheduling::registerExecutor(m_state->m_scheduler, entry, m_now + leasesOfEarlierOwners, m_now);
         }
     }
@@ -68,6 +70,17 @@
         CPPUNIT_ASSERT_EQUAL(3 * machineMilliCores, view.m_pools.at("counter").m_capacityMilliCores);
     }
 
+    // Guards against waiting tasks for which no machine is moved, since the pool seems to have room.
+    auto executor_capacityShrinks_poolShrinks() -> void
+    {
+        auto entry = m_state->m_scheduler.m_executors[0]->m_entry;
+        entry.m_capacity.m_cpuMilliCores = machineMilliCores / 4;
+        scheduling::registerExecutor(m_state->m_scheduler, entry, m_now, m_now);
+        const auto view = buildFleetView(*m_state, m_now);
+        CPPUNIT_ASSERT_EQUAL(
+            2 * machineMilliCores + machineMilliCores / 4, view.m_pools.at("counter").m_capacityMilliCores);
+    }
+
 private:
     static constexpr std::int64_t machineMilliCores = 32000;
     static constexpr Duration idleTime { 60000 };
--- a/tests/shell/platform/DecodeTest.cpp
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -100,13 +100,14 @@
             {"name":"short","host":"h","pathPrefix":"/a/","service":"s"},
             {"name":"long","host":"h","pathPrefix":"/a/b/","service":"s","public":true}],
             "tenants":[{"name":"t","apiKeys":["k"],"maxCount":{"cpu":5}}],
-            "services":[{"name":"s"},{"name":"p","spare":true}]})");
+            "services":[{"name":"s"},{"name":"p","spare":true,"admissionCheck":true}]})");
         CPPUNIT_ASSERT(rules);
         CPPUNIT_ASSERT_EQUAL(std::string("long"), ingress::findRoute(rules->m_ingress, "h:80", "/a/b/c")->m_queue);
         CPPUNIT_ASSERT_EQUAL(std::string("short"), ingress::findRoute(rules->m_ingress, "h", "/a/c")->m_queue);
         CPPUNIT_ASSERT(ingress::findRoute(rules->m_ingress, "other", "/a/c") == nullptr);
         CPPUNIT_ASSERT_EQUAL(std::string("t"), rules->m_ingress.m_workspaceByKey.at("k"));
         CPPUNIT_ASSERT(rules->m_fleet.m_spareServices.contains("p"));
+        CPPUNIT_ASSERT(rules->m_fleet.m_unguardedServices == std::set<std::string> { "s" });
     }
 
     auto configuration_unreadable_isEmpty() -> void
