Give up a task only for crashes under starts that were confirmed

A crash counts as certain only if the executor's end is, and the start was answered or the run reported to this owner; others are counted apart and put the task on trial only, up to a larger number.

Two tests failed before.

--- a/include/hemlockvane/scheduling/BlameCrashes.h
+++ b/include/hemlockvane/scheduling/BlameCrashes.h
@@ -22,9 +22,9 @@
 ///
 /// The tasks that were started last are the suspects. A suspect is started again on trial: for `trialTime` nothing else
 /// is started beside it, so that a second crash has one suspect only. A task with two crashes is given up if it is the
-/// only suspect of the second one, otherwise with `maximumCrashes`.
+/// only suspect of the second one; otherwise a task is given up with a larger number, in which possible crashes count.
 /// To be called before the runs are removed. Ends that were ordered or announced are no crashes.
-/// @param isCertain false if the executor is only silent: its tasks are on trial, but none is given up for it
+/// @param isCertain false if the executor is only silent, so that its crash is merely possible
 auto blameCrash(Scheduler& scheduler, ExecutorIndex index, bool isCertain) -> void;
 
 /// @brief Withdraws what was counted for a silent executor, which has answered again.
--- a/include/hemlockvane/scheduling/TaskProgress.h
+++ b/include/hemlockvane/scheduling/TaskProgress.h
@@ -14,6 +14,7 @@
     std::uint32_t m_failures = 0;
     std::uint32_t m_gangFailures = 0;
     std::uint32_t m_crashes = 0;
+    std::uint32_t m_possibleCrashes = 0;
     std::uint32_t m_highestRun = 0;
     std::uint64_t m_countedRunBits = 0;
     std::string m_checkpoint;
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -57,9 +57,9 @@
 auto logLostRuns(CoordinatorState& state) -> void
 {
     for (const auto& lost : state.m_scheduler.m_lostRuns)
-        logOf("jobs").info("event=run_lost task={} run={} executor={} age_ms={} crashes={}", taskText(lost.m_task),
-            lost.m_run, state.m_scheduler.m_executors[lost.m_executor]->m_entry.m_id, lost.m_age.count(),
-            lost.m_crashes);
+        logOf("jobs").info("event=run_lost task={} run={} executor={} age_ms={} crashes={} possible={}",
+            taskText(lost.m_task), lost.m_run, state.m_scheduler.m_executors[lost.m_executor]->m_entry.m_id,
+            lost.m_age.count(), lost.m_crashes, lost.m_possibleCrashes);
     state.m_scheduler.m_lostRuns.clear();
 }
 
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -23,6 +23,7 @@
     record.set_failures(task.m_failures);
     record.set_gang_failures(task.m_gangFailures);
     record.set_crashes(task.m_crashes);
+    record.set_possible_crashes(task.m_possibleCrashes);
     record.set_highest_run(task.m_highestRun);
     record.set_ended_runs(task.m_countedRunBits);
     record.set_checkpoint(task.m_checkpoint);
@@ -47,6 +48,7 @@
     task.m_failures = record.failures();
     task.m_gangFailures = record.gang_failures();
     task.m_crashes = record.crashes();
+    task.m_possibleCrashes = record.possible_crashes();
     task.m_highestRun = record.highest_run();
     task.m_countedRunBits = record.ended_runs();
     task.m_checkpoint = record.checkpoint();
--- a/src/scheduling/BlameCrashes.cpp
+++ b/src/scheduling/BlameCrashes.cpp
@@ -17,7 +17,7 @@
 // themselves.
 constexpr Duration longestSuspicion { 1000 };
 constexpr std::uint32_t crashesOfOnlySuspect = 2;
-constexpr std::uint32_t maximumCrashes = 4;
+constexpr std::uint32_t maximumCrashes = 4; // Possible ones count.
 
 auto isCrash(const Executor& executor) -> bool
 {
@@ -79,12 +79,14 @@
     const auto isOnlySuspect = wereStartedLast && isCertain && isOneSuspect(scheduler, suspects);
     for (const auto& suspect : suspects) {
         auto& task = *findTask(scheduler, suspect.m_task);
-        ++task.m_crashes;
+        const auto isConfirmed = isCertain && findRun(scheduler, suspect.m_task, suspect.m_run, index)->m_isConfirmed;
+        ++(isConfirmed ? task.m_crashes : task.m_possibleCrashes);
         task.m_needsTrial = wereStartedLast || task.m_crashes >= crashesOfOnlySuspect;
         markDirty(scheduler, *findJob(scheduler, suspect.m_task.m_job));
         if (!isCertain)
             executor.m_suspectsOfSilence.push_back(suspect.m_task);
-        if (task.m_crashes >= (isOnlySuspect ? crashesOfOnlySuspect : maximumCrashes))
+        if ((isOnlySuspect && task.m_crashes >= crashesOfOnlySuspect)
+            || task.m_crashes + task.m_possibleCrashes >= maximumCrashes)
             scheduler.m_crashingTasks.push_back(suspect.m_task);
     }
 }
@@ -93,10 +95,10 @@
 {
     for (const auto& key : scheduler.m_executors[index]->m_suspectsOfSilence) {
         auto* task = findTask(scheduler, key);
-        if (task == nullptr || task->m_crashes == 0)
+        if (task == nullptr || task->m_possibleCrashes == 0)
             continue;
-        --task->m_crashes;
-        task->m_needsTrial = task->m_needsTrial && task->m_crashes > 0;
+        --task->m_possibleCrashes;
+        task->m_needsTrial = task->m_needsTrial && task->m_crashes + task->m_possibleCrashes > 0;
         markDirty(scheduler, *findJob(scheduler, key.m_job));
     }
     scheduler.m_executors[index]->m_suspectsOfSilence.clear();
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -22,6 +22,7 @@
     stored.m_failures = task.m_failures;
     stored.m_gangFailures = step.m_gangFailures;
     stored.m_crashes = task.m_crashes;
+    stored.m_possibleCrashes = task.m_possibleCrashes;
     stored.m_highestRun = task.m_highestRun;
     stored.m_countedRunBits = task.m_countedRunBits;
     stored.m_checkpoint = task.m_isDone ? std::string() : task.m_checkpoint;
@@ -66,7 +67,8 @@
     task->m_isDone = stored.m_isDone;
     task->m_failures = stored.m_failures;
     task->m_crashes = stored.m_crashes;
-    task->m_needsTrial = stored.m_crashes > 0;
+    task->m_possibleCrashes = stored.m_possibleCrashes;
+    task->m_needsTrial = stored.m_crashes + stored.m_possibleCrashes > 0;
     task->m_highestRun = stored.m_highestRun;
     task->m_countedRunBits = stored.m_countedRunBits;
     task->m_checkpoint = stored.m_checkpoint;
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -29,8 +29,9 @@
     const auto runs = scheduler.m_executors[index]->m_runs;
     for (const auto& item : runs) {
         const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        const auto& task = *findTask(scheduler, item.m_task);
         scheduler.m_lostRuns.push_back(
-            { item.m_task, item.m_run, index, now - run->m_orderedAt, findTask(scheduler, item.m_task)->m_crashes });
+            { item.m_task, item.m_run, index, now - run->m_orderedAt, task.m_crashes, task.m_possibleCrashes });
         removeRun(scheduler, item.m_task, item.m_run, index);
     }
     return runs.size();
@@ -72,6 +73,7 @@
         && (task->m_runs.empty() || (spec.m_allowsDuplicates && !spec.m_isGang));
     auto& run = addRun(
         scheduler, reported.m_task, reported.m_run, index, isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
+    run.m_isConfirmed = true;
     run.m_percent = reported.m_percent;
     run.m_measurement = reported.m_measurement;
     if (!reported.m_checkpoint.empty())
@@ -81,6 +83,7 @@
 auto refreshRun(Scheduler& scheduler, TaskRun& run, const ReportedRun& reported, Instant pollSentAt) -> void
 {
     markBegun(*findJob(scheduler, reported.m_task.m_job));
+    run.m_isConfirmed = true;
     if (run.m_phase == RunPhase::Starting)
         run.m_phase = RunPhase::Running;
     run.m_percent = reported.m_percent;
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -200,6 +200,7 @@
     if (found == nullptr)
         return;
     if (answer == StartAnswer::Started) {
+        found->m_isConfirmed = true;
         if (found->m_phase == RunPhase::Starting)
             found->m_phase = RunPhase::Running;
         markBegun(*findJob(scheduler, key.m_job));
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(crash_executorDrainsOrLeaves_isNotCounted);
     CPPUNIT_TEST(crash_startFoundOtherIncarnation_isNotCounted);
     CPPUNIT_TEST(crash_startNeverSent_isNotCounted);
+    CPPUNIT_TEST(crash_startUnanswered_taskIsGivenUpOnlyForCertainCrashes);
+    CPPUNIT_TEST(crash_runOfEarlierOwnerNeverReported_taskIsGivenUpOnlyForCertainCrashes);
     CPPUNIT_TEST(silence_executorAnswersAgain_isForgotten);
     CPPUNIT_TEST(silence_leasesExpireAgainAndAgain_taskIsNotGivenUpEarly);
     CPPUNIT_TEST_SUITE_END();
@@ -252,12 +254,41 @@
         CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, start.m_task)->m_crashes);
     }
 
+    // Guards against a job that is failed although its task was never started: its executor had crashed before.
+    auto crash_startUnanswered_taskIsGivenUpOnlyForCertainCrashes() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto start = plan().at(0);
+        noteStartSent(m_scheduler, start, m_now);
+        applyStartAnswer(m_scheduler, start.m_executor, start.m_task, start.m_run, StartAnswer::Unknown, true, m_now);
+        restart(start.m_executor);
+        m_now += downTime;
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
+    auto crash_runOfEarlierOwnerNeverReported_taskIsGivenUpOnlyForCertainCrashes() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto start = plan().at(0);
+        const auto progress = progressOf(m_scheduler, *findJob(m_scheduler, job));
+        setUp();
+        submit({ step(1, 1000) });
+        restoreProgress(m_scheduler, job, progress, m_now);
+        restart(start.m_executor);
+        m_now += downTime;
+        crashUnderNextStarts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
+        CPPUNIT_ASSERT(phase() == JobPhase::Running);
+    }
+
     auto silence_executorAnswersAgain_isForgotten() -> void
     {
         const auto start = silentUntilLeaseExpires();
-        CPPUNIT_ASSERT_EQUAL(1U, findTask(m_scheduler, start.m_task)->m_crashes);
+        CPPUNIT_ASSERT_EQUAL(1U, findTask(m_scheduler, start.m_task)->m_possibleCrashes);
         report(start.m_executor, {});
-        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, start.m_task)->m_crashes);
+        CPPUNIT_ASSERT_EQUAL(0U, findTask(m_scheduler, start.m_task)->m_possibleCrashes);
         CPPUNIT_ASSERT(!needsTrial(m_scheduler, *findTask(m_scheduler, start.m_task)));
     }
 
