Check a team's upper limit by the executions themselves

processes-limits failed at times beside load: "saw 6", limit 5. The check added three executors' counters that it had read one after the other, in 30 samples; requests of 20 ms moved between them meanwhile, so it was wrong in both directions.

--- a/standins/ExecutorStandin.cpp
+++ b/standins/ExecutorStandin.cpp
@@ -12,6 +12,8 @@
 
 #include <chrono>
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace hemlockvane::standins {
 
@@ -26,6 +28,12 @@
     bool m_garbles = false;
 };
 
+// Begin and end of a request's execution, in us on the clock that all processes of the machine share.
+struct Execution {
+    std::int64_t m_beganAtUs = 0;
+    std::int64_t m_endedAtUs = 0;
+};
+
 struct Executor {
     std::string m_name;
     std::string m_service;
@@ -38,8 +46,24 @@
     std::uint64_t m_refused = 0; // Requests refused because no slot was free.
     std::uint64_t m_total = 0;
     std::map<std::string, std::uint64_t> m_executionsByKey;
+    std::vector<Execution> m_endedExecutions; // Since they were last asked for.
 };
 
+auto steadyMicroseconds() -> std::int64_t
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+// Executions that ended since the last such request, as pairs of begin and end.
+auto takeEndedExecutions(Executor& executor) -> StandinAnswer
+{
+    boost::json::array rows;
+    for (const auto& execution : std::exchange(executor.m_endedExecutions, {}))
+        rows.push_back(boost::json::array { execution.m_beganAtUs, execution.m_endedAtUs });
+    return jsonAnswer(200, { { "executions", std::move(rows) } });
+}
+
 auto executionsAnswer(const Executor& executor) -> StandinAnswer
 {
     boost::json::object keys;
@@ -98,6 +122,7 @@
     ++executor.m_busy;
     executor.m_largestBusy = std::max(executor.m_largestBusy, executor.m_busy);
     const auto execution = ++executor.m_total;
+    const auto beganAtUs = steadyMicroseconds();
     const auto key = std::string(detail::findHeader(request.m_headers, "Idempotency-Key"));
     if (!key.empty())
         ++executor.m_executionsByKey[key];
@@ -107,6 +132,7 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
     --executor.m_busy;
+    executor.m_endedExecutions.push_back({ beganAtUs, steadyMicroseconds() });
     boost::json::object body { { "executor", executor.m_name }, { "service", executor.m_service },
         { "method", request.m_method }, { "path", request.m_target }, { "body", request.m_body },
         { "execution", execution } };
@@ -122,6 +148,8 @@
     const auto path = pathOf(request.m_target);
     if (path == "/standin/executions")
         co_return executionsAnswer(executor);
+    if (path == "/standin/ended-executions")
+        co_return takeEndedExecutions(executor);
     if (path != "/faults")
         co_return co_await execute(executor, std::move(request));
     if (request.m_method != "POST")
