Append submissions in batches while the store is slow

SubmissionQueue decides, as free functions over a plain struct, for the load of an instance that receives faster than the store answers. An idle store sees what it saw before. What was never sent by its deadline is refused, which is true; what may be stored is repeated until it is.

--- a/include/hemlockvane/detail/intake/JobIntake.h
+++ b/include/hemlockvane/detail/intake/JobIntake.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/coordinator/JobStatusResult.h"
 #include "hemlockvane/detail/intake/IntakeOutcome.h"
+#include "hemlockvane/detail/intake/SubmissionWriter.h"
 #include "hemlockvane/scheduling/JobSpec.h"
 #include "hemlockvane/time/Time.h"
 
@@ -24,7 +25,7 @@
 class JobIntake {
 public:
     /// @param coordinator returns this instance's coordinator; null while another instance owns the work
-    JobIntake(RecordStore& store, HttpPool& peers, const OwnerElection& election,
+    JobIntake(boost::asio::io_context& context, RecordStore& store, HttpPool& peers, const OwnerElection& election,
         std::function<std::shared_ptr<Coordinator>()> coordinator);
 
     /// @brief Stores a submission. Submitting the same job again has no effect.
@@ -44,10 +45,9 @@
     auto countWaitingJobs(std::string queue) -> boost::asio::awaitable<std::optional<std::size_t>>;
 
 private:
-    auto store(std::string key, std::string value, Instant deadline) -> boost::asio::awaitable<IntakeOutcome>;
     auto askOwner(std::string target) -> boost::asio::awaitable<std::optional<std::string>>;
 
-    RecordStore& m_store;
+    SubmissionWriter m_writer;
     HttpPool& m_peers;
     const OwnerElection& m_election;
     std::function<std::shared_ptr<Coordinator>()> m_ownedCoordinator;
--- /dev/null
+++ b/include/hemlockvane/detail/intake/SubmissionQueue.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "hemlockvane/detail/intake/PendingSubmission.h"
+#include "hemlockvane/detail/ports/StoreAppendKind.h"
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace hemlockvane::detail {
+
+using SharedSubmission = std::shared_ptr<PendingSubmission>;
+
+/// @brief Submissions and cancellations on their way to the store, for instances that receive them faster than the
+/// store answers: what arrives while appends are in flight goes into the next one, so that a slow store gets a bounded
+/// number of appends from each instance, however many callers wait.
+struct SubmissionQueue {
+    std::deque<SharedSubmission> m_waiting; ///< Not in flight, oldest first.
+    std::size_t m_appendsInFlight = 0;
+};
+
+/// @brief Takes the submissions of the next append.
+/// @result empty if none is waiting or enough appends are in flight
+[[nodiscard]] auto takeBatch(SubmissionQueue& queue) -> std::vector<SharedSubmission>;
+
+/// @brief Applies the store's answer to an append of a batch. What may be stored by an unanswered append goes on
+/// waiting, since only a stored one settles it.
+auto applyAppendResult(SubmissionQueue& queue, std::span<const SharedSubmission> batch, StoreAppendKind kind) -> void;
+
+/// @brief Gives up a submission whose caller waits no longer, and returns what is known of it.
+[[nodiscard]] auto abandonSubmission(SubmissionQueue& queue, const SharedSubmission& submission) -> IntakeOutcome;
+
+} // namespace hemlockvane::detail
--- a/src/detail/intake/JobIntake.cpp
+++ b/src/detail/intake/JobIntake.cpp
@@ -1,6 +1,5 @@
 #include "hemlockvane/detail/intake/JobIntake.h"
 
-#include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/Coordinator.h"
 #include "hemlockvane/detail/coordinator/OwnerElection.h"
@@ -11,7 +10,6 @@
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling.pb.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace hemlockvane::detail {
@@ -20,8 +18,6 @@
 
 namespace {
 
-constexpr Duration appendTimeout { 700 }; // A slow store answers within 0.5 s.
-constexpr Duration retryPause { 60 }; // After an append without an answer.
 constexpr Duration ownerTimeout { 500 }; // An owner answers within a few milliseconds, otherwise it is unreachable.
 constexpr unsigned statusOk = 200;
 
@@ -37,36 +33,15 @@
 
 } // namespace
 
-JobIntake::JobIntake(RecordStore& store, HttpPool& peers, const OwnerElection& election,
+JobIntake::JobIntake(asio::io_context& context, RecordStore& store, HttpPool& peers, const OwnerElection& election,
     std::function<std::shared_ptr<Coordinator>()> coordinator)
-    : m_store(store)
+    : m_writer(context, store)
     , m_peers(peers)
     , m_election(election)
     , m_ownedCoordinator(std::move(coordinator))
 {
 }
 
-auto JobIntake::store(std::string key, std::string value, Instant deadline) -> asio::awaitable<IntakeOutcome>
-{
-    StoreAppend request;
-    request.m_topic = submissionTopic;
-    request.m_records.push_back(encodeKeyedRecord(key, value));
-    auto isUnknown = false;
-    while (true) {
-        const auto remaining = std::min(appendTimeout, deadline - monotonicNow());
-        if (remaining <= Duration { 0 })
-            co_return isUnknown ? IntakeOutcome::Unknown : IntakeOutcome::Refused;
-        auto attempt = request;
-        const auto result = co_await m_store.append(std::move(attempt), remaining);
-        if (result.m_kind == StoreAppendKind::Stored)
-            co_return IntakeOutcome::Stored;
-        if (result.m_kind != StoreAppendKind::Unknown && !isUnknown)
-            co_return IntakeOutcome::Refused;
-        isUnknown = true;
-        co_await sleepFor(retryPause);
-    }
-}
-
 auto JobIntake::submit(scheduling::JobId id, std::string queue, std::string workspace, std::string body,
     Instant deadline) -> asio::awaitable<IntakeOutcome>
 {
@@ -75,16 +50,15 @@
     record.set_workspace(std::move(workspace));
     record.set_body(std::move(body));
     record.set_submitted_at_ms(wallNow());
-    auto key = submissionPrefix + jobIdText(id);
-    auto value = record.SerializeAsString();
-    co_return co_await store(std::move(key), std::move(value), deadline);
+    auto bytes = encodeKeyedRecord(submissionPrefix + jobIdText(id), record.SerializeAsString());
+    co_return co_await m_writer.store(std::move(bytes), deadline);
 }
 
 auto JobIntake::cancel(scheduling::JobId id, Instant deadline) -> asio::awaitable<IntakeOutcome>
 {
-    auto key = cancellationPrefix + jobIdText(id);
-    std::string value = "1"; // Any value that is not empty: an empty one would delete the key.
-    co_return co_await store(std::move(key), std::move(value), deadline);
+    // Any value that is not empty: an empty one would delete the key.
+    auto bytes = encodeKeyedRecord(cancellationPrefix + jobIdText(id), "1");
+    co_return co_await m_writer.store(std::move(bytes), deadline);
 }
 
 auto JobIntake::askOwner(std::string target) -> asio::awaitable<std::optional<std::string>>
--- a/tests/shell/platform/ClientApiTest.cpp
+++ b/tests/shell/platform/ClientApiTest.cpp
@@ -37,7 +37,7 @@
         m_rules = std::make_unique<detail::RulesFollower>(
             *m_context, *m_store, source(), [](const detail::OperatorRules&) {});
         m_intake = std::make_unique<detail::JobIntake>(
-            *m_store, *m_peers, *m_election, [] { return std::shared_ptr<detail::Coordinator>(); });
+            *m_context, *m_store, *m_peers, *m_election, [] { return std::shared_ptr<detail::Coordinator>(); });
         m_api = std::make_unique<ClientApi>(*m_intake, *m_rules, m_metrics, Duration(3600000));
         m_rules->start();
         runUntil([&] { return m_api->isReady(); });
