--- a/include/hemlockvane/scheduling/FleetRules.h
+++ b/include/hemlockvane/scheduling/FleetRules.h
@@ -16,7 +16,7 @@
     std::map<std::string, QueueRules> m_queues;
     std::map<std::string, WorkspaceRules> m_workspaces;
     std::set<std::string> m_services; ///< All services, including spare pools.
-    std::set<std::string> m_unguardedServices; ///< Their executors start whatever they are told to, without room too.
+    std::set<std::string> m_unguardedServices; ///< Their executors do not check their capacity.
     std::set<std::string> m_spareServices; ///< Spare pools: their machines are switched off.
 };
 
--- a/include/hemlockvane/scheduling/LostRun.h
+++ b/include/hemlockvane/scheduling/LostRun.h
@@ -15,7 +15,7 @@
     ExecutorIndex m_executor = 0;
     Duration m_age {}; ///< From the decision on its start to the time when it was given up.
     std::uint32_t m_crashes = 0; ///< Crashes that are counted for its task.
-    std::uint32_t m_possibleCrashes = 0;
+    std::uint32_t m_possibleCrashes = 0; ///< Possible crashes that are counted for its task.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/TaskState.h
+++ b/include/hemlockvane/scheduling/TaskState.h
@@ -14,7 +14,7 @@
     std::uint32_t m_failures = 0; ///< Number of failed runs.
     std::uint32_t m_crashes = 0; ///< Number of executors that crashed soon after they had started the task.
     std::uint32_t m_possibleCrashes = 0; ///< Number of those that may have crashed, or may not have started it.
-    bool m_needsTrial = false; ///< Nothing may be started beside it until a run has outlived its trial.
+    bool m_needsTrial = false; ///< It may be started on trial only; see `blameCrash`.
     std::uint32_t m_highestRun = 0;
     std::uint64_t m_countedRunBits = 0; ///< Bit `run % 64` is set once the outcome of that run was counted.
     std::string m_checkpoint; ///< Newest known checkpoint; empty: none.
--- a/src/detail/intake/SubmissionQueue.cpp
+++ b/src/detail/intake/SubmissionQueue.cpp
@@ -9,7 +9,7 @@
 // More than one, since a connection may have gone silent while others work.
 constexpr std::size_t maximumAppendsInFlight = 3;
 constexpr std::size_t maximumBatchRecords = 500;
-constexpr std::size_t maximumBatchBytes = 512UL * 1024; // A quarter of the smallest limit of a call known.
+constexpr std::size_t maximumBatchBytes = 512UL * 1024; // The store accepts 2 MB in one call.
 // A larger record is appended alone, so that the store's refusal of it refuses nothing else.
 constexpr std::size_t maximumSharedRecordBytes = 64UL * 1024;
 
