--- a/review/standin/Executor.hh
+++ b/review/standin/Executor.hh
@@ -118,7 +118,7 @@
     ~Executor()
     {
         if (m_isUp)
-            crash();
+            crash("closed");
     }
 
     auto place() const -> const ExecutorPlace& { return m_place; }
