--- a/review/standin/Executor.hh
+++ b/review/standin/Executor.hh
@@ -154,13 +154,14 @@
     {
         if (!m_isUp.exchange(false))
             return;
+        const auto at = m_record.now();
         m_record.write(m_place.m_id, std::string(how) + " with " + std::to_string(m_active.size()) + " runs");
         m_changed.notify_all();
         m_server.stop();
         m_ticker.join();
         const std::lock_guard lock(m_mutex);
         for (const auto& [key, run] : m_active)
-            m_runs.end(run.m_event, how, m_record.now());
+            m_runs.end(run.m_event, how, at);
         m_active.clear();
         m_used = {};
     }
