Keep runs whose start the next life of an executor may have received

An idle executor had crashed and was back under its id; the tasks were started there and, once the registry was read, elsewhere too.

Cause: a start names an executor, not its life. When a newer start time became known, resetIncarnation dropped all runs there, also those that the new life had begun.

Runs that were sent but never listed by the ended life are kept; the answer to the first poll settles them: what it would list and does not ended with the earlier life, and is blamed for the crash then. So nothing is concluded from a start time alone, and a run is free at once where the earlier life had listed it.

crash_startsUnansweredFourTimes_taskIsGivenUp expected the next start as soon as the new life was listed, although the start without an answer may be there. The test answers the stop first; the limit of four crashes is unchanged.

--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -37,6 +37,7 @@
     std::function<Instant()> m_rulesConfirmedAt; ///< Time before which all changes of the configuration are known.
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases of earlier owners have expired.
     Duration m_longestLease { 6500 }; ///< No lease ends later than this after the newest renewal of the ownership.
+    Duration m_longestHold { 10000 }; ///< Executors shorten longer leases to this.
     Duration m_statusRetention { 120000 }; ///< The final state of a job can be queried for at least this long.
 };
 
--- a/include/hemlockvane/scheduling/BlameCrashes.h
+++ b/include/hemlockvane/scheduling/BlameCrashes.h
@@ -6,12 +6,15 @@
 #include "hemlockvane/scheduling/TaskRun.h"
 #include "hemlockvane/time/Time.h"
 
+#include <span>
 #include <vector>
 
 namespace hemlockvane::scheduling {
 
 struct Action;
+struct EndedLife;
 struct Executor;
+struct ExecutorRun;
 struct Scheduler;
 struct TaskState;
 
@@ -24,9 +27,19 @@
 /// is started beside it, so that a second crash has one suspect only. A task with two crashes is given up if it is the
 /// only suspect of the second one; otherwise with a larger number, in which starts without an answer count too if their
 /// executor has certainly ended. Silence alone gives nothing up.
-/// To be called before the runs are removed. Ends that were ordered or announced are no crashes.
+/// To be called before the runs are removed.
+/// @param lost the runs that are lost
+/// @param life how the executor's life has ended, or may have ended
 /// @param isCertain false if the executor is only silent, so that its crash is merely possible
-auto blameCrash(Scheduler& scheduler, ExecutorIndex index, bool isCertain) -> void;
+auto blameCrash(Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> lost, const EndedLife& life,
+    bool isCertain) -> void;
+
+/// @brief Whether an end of the executor's present life is a crash: neither ordered nor announced.
+[[nodiscard]] auto isCrash(const Executor& executor) -> bool;
+
+/// @brief Whether one of the runs would be suspected of a crash.
+[[nodiscard]] auto hasSuspects(
+    Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> runs, Instant lostSince) -> bool;
 
 /// @brief Withdraws what was counted for a silent executor, which has answered again.
 auto withdrawBlame(Scheduler& scheduler, ExecutorIndex index) -> void;
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/scheduling/EndedLife.h"
 #include "hemlockvane/scheduling/ExecutorEntry.h"
 #include "hemlockvane/scheduling/ExecutorRun.h"
 #include "hemlockvane/scheduling/SilentSuspect.h"
@@ -30,6 +31,7 @@
         m_epochRefusedAt; ///< When it last refused this owner's epoch, since it had seen a newer one.
     Instant m_lostSince; ///< While it is unresponsive: earliest time at which it may have crashed.
     std::vector<SilentSuspect> m_suspectsOfSilence; ///< Tasks whose crashes were counted because its leases expired.
+    std::optional<EndedLife> m_endedLife; ///< Set while it is not known whether some runs ended with an earlier life.
     std::optional<ExecutorRun> m_trial; ///< The run that was started on trial last.
     bool m_isReserved = false; ///< Reserved for a move or maintenance of its machine: no task is started there.
     bool m_isLeaving = false; ///< Its machine accepted an order that ends the executor: no task is started there.
--- a/include/hemlockvane/scheduling/TaskRun.h
+++ b/include/hemlockvane/scheduling/TaskRun.h
@@ -20,6 +20,8 @@
     bool m_isInFlight = false; ///< Its start was decided by this owner and is not answered yet.
     std::optional<Instant> m_storedAt; ///< When this owner learnt that the run is stored.
     bool m_isConfirmed = false; ///< Its executor has confirmed its start, or reported it, to this owner.
+    bool m_isReported = false; ///< An answer to a poll of the executor's present life has listed it.
+    std::optional<Instant> m_startAnsweredAt; ///< When its executor confirmed the request to start it.
     std::optional<Instant> m_sentAt; ///< When its start was last sent, or restored from the journal.
     bool m_isRestored = false; ///< Restored from the journal: it is not known when its start was sent.
     std::optional<Instant> m_outcomeUnknownSince; ///< When its start got no answer: it may still be carried out.
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -35,6 +35,8 @@
 constexpr Duration pollWait { 900 }; // Maximum wait of a poll for an ended run; a lease lasts for several polls.
 constexpr Duration unresponsiveRetryInterval { 150 }; // After a poll without an answer.
 constexpr Duration newerOwnerCheckInterval { 200 }; // Until a renewal shows that there is no newer owner.
+// An executor that has not answered for longer may have been replaced by another life under its id.
+constexpr Duration lifeCheckInterval { 300 };
 constexpr Duration idlePollInterval { 30000 }; // For an executor without runs.
 
 auto startPolling(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index) -> void
@@ -160,16 +162,24 @@
     }
 }
 
+// Whether the executor is certainly in the life that answered last, so that the numbers of its ends are those that were
+// acknowledged.
+auto isLifeCertain(const scheduling::Executor& executor, Instant now) -> bool
+{
+    return executor.m_isReconciled && !executor.m_isUnresponsive && now - executor.m_clockReadAt < lifeCheckInterval;
+}
+
 auto pollOnce(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index) -> asio::awaitable<bool>
 {
     auto& executor = *state->m_scheduler.m_executors[index];
     const auto now = monotonicNow();
     PollRequest request;
     request.m_epoch = state->m_epoch;
-    request.m_acknowledgedEnd = executor.m_acknowledgedEnd;
+    // A new life would forget ends that it has numbered below those of the earlier one.
+    request.m_acknowledgedEnd = isLifeCertain(executor, now) ? executor.m_acknowledgedEnd : 0;
     request.m_deadlineMs = leaseDeadline(*state, executor, now);
-    request.m_wait
-        = executor.m_isReconciled && !executor.m_isUnresponsive && !executor.m_runs.empty() ? pollWait : Duration { 0 };
+    const auto mayWait = isLifeCertain(executor, now) && !executor.m_endedLife && !executor.m_runs.empty();
+    request.m_wait = mayWait ? pollWait : Duration { 0 };
     executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, request.m_deadlineMs.value_or(0));
     const auto previousStartMs = executor.m_entry.m_startedAtMs;
     auto result = co_await state->m_ports.m_executors->poll(executor.m_entry.m_address, executor.m_entry.m_id, request);
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -125,11 +125,9 @@
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, executor.m_used.m_cpuMilliCores, action.m_reason,
         nameOf(answer), obstacle, (monotonicNow() - sentAt).count());
     state->m_ports.m_metrics->count("starts_total{answer=\"" + std::string(nameOf(answer)) + "\"}");
-    // The runs of an earlier life are gone, and its answer says nothing about the life that the executor has now.
-    if (executor.m_entry.m_startedAtMs != startedAtMs) {
-        state->m_planSignal.notify();
-        co_return;
-    }
+    // The executor whose life has ended is no other one: nothing was done.
+    if (executor.m_entry.m_startedAtMs != startedAtMs && answer == scheduling::StartAnswer::OtherIncarnation)
+        answer = scheduling::StartAnswer::Refused;
     if (answer == scheduling::StartAnswer::NotSent && monotonicNow() - sentAt > longestStartWait)
         executor.m_backoffUntil = std::max(executor.m_backoffUntil, monotonicNow() + unansweredBackoff);
     scheduling::applyStartAnswer(
--- a/src/scheduling/BlameCrashes.cpp
+++ b/src/scheduling/BlameCrashes.cpp
@@ -19,11 +19,6 @@
 constexpr std::uint32_t crashesOfOnlySuspect = 2;
 constexpr std::uint32_t maximumCrashes = 4; // Among other suspects, or without an answer to the start.
 
-auto isCrash(const Executor& executor) -> bool
-{
-    return !executor.m_isLeaving && !executor.m_isReserved && !executor.m_entry.m_isDraining;
-}
-
 // Whether the executor may have crashed within a time after it received the start. A start that is still on its way
 // may have been sent to an executor that had crashed before.
 auto mayHaveCrashedWithin(const TaskRun& run, Instant lostSince, Duration time) -> bool
@@ -32,11 +27,11 @@
     return run.m_sentAt && !isOnItsWay && *run.m_sentAt + time >= lostSince;
 }
 
-auto runsStartedWithin(Scheduler& scheduler, ExecutorIndex index, Instant lostSince, Duration time)
-    -> std::vector<ExecutorRun>
+auto runsStartedWithin(Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> runs, Instant lostSince,
+    Duration time) -> std::vector<ExecutorRun>
 {
     std::vector<ExecutorRun> suspects;
-    for (const auto& item : scheduler.m_executors[index]->m_runs) {
+    for (const auto& item : runs) {
         const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
         if (run != nullptr && mayHaveCrashedWithin(*run, lostSince, time))
             suspects.push_back(item);
@@ -82,16 +77,28 @@
 
 } // namespace
 
-auto blameCrash(Scheduler& scheduler, ExecutorIndex index, bool isCertain) -> void
+auto isCrash(const Executor& executor) -> bool
+{
+    return !executor.m_isLeaving && !executor.m_isReserved && !executor.m_entry.m_isDraining;
+}
+
+auto hasSuspects(Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> runs, Instant lostSince)
+    -> bool
+{
+    return !runsStartedWithin(scheduler, index, runs, lostSince, trialTime).empty();
+}
+
+auto blameCrash(Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> lost, const EndedLife& life,
+    bool isCertain) -> void
 {
     auto& executor = *scheduler.m_executors[index];
-    if (!isCrash(executor))
+    if (!life.m_isCrash)
         return;
-    auto suspects = runsStartedWithin(scheduler, index, executor.m_lostSince, trialTime);
+    auto suspects = runsStartedWithin(scheduler, index, lost, life.m_lostSince, trialTime);
     const auto wereStartedLast = !suspects.empty();
     if (!wereStartedLast)
-        suspects = runsStartedWithin(scheduler, index, executor.m_lostSince, longestSuspicion);
-    const auto isOnlySuspect = wereStartedLast && isOneSuspect(scheduler, suspects);
+        suspects = runsStartedWithin(scheduler, index, lost, life.m_lostSince, longestSuspicion);
+    const auto isOnlySuspect = wereStartedLast && !life.m_hasOtherSuspects && isOneSuspect(scheduler, suspects);
     for (const auto& suspect : suspects) {
         auto& task = *findTask(scheduler, suspect.m_task);
         const auto& run = *findRun(scheduler, suspect.m_task, suspect.m_run, index);
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -2,17 +2,21 @@
 
 #include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/IndexRoom.h"
+#include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
 
 #include <algorithm>
+#include <optional>
+#include <span>
 
 namespace hemlockvane::scheduling {
 
 namespace {
 
+constexpr std::int64_t clockRatePercent = 100;
 constexpr std::int64_t minimumClockRatePercent = 98; // An executor's clock may run up to 2 % slow.
 
 // For executors that do not check their capacity: shorter than the time after which a smaller capacity binds.
@@ -24,11 +28,16 @@
     return entry.m_labels.size() > 1 ? entry.m_labels.back() : std::string();
 }
 
-// Removes all runs of an executor, which were lost with it or with their lease.
-auto loseRuns(Scheduler& scheduler, ExecutorIndex index, bool isCrashCertain, Instant now) -> std::size_t
+auto presentLife(const Executor& executor) -> EndedLife
 {
-    blameCrash(scheduler, index, isCrashCertain);
-    const auto runs = scheduler.m_executors[index]->m_runs;
+    return { .m_lostSince = executor.m_lostSince, .m_isCrash = isCrash(executor), .m_noticedAt = {} };
+}
+
+// Removes runs that were lost with their executor or with their lease.
+auto loseRuns(Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> runs, const EndedLife& life,
+    bool isCrashCertain, Instant now) -> std::size_t
+{
+    blameCrash(scheduler, index, runs, life, isCrashCertain);
     for (const auto& item : runs) {
         const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
         const auto& task = *findTask(scheduler, item.m_task);
@@ -39,12 +48,72 @@
     return runs.size();
 }
 
+// Whether the start of a run may have reached the life of its executor that follows: it names the executor, but not its
+// life. A start that was not sent is not sent to another life any more.
+auto mayBeOnNextLife(const TaskRun& run) -> bool { return run.m_sentAt.has_value() && !run.m_isReported; }
+
+// The next life has seen no stop of a run that may have been started there.
+auto repeatStop(Scheduler& scheduler, TaskRun& run) -> void
+{
+    run.m_stopAnsweredAt.reset();
+    run.m_wasStopSent = false;
+    run.m_nextActionAt = {};
+    if (run.m_phase == RunPhase::Stopping)
+        stopRun(scheduler, run);
+}
+
+// Removes the runs that certainly ended with the executor's present life. The others are kept until the next life has
+// listed its runs.
+auto endLife(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
+{
+    auto& executor = *scheduler.m_executors[index];
+    std::vector<ExecutorRun> lost;
+    std::vector<ExecutorRun> kept;
+    for (const auto& item : executor.m_runs) {
+        auto& run = *findRun(scheduler, item.m_task, item.m_run, index);
+        (mayBeOnNextLife(run) ? kept : lost).push_back(item);
+    }
+    auto life = presentLife(executor);
+    life.m_noticedAt = now;
+    const auto areLostSuspected = hasSuspects(scheduler, index, lost, life.m_lostSince);
+    life.m_hasOtherSuspects = hasSuspects(scheduler, index, kept, life.m_lostSince);
+    loseRuns(scheduler, index, lost, life, true, now);
+    if (kept.empty())
+        return;
+    life.m_hasOtherSuspects = areLostSuspected;
+    executor.m_endedLife = life;
+    for (const auto& item : kept)
+        repeatStop(scheduler, *findRun(scheduler, item.m_task, item.m_run, index));
+    // Their deadlines are times on the clock of the earlier life.
+    const auto& timing = scheduler.m_timing;
+    const auto holdEndsBy
+        = now + timing.m_longestHold * clockRatePercent / minimumClockRatePercent + timing.m_leaseSlack;
+    executor.m_earlierLeasesExpireBy = std::max(executor.m_earlierLeasesExpireBy, holdEndsBy);
+}
+
+// Stops runs that reached a life of another kind than the one for which they were planned.
+auto stopMisplacedRuns(Scheduler& scheduler, ExecutorIndex index) -> void
+{
+    const auto& entry = scheduler.m_executors[index]->m_entry;
+    for (const auto& item : scheduler.m_executors[index]->m_runs) {
+        const auto& spec = findJob(scheduler, item.m_task.m_job)->m_spec;
+        const auto queue = scheduler.m_rules.m_queues.find(spec.m_queue);
+        const auto isOfService
+            = queue == scheduler.m_rules.m_queues.end() || queue->second.m_service == entry.m_service;
+        if (!isOfService || !hasLabel(entry.m_labels, spec.m_steps[item.m_task.m_step].m_requiredLabel))
+            stopRun(scheduler, *findRun(scheduler, item.m_task, item.m_run, index));
+    }
+}
+
 // The executor stays unregistered until the registry shows the new life: only the registry tells its service, labels
 // and capacity, which may differ.
 auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
 {
-    markTerminated(scheduler, index, now);
     auto& executor = *scheduler.m_executors[index];
+    markUnresponsive(executor, now);
+    endLife(scheduler, index, now);
+    confirmBlame(scheduler, index);
+    executor.m_isRegistered = false;
     executor.m_acknowledgedEnd = 0;
     executor.m_appliedEnd = 0;
     executor.m_leaseUntilMs = 0;
@@ -76,6 +145,7 @@
     auto& run = addRun(
         scheduler, reported.m_task, reported.m_run, index, isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
     run.m_isConfirmed = true;
+    run.m_isReported = true;
     run.m_percent = reported.m_percent;
     run.m_measurement = reported.m_measurement;
     if (!reported.m_checkpoint.empty())
@@ -88,6 +158,7 @@
     confirmStart(scheduler, run, now);
     markBegun(*findJob(scheduler, reported.m_task.m_job));
     run.m_isConfirmed = true;
+    run.m_isReported = true;
     if (run.m_phase == RunPhase::Starting)
         run.m_phase = RunPhase::Running;
     run.m_percent = reported.m_percent;
@@ -104,12 +175,13 @@
 }
 
 // On the first answer to this owner's epoch: a run of an earlier owner that is not reported will not start any more,
-// since the executor now refuses requests of earlier owners.
+// since the executor now refuses requests of earlier owners. This owner's own starts may still arrive.
 auto removeUnreportedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
 {
     const auto runs = scheduler.m_executors[index]->m_runs;
     for (const auto& item : runs) {
-        if (!isReported(report, item))
+        const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        if (run != nullptr && run->m_isRestored && !isReported(report, item))
             removeRun(scheduler, item.m_task, item.m_run, index);
     }
 }
@@ -141,11 +213,45 @@
     }
 }
 
+// Whether the answer to a poll would list a run that an executor's present life has: one whose start or stop it had
+// confirmed before the poll, or one of an earlier owner, since it refuses requests of that one by now.
+auto wouldBeListed(const Executor& executor, const TaskRun& run, Instant pollSentAt) -> bool
+{
+    const auto isConfirmed = [&](const std::optional<Instant>& at) { return at && *at <= pollSentAt; };
+    return isConfirmed(run.m_startAnsweredAt) || isConfirmed(run.m_stopAnsweredAt)
+        || (run.m_isRestored && !executor.m_isReconciled);
+}
+
+// Settles the runs that may have been started on an earlier or on the present life: those that the present one would
+// list and does not ended with the earlier one.
+auto settleEndedLife(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now) -> void
+{
+    auto& executor = *scheduler.m_executors[index];
+    if (!executor.m_endedLife)
+        return;
+    std::vector<ExecutorRun> lost;
+    auto isSettled = true;
+    for (const auto& item : executor.m_runs) {
+        const auto& run = *findRun(scheduler, item.m_task, item.m_run, index);
+        if (run.m_isReported || !run.m_sentAt || *run.m_sentAt > executor.m_endedLife->m_noticedAt)
+            continue;
+        if (wouldBeListed(executor, run, report.m_pollSentAt))
+            lost.push_back(item);
+        else
+            isSettled = false;
+    }
+    loseRuns(scheduler, index, lost, *executor.m_endedLife, true, now);
+    if (isSettled)
+        executor.m_endedLife.reset();
+    executor.m_leaseUntilMs
+        = std::max(executor.m_leaseUntilMs, report.m_clockMs + scheduler.m_timing.m_longestHold.count());
+}
+
 } // namespace
 
 auto clockLowerBound(const Executor& executor, Instant now) -> std::int64_t
 {
-    return executor.m_clockMs + (now - executor.m_clockReadAt).count() * minimumClockRatePercent / 100;
+    return executor.m_clockMs + (now - executor.m_clockReadAt).count() * minimumClockRatePercent / clockRatePercent;
 }
 
 auto isSchedulable(const Executor& executor, Instant now) -> bool
@@ -190,9 +296,13 @@
         resetIncarnation(scheduler, found->second, now);
     if (executor.m_entry != entry)
         ++executor.m_entryVersion;
+    const auto isOfOtherKind
+        = executor.m_entry.m_service != entry.m_service || executor.m_entry.m_labels != entry.m_labels;
     executor.m_entry = entry;
     executor.m_rack = rackOf(entry);
     executor.m_isRegistered = true;
+    if (isOfOtherKind)
+        stopMisplacedRuns(scheduler, found->second);
     activateExecutor(scheduler, found->second);
     return found->second;
 }
@@ -233,7 +343,8 @@
 {
     auto& executor = *scheduler.m_executors[index];
     markUnresponsive(executor, now);
-    loseRuns(scheduler, index, true, now);
+    loseRuns(scheduler, index, std::vector(executor.m_runs), presentLife(executor), true, now);
+    executor.m_endedLife.reset();
     confirmBlame(scheduler, index);
     executor.m_isRegistered = false;
     executor.m_isTerminated = true;
@@ -270,6 +381,7 @@
             refreshRun(scheduler, *run, reported, report.m_pollSentAt, now);
     }
     stopUnconfirmedStarts(scheduler, index, report);
+    settleEndedLife(scheduler, index, report, now);
     removeStoppedRuns(scheduler, index, report);
     if (!executor.m_isReconciled)
         removeUnreportedRuns(scheduler, index, report);
@@ -287,7 +399,7 @@
             && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
-        removed += loseRuns(scheduler, index, false, now);
+        removed += loseRuns(scheduler, index, std::vector(executor.m_runs), presentLife(executor), false, now);
     }
     return removed;
 }
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -250,6 +250,7 @@
     if (answer == StartAnswer::Started) {
         confirmStart(scheduler, *found, now);
         found->m_isConfirmed = true;
+        found->m_startAnsweredAt = now;
         if (found->m_phase == RunPhase::Starting)
             found->m_phase = RunPhase::Running;
         markBegun(*findJob(scheduler, key.m_job));
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -371,6 +371,7 @@
             applyStartAnswer(
                 m_scheduler, start.m_executor, start.m_task, start.m_run, StartAnswer::Unknown, true, m_now);
             restart(start.m_executor);
+            answerStop(start);
             m_now += downTime;
         }
         CPPUNIT_ASSERT(plan().empty());
@@ -421,6 +422,16 @@
         markUnresponsive(executor, m_now);
     }
 
+    // The next life confirms the stop of a start without an answer, which may still have reached it.
+    auto answerStop(const Action& start) -> void
+    {
+        const auto actions = plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == ActionKind::Stop);
+        applyStopAnswer(m_scheduler, start.m_executor, start.m_task, start.m_run, m_now);
+        report(start.m_executor, {});
+    }
+
     auto startAll() -> std::vector<Action>
     {
         auto actions = plan();
--- a/tests/core/scheduling/SchedulerFixture.cpp
+++ b/tests/core/scheduling/SchedulerFixture.cpp
@@ -1,7 +1,9 @@
 #include "core/scheduling/SchedulerFixture.h"
 
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/JobProgress.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/StoreProgress.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -62,6 +64,43 @@
     return actions;
 }
 
+auto SchedulerFixture::starts() -> std::vector<Action>
+{
+    auto actions = plan();
+    std::erase_if(actions, [](const Action& action) { return action.m_kind != ActionKind::Start; });
+    return actions;
+}
+
+auto SchedulerFixture::startOne() -> Action
+{
+    submit({ step(1, 1000) });
+    return plan().at(0);
+}
+
+auto SchedulerFixture::answer(const Action& start, StartAnswer how, bool wasRepeated) -> void
+{
+    applyStartAnswer(m_scheduler, start.m_executor, start.m_task, start.m_run, how, wasRepeated, m_now);
+}
+
+auto SchedulerFixture::takeOver() -> Action
+{
+    const auto start = startOne();
+    const auto stored = progressOf(m_scheduler, *findJob(m_scheduler, job));
+    m_scheduler = {};
+    m_scheduler.m_rules.m_queues["checks"] = { "counter", 0, 3, 2.0, 600, false };
+    for (const auto* id : { "e0", "e1" }) {
+        ExecutorEntry entry;
+        entry.m_id = id;
+        entry.m_startedAtMs = 1;
+        entry.m_service = "counter";
+        entry.m_capacity = { 8000, 16000, 0 };
+        registerExecutor(m_scheduler, entry, m_now + Duration(6600), m_now);
+    }
+    submit({ step(1, 1000) });
+    restoreProgress(m_scheduler, job, stored, m_now);
+    return start;
+}
+
 auto SchedulerFixture::answerStarts(const std::vector<Action>& actions) -> void
 {
     for (const auto& action : actions) {
--- a/tests/core/scheduling/SchedulerFixture.h
+++ b/tests/core/scheduling/SchedulerFixture.h
@@ -4,6 +4,7 @@
 #include "hemlockvane/scheduling/ExecutorReport.h"
 #include "hemlockvane/scheduling/RunOutcome.h"
 #include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/StartAnswer.h"
 
 #include <cppunit/TestFixture.h>
 
@@ -24,6 +25,10 @@
     auto submit(std::vector<StepSpec> steps) -> void;
     static auto step(std::uint32_t tasks, std::int64_t cpuMillis) -> StepSpec;
     auto plan() -> std::vector<Action>;
+    auto starts() -> std::vector<Action>; ///< Plans, and returns the starts only.
+    auto startOne() -> Action; ///< Submits a job with one task and plans its start.
+    auto answer(const Action& start, StartAnswer how, bool wasRepeated) -> void;
+    auto takeOver() -> Action; ///< Starts one task, stores its run and restores it in a new scheduler.
     auto answerStarts(const std::vector<Action>& actions) -> void;
     auto reportEnd(const Action& start, RunOutcome kind) -> void;
     auto report(ExecutorIndex index, std::vector<ReportedRun> runs, std::vector<EndedRun> ends = {})
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -671,19 +671,6 @@
         return start;
     }
 
-    auto starts() -> std::vector<Action>
-    {
-        auto actions = plan();
-        std::erase_if(actions, [](const Action& action) { return action.m_kind != ActionKind::Start; });
-        return actions;
-    }
-
-    auto startOne() -> Action
-    {
-        submit({ step(1, 1000) });
-        return plan().at(0);
-    }
-
     // Starts one task, retires its cancelled job and reports the run once more.
     auto reportRetired() -> Action
     {
@@ -708,31 +695,6 @@
         CPPUNIT_ASSERT(m_scheduler.m_usedByWorkspace.at("team") == Resources {});
     }
 
-    auto answer(const Action& start, StartAnswer how, bool wasRepeated) -> void
-    {
-        applyStartAnswer(m_scheduler, start.m_executor, start.m_task, start.m_run, how, wasRepeated, m_now);
-    }
-
-    // Starts one task, stores its run and restores it in a new scheduler.
-    auto takeOver() -> Action
-    {
-        const auto start = startOne();
-        const auto stored = progressOf(m_scheduler, *findJob(m_scheduler, job));
-        m_scheduler = {};
-        m_scheduler.m_rules.m_queues["checks"] = { "counter", 0, 3, 2.0, 600, false };
-        for (const auto* id : { "e0", "e1" }) {
-            ExecutorEntry entry;
-            entry.m_id = id;
-            entry.m_startedAtMs = 1;
-            entry.m_service = "counter";
-            entry.m_capacity = { 8000, 16000, 0 };
-            registerExecutor(m_scheduler, entry, m_now + Duration(6600), m_now);
-        }
-        submit({ step(1, 1000) });
-        restoreProgress(m_scheduler, job, stored, m_now);
-        return start;
-    }
-
     auto startLongRunning() -> void
     {
         auto longRunning = step(2, 1000);
--- a/tests/shell/coordinator/ExecutorLivesTest.cpp
+++ b/tests/shell/coordinator/ExecutorLivesTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(newLife_nextOwner_keepsItsRun);
     CPPUNIT_TEST(newLife_reportsRunBeforeItIsListed_isPolledOn);
     CPPUNIT_TEST(newLife_listedWhileIdle_isPolledAndUsed);
+    CPPUNIT_TEST(newLife_listedAfterItsFirstStart_taskIsNotStartedElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,6 +143,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
     }
 
+    // Guards against a second run of a task: an idle executor is not polled, so its new life is known only later.
+    auto newLife_listedAfterItsFirstStart_taskIsNotStartedElsewhere() -> void
+    {
+        auto& life = m_executors.m_lives[restarted];
+        life.m_startedAtMs = 1;
+        life.m_waitsForEnds = true;
+        list(other, "1");
+        const auto submissions = std::exchange(m_memory.m_topics[submissionTopic], {});
+        own(1, {});
+        settle();
+        life.m_startedAtMs = 2;
+        m_memory.m_topics[submissionTopic] = submissions;
+        runUntil([this] { return !m_executors.m_starts.empty(); });
+        CPPUNIT_ASSERT_EQUAL(restarted, m_executors.m_starts.at(0).first);
+        list(restarted, "2");
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
+    }
+
 private:
     // Appends to the registry.
     auto list(const std::string& id, const std::string& startedAt) -> void
--- a/tests/shell/coordinator/ScriptedExecutors.h
+++ b/tests/shell/coordinator/ScriptedExecutors.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/detail/async/Signal.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 
@@ -22,6 +23,8 @@
         bool m_hasNewerOwner = false; ///< Polls are refused, since a newer owner has called.
         std::vector<scheduling::ReportedRun> m_runs;
         std::vector<scheduling::EndedRun> m_ends; ///< Ends that are listed until they are acknowledged.
+        bool m_waitsForEnds = false; ///< An answer without ends takes as long as the poll allows.
+        std::vector<PollRequest> m_received; ///< Polls answered.
         int m_polls = 0; ///< Number of polls answered.
     };
 
@@ -57,10 +60,13 @@
         if (life.m_isSilent)
             co_return result;
         ++life.m_polls;
+        life.m_received.push_back(order);
         if (life.m_hasNewerOwner) {
             result.m_outcome = CallOutcome::StaleFence;
             co_return result;
         }
+        if (life.m_waitsForEnds && life.m_ends.empty())
+            co_await sleepFor(order.m_wait);
         result.m_outcome = CallOutcome::Answered;
         result.m_report.m_clockMs = monotonicNow().time_since_epoch().count();
         result.m_report.m_startedAtMs = life.m_startedAtMs;
