Ask about all executors of a pool, not only the first hundred

Cause: a request to the advice service names 100 executors at most, and requestAdvice named the same first 100 each time. The answers were good=0, five times a second.

A step keeps what was said of each executor, for its life, and asks about those without a verdict until it has tickets that a waiting task can use. The same cause on related paths: no answer counted as a refusal of all, one refused ticket dropped those of all others, and executors that joined later were not asked about before all tickets had expired.

The reference of PlanByChangesTest asks in the same way.

--- a/include/hemlockvane/scheduling/PlanStarts.h
+++ b/include/hemlockvane/scheduling/PlanStarts.h
@@ -4,8 +4,6 @@
 #include "hemlockvane/time/Time.h"
 
 #include <cstdint>
-#include <map>
-#include <string>
 #include <vector>
 
 namespace hemlockvane::scheduling {
@@ -20,10 +18,4 @@
 /// @param actions receives starts and requests to the advice service
 auto planStarts(Scheduler& scheduler, Instant now, WallMillis wall, std::vector<Action>& actions) -> void;
 
-/// @brief Applies the answer of the advice service.
-/// @param tickets ids of the executors that may run the step, with their tickets; empty: the service is asked again
-/// later
-auto applyAdvice(Scheduler& scheduler, const TaskKey& step, std::map<std::string, std::string> tickets,
-    Duration validFor, Instant now) -> void;
-
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/StartCandidate.h
+++ b/include/hemlockvane/scheduling/StartCandidate.h
@@ -35,6 +35,7 @@
     Resources m_need; ///< Of one task.
     std::size_t m_pool = 0; ///< Index in `StartIndex::m_pools`.
     std::uint64_t m_blockedAt = 0; ///< Version of the pool in which the step found no room; 0: none.
+    std::uint64_t m_nothingToAskAt = 0; ///< Version of the pool in which there was nothing to ask for advice; 0: none.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/StepState.h
+++ b/include/hemlockvane/scheduling/StepState.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "hemlockvane/scheduling/StepAdvice.h"
 #include "hemlockvane/scheduling/TaskState.h"
 
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace hemlockvane::scheduling {
@@ -16,10 +16,7 @@
     std::uint32_t m_runningTasks = 0; ///< Number of tasks that have runs and are not done.
     std::uint32_t m_gangFailures = 0;
     std::map<ExecutorIndex, std::uint32_t> m_runsByExecutor; ///< Number of runs of the step on each executor.
-    std::map<std::string, std::string> m_tickets; ///< Tickets of the advice service, by executor id.
-    Instant m_ticketsExpireAt;
-    bool m_isAdvicePending = false;
-    Instant m_nextAdviceRequestAt; ///< Earliest time of the next request to the advice service.
+    StepAdvice m_advice; ///< If the queue needs advice.
 };
 
 } // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -14,7 +14,7 @@
 #include "hemlockvane/scheduling/CheckStart.h"
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
-#include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -200,14 +200,16 @@
 auto requestAdvice(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     const auto askedAt = monotonicNow();
-    auto answer = co_await state->m_ports.m_advice->ask(action.m_task, action.m_candidates);
+    const auto answer = co_await state->m_ports.m_advice->ask(action.m_task, action.m_candidates);
     if (state->m_isStopped)
         co_return;
     logOf("advice").info("event=advice step={} asked={} good={} valid_ms={} took_ms={}", taskText(action.m_task),
         action.m_candidates.size(), answer ? static_cast<int>(answer->m_tickets.size()) : -1,
         answer ? answer->m_validFor.count() : 0, (monotonicNow() - askedAt).count());
-    auto given = answer.value_or(AdviceAnswer {});
-    scheduling::applyAdvice(state->m_scheduler, action.m_task, std::move(given.m_tickets), given.m_validFor, askedAt);
+    if (answer)
+        scheduling::applyAdvice(state->m_scheduler, action.m_task, answer->m_tickets, answer->m_validFor, askedAt);
+    else
+        scheduling::applyMissingAdvice(state->m_scheduler, action.m_task, monotonicNow());
     state->m_planSignal.notify();
 }
 
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -7,6 +7,7 @@
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/OrderCandidates.h"
 #include "hemlockvane/scheduling/RankPlacement.h"
+#include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -24,14 +25,12 @@
 
 namespace {
 
-constexpr std::size_t maximumAdviceCandidates = 100; // Limit of the advice service for one request.
-
-auto hasTicket(const StartCandidate& candidate, const Executor& executor) -> bool
+auto hasTicket(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index) -> bool
 {
-    return !candidate.m_queue->m_needsAdvice || candidate.m_state->m_tickets.contains(executor.m_entry.m_id);
+    return !candidate.m_queue->m_needsAdvice || !ticketFor(candidate.m_state->m_advice, executor, index).empty();
 }
 
-auto canHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
+auto hasRoom(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
     -> bool
 {
     const auto& spec = *candidate.m_spec;
@@ -42,10 +41,14 @@
     if (!hasLabel(executor.m_entry.m_labels, spec.m_requiredLabel))
         return false;
     const auto runsOnExecutor = candidate.m_state->m_runsByExecutor.find(index);
-    if (spec.m_perExecutorLimit > 0 && runsOnExecutor != candidate.m_state->m_runsByExecutor.end()
-        && runsOnExecutor->second >= spec.m_perExecutorLimit)
-        return false;
-    return hasTicket(candidate, executor);
+    return spec.m_perExecutorLimit == 0 || runsOnExecutor == candidate.m_state->m_runsByExecutor.end()
+        || runsOnExecutor->second < spec.m_perExecutorLimit;
+}
+
+auto canHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
+    -> bool
+{
+    return hasRoom(candidate, executor, index, planned) && hasTicket(candidate, executor, index);
 }
 
 auto hasRunOn(const TaskState& task, ExecutorIndex index) -> bool
@@ -136,27 +139,44 @@
         : candidate.m_class == CandidateClass::InTime                  ? "in time"
                                                                        : "late";
     if (candidate.m_queue->m_needsAdvice)
-        action.m_ticket = candidate.m_state->m_tickets.at(scheduler.m_executors[executor]->m_entry.m_id);
+        action.m_ticket = ticketFor(candidate.m_state->m_advice, *scheduler.m_executors[executor], executor);
     actions.push_back(std::move(action));
 }
 
-auto requestAdvice(const Scheduler& scheduler, const StartCandidate& candidate, const StartPool& pool, Instant now,
+auto emitRequest(const Scheduler& scheduler, const StartCandidate& candidate, std::span<const ExecutorIndex> executors,
     std::vector<Action>& actions) -> void
 {
-    auto& state = *candidate.m_state;
-    if (state.m_isAdvicePending || state.m_nextAdviceRequestAt > now || pool.m_openExecutors == 0)
-        return;
     Action action;
     action.m_kind = ActionKind::AskAdvice;
     action.m_task = { candidate.m_job->m_spec.m_id, candidate.m_occurrence, candidate.m_step, 0 };
-    for (const auto index : openExecutors(scheduler, candidate.m_pool)) {
-        if (action.m_candidates.size() < maximumAdviceCandidates)
-            action.m_candidates.push_back(scheduler.m_executors[index]->m_entry.m_id);
-    }
-    state.m_isAdvicePending = true;
+    for (const auto index : executors)
+        action.m_candidates.push_back(scheduler.m_executors[index]->m_entry.m_id);
+    noteAdviceRequested(scheduler, candidate.m_state->m_advice, executors);
     actions.push_back(std::move(action));
 }
 
+// Asks about executors that may hold a task of the step as far as is known, those with room first.
+auto requestAdvice(const Scheduler& scheduler, StartCandidate& candidate, Instant now, std::vector<Action>& actions)
+    -> void
+{
+    const auto& advice = candidate.m_state->m_advice;
+    const auto& pool = scheduler.m_starts.m_pools[candidate.m_pool];
+    if (!advice.m_asked.empty() || advice.m_nextRequestAt > now || candidate.m_nothingToAskAt == pool.m_version)
+        return;
+    std::vector<ExecutorIndex> withRoom;
+    std::vector<ExecutorIndex> full;
+    for (const auto index : openExecutors(scheduler, candidate.m_pool))
+        (hasRoom(candidate, *scheduler.m_executors[index], index, {}) ? withRoom : full).push_back(index);
+    // Those without room are asked about only while there is no ticket at all.
+    if (hasTickets(advice))
+        full.clear();
+    const auto chosen = executorsToAsk(scheduler, advice, withRoom, full);
+    if (chosen.empty())
+        candidate.m_nothingToAskAt = pool.m_version;
+    else
+        emitRequest(scheduler, candidate, chosen, actions);
+}
+
 // Number of members of a gang that an executor can hold.
 auto membersOn(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index) -> std::size_t
 {
@@ -272,19 +292,38 @@
     }
 }
 
+// Whether a task of the step waits for nothing but an executor on which it may run.
+auto awaitsExecutor(Scheduler& scheduler, const StartCandidate& candidate, Instant now) -> bool
+{
+    const auto& tasks = candidate.m_state->m_tasks;
+    const auto members = candidate.m_spec->m_isGang ? tasks.size() : 1;
+    return mayDecideStart(scheduler, candidate.m_queue->m_service)
+        && isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask,
+            static_cast<std::uint32_t>(members))
+        && std::any_of(tasks.begin(), tasks.end(), [&](const TaskState& task) {
+               return needsRun(scheduler, *candidate.m_spec, task, now) && !isHeldBack(scheduler, task)
+                   && !awaitsLimit(scheduler, *candidate.m_job, *candidate.m_state, task);
+           });
+}
+
 auto startStep(Scheduler& scheduler, StartCandidate& candidate, Instant now, std::vector<Action>& actions) -> void
 {
     auto& pool = scheduler.m_starts.m_pools[candidate.m_pool];
-    if (candidate.m_queue->m_needsAdvice && candidate.m_state->m_ticketsExpireAt <= now) {
-        requestAdvice(scheduler, candidate, pool, now, actions);
+    const auto needsAdvice = candidate.m_queue->m_needsAdvice;
+    if (needsAdvice && expireTickets(candidate.m_state->m_advice, now))
+        candidate.m_nothingToAskAt = 0;
+    if (needsAdvice && !hasTickets(candidate.m_state->m_advice)) {
+        requestAdvice(scheduler, candidate, now, actions);
         return;
     }
-    if (candidate.m_need.m_cpuMilliCores > largestFreeCpu(pool) || candidate.m_blockedAt == pool.m_version)
+    if (candidate.m_need.m_cpuMilliCores > largestFreeCpu(pool))
         return;
-    if (candidate.m_spec->m_isGang)
+    if (candidate.m_blockedAt != pool.m_version && candidate.m_spec->m_isGang)
         startGang(scheduler, candidate, pool, now, actions);
-    else
+    else if (candidate.m_blockedAt != pool.m_version)
         startTasks(scheduler, candidate, pool, now, actions);
+    if (needsAdvice && awaitsExecutor(scheduler, candidate, now))
+        requestAdvice(scheduler, candidate, now, actions);
 }
 
 } // namespace
@@ -300,19 +339,4 @@
     }
 }
 
-auto applyAdvice(Scheduler& scheduler, const TaskKey& key, std::map<std::string, std::string> tickets,
-    Duration validFor, Instant now) -> void
-{
-    auto* step = findStep(scheduler, key);
-    if (step == nullptr)
-        return;
-    step->m_isAdvicePending = false;
-    step->m_nextAdviceRequestAt = now + scheduler.m_timing.m_adviceRetry;
-    if (tickets.empty())
-        return;
-    step->m_tickets = std::move(tickets);
-    step->m_ticketsExpireAt = now + validFor;
-    markChanged(scheduler, *findJob(scheduler, key.m_job));
-}
-
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
+#include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -52,6 +53,8 @@
         return;
     task.m_isDone = true;
     ++step.m_doneCount;
+    if (step.m_doneCount == step.m_tasks.size())
+        step.m_advice = {};
     step.m_runningTasks -= task.m_runs.empty() ? 0 : 1;
     stopOtherRuns(scheduler, task);
 }
@@ -260,7 +263,7 @@
     if (answer == StartAnswer::NoCapacity || answer == StartAnswer::Refused || answer == StartAnswer::Unknown)
         target.m_backoffUntil = std::max(target.m_backoffUntil, now + refusalBackoff);
     if (answer == StartAnswer::BadTicket)
-        findStep(scheduler, key)->m_ticketsExpireAt = now;
+        dropTicket(findStep(scheduler, key)->m_advice, executor, now + scheduler.m_timing.m_adviceRetry);
     if (answer == StartAnswer::Unknown || (wasRepeated && answer != StartAnswer::AlreadyEnded)) {
         handleUnansweredStart(scheduler, key, *found, now);
         return;
--- a/tests/core/scheduling/FullScan.cpp
+++ b/tests/core/scheduling/FullScan.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/RankPlacement.h"
+#include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/StartCandidate.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -25,7 +26,6 @@
 
 constexpr std::int64_t overdueFactor = 2; // A run is overdue after this multiple of its estimate.
 constexpr std::int64_t lapseFactor = 3; // A job is of no use to its caller after this multiple of its objective.
-constexpr std::size_t maximumAdviceCandidates = 100; // Limit of the advice service for one request.
 
 // What a task needs that found no executor.
 struct UnmetNeed {
@@ -158,9 +158,9 @@
             right.m_occurrence);
 }
 
-auto hasTicket(const StartCandidate& candidate, const Executor& executor) -> bool
+auto hasTicket(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index) -> bool
 {
-    return !candidate.m_queue->m_needsAdvice || candidate.m_state->m_tickets.contains(executor.m_entry.m_id);
+    return !candidate.m_queue->m_needsAdvice || !ticketFor(candidate.m_state->m_advice, executor, index).empty();
 }
 
 // Whether a task that needs no more than this found no executor earlier in this plan.
@@ -172,7 +172,7 @@
     });
 }
 
-auto canHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
+auto hasRoom(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
     -> bool
 {
     const auto& spec = *candidate.m_spec;
@@ -186,7 +186,13 @@
     if (spec.m_perExecutorLimit > 0 && runsOnExecutor != candidate.m_state->m_runsByExecutor.end()
         && runsOnExecutor->second >= spec.m_perExecutorLimit)
         return false;
-    return hasTicket(candidate, executor);
+    return true;
+}
+
+auto canHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
+    -> bool
+{
+    return hasRoom(candidate, executor, index, planned) && hasTicket(candidate, executor, index);
 }
 
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
@@ -256,27 +262,53 @@
         : candidate.m_class == CandidateClass::InTime                  ? "in time"
                                                                        : "late";
     if (candidate.m_queue->m_needsAdvice)
-        action.m_ticket = candidate.m_state->m_tickets.at(scheduler.m_executors[executor]->m_entry.m_id);
+        action.m_ticket = ticketFor(candidate.m_state->m_advice, *scheduler.m_executors[executor], executor);
     actions.push_back(std::move(action));
 }
 
+// Asks about all executors without a verdict while there is no ticket, and about those with room afterwards.
 auto requestAdvice(const Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
-    auto& state = *candidate.m_state;
-    if (state.m_isAdvicePending || state.m_nextAdviceRequestAt > now || pool.m_schedulable.empty())
+    auto& advice = candidate.m_state->m_advice;
+    if (!advice.m_asked.empty() || advice.m_nextRequestAt > now)
+        return;
+    std::vector<ExecutorIndex> preferred;
+    std::vector<ExecutorIndex> others;
+    for (const auto index : pool.m_schedulable) {
+        if (hasRoom(candidate, *scheduler.m_executors[index], index, {}))
+            preferred.push_back(index);
+        else if (!hasTickets(advice))
+            others.push_back(index);
+    }
+    const auto chosen = executorsToAsk(scheduler, advice, preferred, others);
+    if (chosen.empty())
         return;
     Action action;
     action.m_kind = ActionKind::AskAdvice;
     action.m_task = { candidate.m_job->m_spec.m_id, candidate.m_occurrence, candidate.m_step, 0 };
-    for (const auto index : pool.m_schedulable) {
-        if (action.m_candidates.size() < maximumAdviceCandidates)
-            action.m_candidates.push_back(scheduler.m_executors[index]->m_entry.m_id);
-    }
-    state.m_isAdvicePending = true;
+    for (const auto index : chosen)
+        action.m_candidates.push_back(scheduler.m_executors[index]->m_entry.m_id);
+    noteAdviceRequested(scheduler, advice, chosen);
     actions.push_back(std::move(action));
 }
 
+// Whether a task waits for nothing but an executor on which it may run.
+auto awaitsExecutor(Scheduler& scheduler, const StartCandidate& candidate, Instant now) -> bool
+{
+    const auto& spec = *candidate.m_spec;
+    const auto members = spec.m_isGang ? static_cast<std::uint32_t>(candidate.m_state->m_tasks.size()) : 1;
+    if (!mayDecideStart(scheduler, candidate.m_queue->m_service)
+        || !isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, spec.m_perTask, members))
+        return false;
+    for (const auto& task : candidate.m_state->m_tasks) {
+        if (needsRun(scheduler, spec, task, now) && !isHeldBack(scheduler, task)
+            && !awaitsLimit(scheduler, *candidate.m_job, *candidate.m_state, task))
+            return true;
+    }
+    return false;
+}
+
 // Chooses executors for all members of a gang, only on the given rack if there is one; empty if they do not all fit.
 auto placeGang(Scheduler& scheduler, const StartCandidate& candidate, const Pool& pool,
     const std::optional<std::string>& rack, bool isOnTrial, Instant now) -> std::vector<ExecutorIndex>
@@ -391,14 +423,20 @@
 auto startStep(Scheduler& scheduler, const StartCandidate& candidate, Pool& pool, Instant now,
     std::vector<Action>& actions) -> void
 {
-    if (candidate.m_queue->m_needsAdvice && candidate.m_state->m_ticketsExpireAt <= now) {
-        requestAdvice(scheduler, candidate, pool, now, actions);
-        return;
+    auto& advice = candidate.m_state->m_advice;
+    if (candidate.m_queue->m_needsAdvice) {
+        expireTickets(advice, now);
+        if (!hasTickets(advice)) {
+            requestAdvice(scheduler, candidate, pool, now, actions);
+            return;
+        }
     }
     if (candidate.m_spec->m_isGang)
         startGang(scheduler, candidate, pool, now, actions);
     else
         startTasks(scheduler, candidate, pool, now, actions);
+    if (candidate.m_queue->m_needsAdvice && awaitsExecutor(scheduler, candidate, now))
+        requestAdvice(scheduler, candidate, pool, now, actions);
 }
 
 // Number of further executors that the waiting tasks of a step need, since none of the present ones can hold them.
--- a/tests/core/scheduling/PlanByChangesTest.cpp
+++ b/tests/core/scheduling/PlanByChangesTest.cpp
@@ -8,6 +8,7 @@
 #include "hemlockvane/scheduling/MeasureDemand.h"
 #include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/StoreProgress.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
--- a/tests/core/scheduling/PlanStartsTest.cpp
+++ b/tests/core/scheduling/PlanStartsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
+#include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
