--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/detail/coordinator/RecordDecoders.h"
+#include "hemlockvane/detail/ports/StoreLimits.h"
 #include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/time/Time.h"
 
@@ -19,6 +20,7 @@
 /// @brief Dependencies of a coordinator; all of them outlive it.
 struct CoordinatorPorts {
     RecordStore* m_store = nullptr;
+    StoreLimits m_storeLimits;
     ExecutorPort* m_executors = nullptr;
     AdvicePort* m_advice = nullptr;
     MachinePort* m_machines = nullptr;
--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -8,6 +8,7 @@
 #include "hemlockvane/scheduling/Action.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -45,6 +46,8 @@
     std::map<std::string, std::unique_ptr<Signal>> m_pollSignals; ///< Wakes the polling of an executor; by executor id.
     std::map<std::string, std::string>
         m_pendingRecords; ///< Records of executors, machine orders and waves for the next journal batch, by key.
+    /// By job and number: hash of each part of its progress in the journal but the first; 0: to be written again.
+    std::map<scheduling::JobId, std::map<std::uint32_t, std::size_t>> m_storedParts;
     std::set<std::string> m_storedExecutors; ///< Executors with a record in the journal.
     std::vector<scheduling::Action> m_pendingStarts; ///< Starts to be sent once their runs are stored.
     std::vector<fleet::FleetAction> m_pendingMachineOrders; ///< Orders for machines, to be sent once they are stored.
--- a/include/hemlockvane/detail/coordinator/Journal.h
+++ b/include/hemlockvane/detail/coordinator/Journal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/detail/ports/TopicContent.h"
+#include "hemlockvane/scheduling/JobSpec.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,6 +19,10 @@
 /// @brief First character of the key of a job's progress; the job's id follows.
 inline constexpr char progressPrefix = 'p';
 
+/// @brief First character of the key of a further part of a job's progress; the job's id, a dot and the number of the
+/// part follow.
+inline constexpr char progressPartPrefix = 'q';
+
 /// @brief First character of the key of an executor; its id follows.
 inline constexpr char executorPrefix = 'e';
 
@@ -31,6 +36,9 @@
 /// @result false when the store refuses this owner or the ownership ended
 auto fenceJournal(CoordinatorState& state) -> boost::asio::awaitable<bool>;
 
+/// @brief Removes a job's progress from the journal with the next batch.
+auto removeProgress(CoordinatorState& state, scheduling::JobId id) -> void;
+
 /// @brief Restores the stored progress of the loaded jobs, the executors in use, machine orders and waves.
 auto restoreJournal(CoordinatorState& state, const TopicContent& content) -> void;
 
--- a/include/hemlockvane/detail/intake/JobIntake.h
+++ b/include/hemlockvane/detail/intake/JobIntake.h
@@ -27,7 +27,7 @@
 public:
     /// @param coordinator returns this instance's coordinator; null while another instance owns the work
     JobIntake(boost::asio::io_context& context, RecordStore& store, HttpPool& peers, const OwnerElection& election,
-        std::function<std::shared_ptr<Coordinator>()> coordinator);
+        std::function<std::shared_ptr<Coordinator>()> coordinator, StoreLimits limits = {});
 
     /// @brief Stores a submission. Submitting the same job again has no effect.
     /// @param deadline time after which no further attempt is made
--- a/include/hemlockvane/detail/intake/SubmissionQueue.h
+++ b/include/hemlockvane/detail/intake/SubmissionQueue.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/intake/PendingSubmission.h"
 #include "hemlockvane/detail/ports/StoreAppendKind.h"
+#include "hemlockvane/detail/ports/StoreLimits.h"
 #include "hemlockvane/time/Time.h"
 
 #include <cstddef>
@@ -21,6 +22,7 @@
     std::deque<SharedSubmission> m_waiting; ///< Not in flight, oldest first.
     std::size_t m_appendsInFlight = 0;
     std::size_t m_appendWindow = 3; ///< Appends that may be in flight.
+    StoreLimits m_limits;
 };
 
 /// @brief Takes the submissions of the next append.
--- a/include/hemlockvane/detail/intake/SubmissionWriter.h
+++ b/include/hemlockvane/detail/intake/SubmissionWriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/detail/intake/IntakeOutcome.h"
+#include "hemlockvane/detail/ports/StoreLimits.h"
 #include "hemlockvane/time/Time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -16,11 +17,12 @@
 /// @brief Appends submissions and cancellations to the store in batches; see `SubmissionQueue`.
 class SubmissionWriter {
 public:
-    SubmissionWriter(boost::asio::io_context& context, RecordStore& store);
+    SubmissionWriter(boost::asio::io_context& context, RecordStore& store, StoreLimits limits = {});
 
     /// @brief Stores a record, repeating the append while its outcome is unknown.
     /// @param record encoded record; storing it again must have no effect
     /// @param deadline time after which no further attempt is made
+    /// @result TooLarge without an attempt if the store would refuse the record each time
     auto store(std::string record, Instant deadline) -> boost::asio::awaitable<IntakeOutcome>;
 
 private:
--- a/src/detail/coordinator/DropJobs.cpp
+++ b/src/detail/coordinator/DropJobs.cpp
@@ -57,7 +57,7 @@
             // An executor may have reported a run of it during the append; the job is dropped once the run has ended.
             if (!scheduling::dropJob(state->m_scheduler, id))
                 continue;
-            state->m_pendingRecords[progressPrefix + jobIdText(id)] = std::string();
+            removeProgress(*state, id);
             ++dropped;
         }
         logOf("jobs").info("event=dropped jobs={} left={}", dropped, state->m_scheduler.m_jobs.size());
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/ExecutorPolling.h"
 #include "hemlockvane/detail/coordinator/MachineOrders.h"
+#include "hemlockvane/detail/coordinator/ProgressParts.h"
 #include "hemlockvane/detail/coordinator/RulesVersion.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/SendActions.h"
@@ -19,6 +20,8 @@
 #include "hemlockvane/scheduling/TrackJobs.h"
 
 #include <algorithm>
+#include <charconv>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -36,30 +39,75 @@
 constexpr Duration appendTimeout { 1000 }; // A slow store answers within 0.5 s.
 constexpr Duration retryPause { 80 }; // After an append that the store refused or did not answer.
 
+constexpr char partSeparator = '.';
+
 using PhaseInBatch = std::pair<scheduling::JobId, scheduling::JobPhase>;
 
-// Encodes the changes since the last batch as records and marks the jobs as clean.
-auto collectBatch(CoordinatorState& state, std::vector<PhaseInBatch>& phases) -> StoreAppend
+auto journalAppend(const CoordinatorState& state, std::vector<std::string> records) -> StoreAppend
 {
-    auto& scheduler = state.m_scheduler;
     StoreAppend request;
     request.m_topic = progressTopic;
     request.m_producer = journalProducer;
     request.m_epoch = state.m_epoch;
+    request.m_records = std::move(records);
+    return request;
+}
+
+auto partKey(scheduling::JobId id, std::uint32_t part) -> std::string
+{
+    if (part == 0)
+        return progressPrefix + jobIdText(id);
+    return progressPartPrefix + jobIdText(id) + partSeparator + std::to_string(part);
+}
+
+// Adds the parts of a job's progress that have changed; the first one always, since nearly all jobs have no other. It
+// comes first, so that a takeover after some appends of a batch finds no job that has ended and isn't shown so.
+auto addProgress(CoordinatorState& state, const scheduling::Job& job, std::vector<std::string>& records) -> void
+{
+    const auto id = job.m_spec.m_id;
+    auto parts = divideProgress(job.m_spec, scheduling::progressOf(state.m_scheduler, job));
+    const auto known = state.m_storedParts.find(id);
+    std::map<std::uint32_t, std::size_t> before;
+    if (known != state.m_storedParts.end()) {
+        before = std::move(known->second);
+        state.m_storedParts.erase(known);
+    }
+    for (auto& [number, part] : parts) {
+        const auto key = partKey(id, number);
+        const auto value = encodePart(std::move(part), state.m_ports.m_storeLimits.m_recordBytes - key.size() - 1);
+        const auto hash = std::hash<std::string> {}(value);
+        const auto stored = before.extract(number);
+        if (number > 0)
+            state.m_storedParts[id][number] = hash;
+        if (number == 0 || stored.empty() || stored.mapped() != hash)
+            records.push_back(encodeKeyedRecord(key, value));
+    }
+    for (const auto& [number, hash] : before)
+        records.push_back(encodeKeyedRecord(partKey(id, number), {}));
+}
+
+// Encodes the changes since the last batch as appends that the store takes, and marks the jobs as clean.
+auto collectBatch(CoordinatorState& state, std::vector<PhaseInBatch>& phases) -> std::vector<StoreAppend>
+{
+    auto& scheduler = state.m_scheduler;
+    std::vector<std::string> records;
+    // Before the jobs: runs are restored onto executors that the journal names.
+    for (const auto& [key, value] : state.m_pendingRecords)
+        records.push_back(encodeKeyedRecord(key, value));
+    state.m_pendingRecords.clear();
     for (const auto id : scheduler.m_dirtyJobs) {
         auto* job = scheduling::findJob(scheduler, id);
         if (job == nullptr)
             continue;
         job->m_isDirty = false;
         phases.emplace_back(id, job->m_phase);
-        request.m_records.push_back(
-            encodeKeyedRecord(progressPrefix + jobIdText(id), encodeProgress(scheduling::progressOf(scheduler, *job))));
+        addProgress(state, *job, records);
     }
     scheduler.m_dirtyJobs.clear();
-    for (const auto& [key, value] : state.m_pendingRecords)
-        request.m_records.push_back(encodeKeyedRecord(key, value));
-    state.m_pendingRecords.clear();
-    return request;
+    std::vector<StoreAppend> batch;
+    for (auto& part : divideRecords(std::move(records), state.m_ports.m_storeLimits.m_requestBytes))
+        batch.push_back(journalAppend(state, std::move(part)));
+    return batch;
 }
 
 auto hasChanges(const CoordinatorState& state) -> bool
@@ -67,9 +115,18 @@
     return !state.m_scheduler.m_dirtyJobs.empty() || !state.m_pendingRecords.empty();
 }
 
+auto sizeOf(const StoreAppend& request) -> std::size_t
+{
+    std::size_t bytes = 0;
+    for (const auto& record : request.m_records)
+        bytes += record.size();
+    return bytes;
+}
+
 // Repeats an append until it is stored. The store applies repeats with the same sequence number once.
 auto appendUntilStored(CoordinatorState& state, const StoreAppend& request) -> asio::awaitable<bool>
 {
+    auto isRefusalLogged = false;
     while (!state.m_isStopped) {
         auto attempt = request;
         const auto result = co_await state.m_ports.m_store->append(std::move(attempt), appendTimeout);
@@ -81,6 +138,10 @@
             co_return false;
         }
         state.m_ports.m_metrics->count("journal_retries_total");
+        if (result.m_kind == StoreAppendKind::Refused && !isRefusalLogged)
+            logOf("journal").warn("event=append_refused sequence={} records={} bytes={}", request.m_sequence,
+                request.m_records.size(), sizeOf(request));
+        isRefusalLogged = isRefusalLogged || result.m_kind == StoreAppendKind::Refused;
         co_await sleepFor(retryPause);
     }
     co_return false;
@@ -126,6 +187,24 @@
     return true;
 }
 
+auto restorePart(CoordinatorState& state, std::string_view name, std::string_view bytes) -> bool
+{
+    const auto dot = name.find(partSeparator);
+    if (dot == std::string_view::npos)
+        return false;
+    const auto id = parseJobId(name.substr(0, dot));
+    const auto digits = name.substr(dot + 1);
+    std::uint32_t number = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    if (!id || parsed.ec != std::errc {} || parsed.ptr != digits.data() + digits.size())
+        return false;
+    state.m_storedParts[*id][number] = 0;
+    const auto part = decodeProgress(*id, bytes);
+    if (part)
+        scheduling::restoreTasks(state.m_scheduler, *id, *part, monotonicNow());
+    return part.has_value();
+}
+
 auto restoreRecord(CoordinatorState& state, char prefix, std::string_view name, std::string_view bytes) -> bool
 {
     switch (prefix) {
@@ -137,6 +216,8 @@
         return restoreWave(state, bytes);
     case rulesVersionPrefix:
         return restoreRulesVersion(state, bytes);
+    case progressPartPrefix:
+        return restorePart(state, name, bytes);
     default:
         return restoreJob(state, name, bytes);
     }
@@ -161,17 +242,25 @@
 
 auto fenceJournal(CoordinatorState& state) -> asio::awaitable<bool>
 {
-    StoreAppend request;
-    request.m_topic = progressTopic;
-    request.m_producer = journalProducer;
-    request.m_epoch = state.m_epoch;
+    const auto request = journalAppend(state, {});
     co_return co_await appendUntilStored(state, request);
 }
 
+auto removeProgress(CoordinatorState& state, scheduling::JobId id) -> void
+{
+    state.m_pendingRecords[partKey(id, 0)] = std::string();
+    const auto parts = state.m_storedParts.extract(id);
+    if (parts.empty())
+        return;
+    for (const auto& [number, hash] : parts.mapped())
+        state.m_pendingRecords[partKey(id, number)] = std::string();
+}
+
 auto restoreJournal(CoordinatorState& state, const TopicContent& content) -> void
 {
-    // Executors first, since runs are restored onto them.
-    for (const auto prefix : { executorPrefix, machineOrderPrefix, wavePrefix, rulesVersionPrefix, progressPrefix }) {
+    // Executors first, since runs are restored onto them, and the first part of a job's progress before the others.
+    for (const auto prefix :
+        { executorPrefix, machineOrderPrefix, wavePrefix, rulesVersionPrefix, progressPrefix, progressPartPrefix }) {
         for (const auto& record : content.first) {
             if (record.m_key.empty() || record.m_value.empty() || record.m_key.front() != prefix)
                 continue;
@@ -190,17 +279,19 @@
             continue;
         }
         std::vector<PhaseInBatch> phases;
-        auto request = collectBatch(*state, phases);
+        auto appends = collectBatch(*state, phases);
         auto starts = std::move(state->m_pendingStarts);
         auto orders = std::move(state->m_pendingMachineOrders);
         state->m_pendingStarts.clear();
         state->m_pendingMachineOrders.clear();
         const auto batch = state->m_scheduler.m_openBatch++;
-        request.m_sequence = sequence++;
         const auto sentAt = monotonicNow();
-        const auto isStored = co_await appendUntilStored(*state, request);
-        if (!isStored)
-            co_return;
+        for (auto& request : appends) {
+            request.m_sequence = sequence++;
+            const auto isStored = co_await appendUntilStored(*state, request);
+            if (!isStored)
+                co_return;
+        }
         ++state->m_load.m_batches;
         state->m_load.m_longestBatch = std::max(state->m_load.m_longestBatch, monotonicNow() - sentAt);
         applyStoredBatch(*state, phases, batch);
--- a/src/detail/intake/JobIntake.cpp
+++ b/src/detail/intake/JobIntake.cpp
@@ -34,8 +34,8 @@
 } // namespace
 
 JobIntake::JobIntake(asio::io_context& context, RecordStore& store, HttpPool& peers, const OwnerElection& election,
-    std::function<std::shared_ptr<Coordinator>()> coordinator)
-    : m_writer(context, store)
+    std::function<std::shared_ptr<Coordinator>()> coordinator, StoreLimits limits)
+    : m_writer(context, store, limits)
     , m_peers(peers)
     , m_election(election)
     , m_ownedCoordinator(std::move(coordinator))
--- a/src/detail/intake/RecentSubmissions.cpp
+++ b/src/detail/intake/RecentSubmissions.cpp
@@ -77,7 +77,7 @@
         return IntakeOutcome::Unknown;
     recent.m_byUse.pop_back(); // The entry that was just used.
     recent.m_byId.erase(id);
-    return IntakeOutcome::Refused;
+    return outcome == IntakeOutcome::TooLarge ? IntakeOutcome::TooLarge : IntakeOutcome::Refused;
 }
 
 } // namespace hemlockvane::detail
--- a/src/detail/intake/SubmissionQueue.cpp
+++ b/src/detail/intake/SubmissionQueue.cpp
@@ -10,7 +10,8 @@
 constexpr std::size_t maximumAppendsInFlight = 3;
 constexpr int quickAnswerDivisor = 3; // An answer within this part of the timeout is quick.
 constexpr std::size_t maximumBatchRecords = 500;
-constexpr std::size_t maximumBatchBytes = 512UL * 1024; // The store accepts 2 MB in one call.
+constexpr std::size_t maximumBatchBytes = 512UL * 1024; // A larger append would keep the partition busy for long.
+constexpr std::size_t lengthBytes = 4; // The store counts the length prefix of each record.
 // A larger record is appended alone, so that the store's refusal of it refuses nothing else.
 constexpr std::size_t maximumSharedRecordBytes = 64UL * 1024;
 
@@ -28,11 +29,12 @@
     std::vector<SharedSubmission> batch;
     if (queue.m_appendsInFlight >= queue.m_appendWindow)
         return batch;
+    const auto maximumBytes = std::min(maximumBatchBytes, queue.m_limits.m_requestBytes);
     std::size_t bytes = 0;
     while (!queue.m_waiting.empty() && batch.size() < maximumBatchRecords) {
-        const auto size = queue.m_waiting.front()->m_record.size();
+        const auto size = queue.m_waiting.front()->m_record.size() + lengthBytes;
         const auto mustBeAlone = size > maximumSharedRecordBytes;
-        if (!batch.empty() && (mustBeAlone || bytes + size > maximumBatchBytes))
+        if (!batch.empty() && (mustBeAlone || bytes + size > maximumBytes))
             break;
         bytes += size;
         batch.push_back(std::move(queue.m_waiting.front()));
--- a/src/detail/intake/SubmissionWriter.cpp
+++ b/src/detail/intake/SubmissionWriter.cpp
@@ -70,14 +70,17 @@
     appendWaiting();
 }
 
-SubmissionWriter::SubmissionWriter(asio::io_context& context, RecordStore& store)
+SubmissionWriter::SubmissionWriter(asio::io_context& context, RecordStore& store, StoreLimits limits)
     : m_impl(std::make_shared<Impl>(context, store))
 {
+    m_impl->m_queue.m_limits = limits;
 }
 
 auto SubmissionWriter::store(std::string record, Instant deadline) -> asio::awaitable<IntakeOutcome>
 {
     const auto impl = m_impl;
+    if (record.size() > impl->m_queue.m_limits.m_recordBytes)
+        co_return IntakeOutcome::TooLarge;
     const auto remaining = deadline - monotonicNow();
     if (remaining <= Duration { 0 })
         co_return IntakeOutcome::Refused;
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -34,6 +34,8 @@
         return "stored";
     case IntakeOutcome::Refused:
         return "refused";
+    case IntakeOutcome::TooLarge:
+        return "too_large";
     case IntakeOutcome::Unknown:
         return "no_answer";
     }
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -140,4 +140,16 @@
     markChanged(scheduler, *job);
 }
 
+auto restoreTasks(Scheduler& scheduler, JobId id, const JobProgress& progress, Instant now) -> void
+{
+    auto* job = findJob(scheduler, id);
+    if (job == nullptr)
+        return;
+    for (const auto& stored : progress.m_tasks)
+        restoreTask(scheduler, id, stored);
+    for (const auto& stored : progress.m_runs)
+        restoreRun(scheduler, *job, stored, now);
+    markChanged(scheduler, *job);
+}
+
 } // namespace hemlockvane::scheduling
--- a/tests/shell/coordinator/MemoryStore.cpp
+++ b/tests/shell/coordinator/MemoryStore.cpp
@@ -11,6 +11,18 @@
 constexpr Duration callTime { 1 };
 constexpr Duration pollTime { 2 };
 
+auto exceeds(const StoreAppend& request, const StoreLimits& limits) -> bool
+{
+    constexpr std::size_t lengthBytes = 4;
+    std::size_t bytes = 0;
+    auto isTooLarge = false;
+    for (const auto& record : request.m_records) {
+        bytes += record.size() + lengthBytes;
+        isTooLarge = isTooLarge || record.size() > limits.m_recordBytes;
+    }
+    return isTooLarge || bytes > limits.m_requestBytes;
+}
+
 } // namespace
 
 auto MemoryStore::append(StoreAppend request, Duration timeout) -> asio::awaitable<StoreAppendResult>
@@ -21,7 +33,7 @@
         co_return result;
     }
     co_await sleepFor(callTime);
-    if (m_refusesAppends) {
+    if (m_refusesAppends || exceeds(request, m_limits)) {
         result.m_kind = StoreAppendKind::Refused;
         co_return result;
     }
@@ -37,6 +49,7 @@
         co_return result;
     }
     epoch = request.m_epoch;
+    m_isDown = m_isDown || --m_appendsLeft == 0;
     result.m_offset = records.size();
     records.insert(records.end(), request.m_records.begin(), request.m_records.end());
     result.m_end = records.size();
--- a/tests/shell/coordinator/MemoryStore.h
+++ b/tests/shell/coordinator/MemoryStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/detail/ports/StoreLimits.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -24,8 +25,10 @@
 
     bool m_isDown = false; ///< Calls get no answer and have no effect.
     bool m_refusesAppends = false; ///< Appends are answered as refused and have no effect.
+    StoreLimits m_limits; ///< Appends beyond them are refused.
     bool m_losesAnswers = false; ///< Appends are carried out but not answered.
     std::size_t m_maximumRead = std::numeric_limits<std::size_t>::max(); ///< Maximum number of records in one read.
+    std::size_t m_appendsLeft = std::numeric_limits<std::size_t>::max(); ///< After as many, the store is down.
     std::map<std::string, std::vector<std::string>> m_topics;
     std::map<std::string, std::uint64_t> m_epochs; ///< By topic and producer.
 };
--- a/tests/shell/intake/SubmissionWriterTest.cpp
+++ b/tests/shell/intake/SubmissionWriterTest.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(submission_refusedAfterUnansweredOne_isRepeatedUntilStored);
     CPPUNIT_TEST(submission_refusedAfterUnansweredOne_isUnknownAtDeadline);
     CPPUNIT_TEST(submission_large_isAppendedAlone);
+    CPPUNIT_TEST(submission_largerThanARecord_isTooLargeAndNeverSent);
+    CPPUNIT_TEST(submissions_beyondTheStoresLimit_areDivided);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,6 +179,29 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, records.size());
     }
 
+    // Guards against a caller told to come back with a job that the store refuses each time.
+    auto submission_largerThanARecord_isTooLargeAndNeverSent() -> void
+    {
+        m_writer = std::make_unique<SubmissionWriter>(*m_context, m_store, StoreLimits { 100, 200 });
+        submit(std::string(101, 'x'));
+        submit(std::string(100, 'x'));
+        run([this] { return settled() == 2; });
+        CPPUNIT_ASSERT(outcome(0) == IntakeOutcome::TooLarge);
+        CPPUNIT_ASSERT(outcome(1) == IntakeOutcome::Stored);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_store.m_appends.size());
+    }
+
+    // Guards against an append that the store refuses with all submissions in it.
+    auto submissions_beyondTheStoresLimit_areDivided() -> void
+    {
+        m_writer = std::make_unique<SubmissionWriter>(*m_context, m_store, StoreLimits { 100, 200 });
+        for (int caller = 0; caller < callers; ++caller)
+            submit(std::string(40, 'x'));
+        run([this] { return settled() == callers; });
+        for (const auto& records : m_store.m_appends)
+            CPPUNIT_ASSERT(records.size() * (40 + 4) <= 200);
+    }
+
 private:
     static constexpr int callers = 40;
 
--- a/tests/shell/platform/ClientApiTest.cpp
+++ b/tests/shell/platform/ClientApiTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(submission_storedBefore_isUnknownWithoutValidConfiguration);
     CPPUNIT_TEST(submission_unansweredBefore_isUnknownUntilStored);
     CPPUNIT_TEST(submission_refusedBefore_isRefused);
+    CPPUNIT_TEST(submission_largerThanTheStoreTakes_isRefusedForGood);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -134,6 +135,16 @@
         CPPUNIT_ASSERT(m_store->m_topics["keyed.jobs"].empty());
     }
 
+    auto submission_largerThanTheStoreTakes_isRefusedForGood() -> void
+    {
+        m_intake = std::make_unique<detail::JobIntake>(
+            *m_context, *m_store, *m_peers, *m_election, [] { return std::shared_ptr<detail::Coordinator>(); },
+            detail::StoreLimits { 50, 100 });
+        m_api = std::make_unique<ClientApi>(*m_intake, *m_rules, m_metrics, Duration(3600000));
+        CPPUNIT_ASSERT_EQUAL(413U, submit());
+        CPPUNIT_ASSERT(m_store->m_topics["keyed.jobs"].empty());
+    }
+
 private:
     static constexpr auto jobTarget = "/jobs/00000000000000a1";
     static constexpr auto otherTarget = "/jobs/00000000000000a2";
