Conclude nothing from what an incomplete answer of an executor leaves out

Cause: an answer lists 500 ends at most; removeUnreportedRuns and removeStoppedRuns took a run that was not in it for one that is not there.

A further poll follows once the ends are stored and acknowledged, so the rest is known before anything is removed or started there. Polls of an executor that is not reconciled acknowledge too, since the next ends are listed only then.

--- a/include/hemlockvane/scheduling/ExecutorReport.h
+++ b/include/hemlockvane/scheduling/ExecutorReport.h
@@ -14,6 +14,7 @@
     Instant m_pollSentAt; ///< When the poll was sent.
     std::int64_t m_clockMs = 0; ///< The executor's monotonic clock when it answered.
     std::int64_t m_startedAtMs = 0;
+    bool m_isComplete = true; ///< Lists all active and ended runs: a run that is missing is not there.
     std::vector<ReportedRun> m_runs;
     std::vector<EndedRun> m_endedRuns;
 };
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -15,8 +15,8 @@
 struct Executor;
 struct Scheduler;
 
-/// @brief Adds or updates an executor from its registry entry. A newer start time under a known id removes all runs
-/// there.
+/// @brief Adds or updates an executor from its registry entry. A newer start time under a known id removes the runs
+/// that ended with the earlier life; those whose start the new one may have received are kept until it has answered.
 /// @param earlierLeasesExpireBy time by which all leases granted by earlier owners have expired
 /// @result index of the executor
 auto registerExecutor(Scheduler& scheduler, const ExecutorEntry& entry, Instant earlierLeasesExpireBy, Instant now)
@@ -37,8 +37,9 @@
 /// @brief Marks an executor's incarnation as ended and removes its runs. The caller must be certain that it has ended.
 auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void;
 
-/// @brief Applies an executor's answer to a poll. A newer start time removes all runs there, and no task is started
-/// there until the registry shows it.
+/// @brief Applies an executor's answer to a poll. A newer start time removes the runs that ended with the earlier life,
+/// and no task is started there until the registry shows it. Nothing is concluded from what is missing in an incomplete
+/// answer.
 /// @param actions receives stops for runs of unknown tasks
 auto applyReport(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now, WallMillis wall,
     std::vector<Action>& actions) -> void;
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -166,7 +166,7 @@
 // acknowledged.
 auto isLifeCertain(const scheduling::Executor& executor, Instant now) -> bool
 {
-    return executor.m_isReconciled && !executor.m_isUnresponsive && now - executor.m_clockReadAt < lifeCheckInterval;
+    return executor.m_clockMs != 0 && !executor.m_isUnresponsive && now - executor.m_clockReadAt < lifeCheckInterval;
 }
 
 auto pollOnce(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index) -> asio::awaitable<bool>
@@ -178,7 +178,8 @@
     // A new life would forget ends that it has numbered below those of the earlier one.
     request.m_acknowledgedEnd = isLifeCertain(executor, now) ? executor.m_acknowledgedEnd : 0;
     request.m_deadlineMs = leaseDeadline(*state, executor, now);
-    const auto mayWait = isLifeCertain(executor, now) && !executor.m_endedLife && !executor.m_runs.empty();
+    const auto mayWait
+        = isLifeCertain(executor, now) && executor.m_isReconciled && !executor.m_endedLife && !executor.m_runs.empty();
     request.m_wait = mayWait ? pollWait : Duration { 0 };
     executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, request.m_deadlineMs.value_or(0));
     const auto previousStartMs = executor.m_entry.m_startedAtMs;
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -380,6 +380,9 @@
         else
             refreshRun(scheduler, *run, reported, report.m_pollSentAt, now);
     }
+    // Otherwise the runs that are missing may be among the ends that further answers list.
+    if (!report.m_isComplete)
+        return;
     stopUnconfirmedStarts(scheduler, index, report);
     settleEndedLife(scheduler, index, report, now);
     removeStoppedRuns(scheduler, index, report);
--- a/tests/shell/coordinator/ScriptedExecutors.h
+++ b/tests/shell/coordinator/ScriptedExecutors.h
@@ -4,6 +4,8 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,6 +26,7 @@
         std::vector<scheduling::ReportedRun> m_runs;
         std::vector<scheduling::EndedRun> m_ends; ///< Ends that are listed until they are acknowledged.
         bool m_waitsForEnds = false; ///< An answer without ends takes as long as the poll allows.
+        std::size_t m_endsPerAnswer = 500; ///< Further ends are listed once these are acknowledged.
         std::vector<PollRequest> m_received; ///< Polls answered.
         int m_polls = 0; ///< Number of polls answered.
     };
@@ -73,7 +76,10 @@
         result.m_report.m_runs = life.m_runs;
         std::erase_if(
             life.m_ends, [&](const scheduling::EndedRun& end) { return end.m_number <= order.m_acknowledgedEnd; });
-        result.m_report.m_endedRuns = life.m_ends;
+        const auto listed = std::min(life.m_ends.size(), life.m_endsPerAnswer);
+        result.m_report.m_endedRuns.assign(
+            life.m_ends.begin(), life.m_ends.begin() + static_cast<std::ptrdiff_t>(listed));
+        result.m_report.m_isComplete = listed < life.m_endsPerAnswer;
         co_return result;
     }
 
--- a/tests/shell/platform/HttpExecutorsTest.cpp
+++ b/tests/shell/platform/HttpExecutorsTest.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(poll_report_hasRunsAndEnds);
     CPPUNIT_TEST(poll_largeReport_isReadInFull);
     CPPUNIT_TEST(poll_unreadableRow_isLeftOut);
+    CPPUNIT_TEST(poll_asManyEndsAsAnAnswerLists_isIncomplete);
+    CPPUNIT_TEST(poll_unreadableRowOfATask_isIncomplete);
+    CPPUNIT_TEST(poll_absurdNumbers_areBounded);
     CPPUNIT_TEST(poll_malformedReport_isUnknown);
     CPPUNIT_TEST(poll_deeplyNestedReport_isUnknown);
     CPPUNIT_TEST(appendTaskName_anyTask_isAsTaskTextAndParsed);
@@ -203,6 +206,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string(200, 'c'), result.m_report.m_runs.back().m_checkpoint);
     }
 
+    // Guards against runs that are taken for lost since their ends are beyond those of one answer.
+    auto poll_asManyEndsAsAnAnswerLists_isIncomplete() -> void
+    {
+        CPPUNIT_ASSERT(pollEnds(499).m_isComplete);
+        CPPUNIT_ASSERT(!pollEnds(500).m_isComplete);
+    }
+
+    auto poll_unreadableRowOfATask_isIncomplete() -> void
+    {
+        const auto isComplete = [this](std::string lists) {
+            m_answer = R"({"clockMs":1,)" + std::move(lists) + "}";
+            return poll({}).m_report.m_isComplete;
+        };
+        CPPUNIT_ASSERT(isComplete(R"("running":[["other",1,"",9]],"finished":[[1,"other",1,"done",""]])"));
+        CPPUNIT_ASSERT(!isComplete(R"("running":[["5c0e7a21d94b36f8.0.1.9",1]],"finished":[])"));
+        CPPUNIT_ASSERT(!isComplete(R"("running":[],"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"gone",""]])"));
+        CPPUNIT_ASSERT(!isComplete(R"("running":{},"finished":[])"));
+        CPPUNIT_ASSERT(!isComplete(R"("running":[],"finished":7)"));
+    }
+
+    auto poll_absurdNumbers_areBounded() -> void
+    {
+        m_answer = R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.9",1,"",9,1e300]],"finished":[]})";
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 } << 53, poll({}).m_report.m_runs.at(0).m_measurement);
+    }
+
     auto poll_unreadableRow_isLeftOut() -> void
     {
         m_answer = R"({"clockMs":1,"running":[7,null,[],{},["x",1,"",9],["5c0e7a21d94b36f8.0.1",1,"",9],[1,1,"",9],)"
@@ -280,6 +309,16 @@
         return run(executors.start(m_address, "e-1", std::move(request), std::move(mayBeSent)));
     }
 
+    auto pollEnds(int count) -> scheduling::ExecutorReport
+    {
+        m_answer = R"({"clockMs":1,"running":[],"finished":[)";
+        for (int index = 1; index <= count; ++index)
+            m_answer += (index == 1 ? "[" : ",[") + std::to_string(index) + R"(,"5c0e7a21d94b36f8.0.1.)"
+                + std::to_string(index) + R"(",1,"done",""])";
+        m_answer += "]}";
+        return poll({}).m_report;
+    }
+
     auto poll(detail::PollRequest request) -> detail::PollResult
     {
         HttpExecutors executors(*m_pool, *m_pool);
