Read the registry of executors to its end

Cause: one read returns 1,024 records at most, and the next one followed 250 ms later. A read that had not reached the end counted as knowledge of all capacities all the same, so a pool that does not guard its capacity could be filled by one that had shrunk, and beyond some 4,000 heartbeats a second the registry was followed later and later.

Evidence: registry_moreRecordsThanOneReadReturns_isReadToItsEnd and registry_notReadToItsEnd_capacitiesOfUnguardedPoolsAreUnknown failed before.

Reads go on at once until the end is reached, and only then the capacities count as known at the time of the call.

--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -90,18 +90,20 @@
     startPolling(state, index);
 }
 
+// Returns whether there are more records to be read at once.
 auto readRegistry(const std::shared_ptr<CoordinatorState>& state, std::uint64_t& offset) -> asio::awaitable<bool>
 {
     const auto askedAt = monotonicNow();
     const auto read = co_await state->m_ports.m_store->read(state->m_ports.m_executorTopic, offset, Duration { 0 });
     if (!read || state->m_isStopped)
         co_return false;
-    state->m_scheduler.m_registryReadAt = askedAt;
     if (read->m_isExpired) {
         const auto content = co_await state->m_ports.m_store->newest(state->m_ports.m_executorTopic);
-        if (content && !state->m_isStopped)
-            loadExecutors(state, *content);
-        co_return content.has_value();
+        if (!content || state->m_isStopped)
+            co_return false;
+        loadExecutors(state, *content);
+        state->m_scheduler.m_registryReadAt = askedAt;
+        co_return false;
     }
     // Heartbeats repeat an entry: only the newest record of each executor is applied.
     std::map<std::string, KeyedRecord> newest;
@@ -112,7 +114,11 @@
     }
     for (const auto& [id, record] : newest)
         applyRegistryRecord(state, record);
-    co_return true;
+    // One read returns a limited number of records.
+    const auto isAtEnd = offset >= read->m_end;
+    if (isAtEnd)
+        state->m_scheduler.m_registryReadAt = askedAt;
+    co_return !isAtEnd && !read->m_records.empty();
 }
 
 // The ended runs of a report that count as failures once the report is applied.
@@ -267,8 +273,9 @@
 auto followExecutors(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
 {
     while (!state->m_isStopped) {
-        co_await readRegistry(state, state->m_nextExecutorOffset);
-        co_await sleepFor(registryReadInterval);
+        const auto hasMore = co_await readRegistry(state, state->m_nextExecutorOffset);
+        if (!hasMore)
+            co_await sleepFor(registryReadInterval);
     }
 }
 
--- a/tests/shell/coordinator/ExecutorLivesTest.cpp
+++ b/tests/shell/coordinator/ExecutorLivesTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(newLife_reportsRunBeforeItIsListed_isPolledOn);
     CPPUNIT_TEST(newLife_listedWhileIdle_isPolledAndUsed);
     CPPUNIT_TEST(newLife_listedAfterItsFirstStart_taskIsNotStartedElsewhere);
+    CPPUNIT_TEST(registry_moreRecordsThanOneReadReturns_isReadToItsEnd);
+    CPPUNIT_TEST(registry_notReadToItsEnd_capacitiesOfUnguardedPoolsAreUnknown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,7 +111,44 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
     }
 
+    // Guards against a fleet whose heartbeats are written faster than they are read.
+    auto registry_moreRecordsThanOneReadReturns_isReadToItsEnd() -> void
+    {
+        m_memory.m_maximumRead = 2;
+        m_executors.m_lives[restarted].m_isSilent = true;
+        own(1, {});
+        settle();
+        for (int heartbeat = 0; heartbeat < heartbeats; ++heartbeat)
+            list(restarted, "1");
+        list(other, "1");
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
+    }
+
+    auto registry_notReadToItsEnd_capacitiesOfUnguardedPoolsAreUnknown() -> void
+    {
+        m_rules.m_unguardedServices.insert("orders");
+        m_executors.m_lives[restarted].m_startedAtMs = 1;
+        const auto submissions = std::exchange(m_memory.m_topics[submissionTopic], {});
+        own(1, {});
+        settle();
+        m_memory.m_maximumRead = 0;
+        list(restarted, "1");
+        const auto unknownAt = monotonicNow() + capacityValidity;
+        runUntil([&] { return monotonicNow() > unknownAt; });
+        m_memory.m_maximumRead = 1;
+        m_memory.m_topics[submissionTopic] = submissions;
+        for (int heartbeat = 0; heartbeat < heartbeats; ++heartbeat)
+            list(restarted, "1");
+        runUntil([this] { return !m_executors.m_starts.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
+        CPPUNIT_ASSERT(m_memory.m_newestRead.at(m_executorTopic) >= std::uint64_t { heartbeats });
+    }
+
 private:
+    static constexpr int heartbeats = 60;
+    static constexpr Duration capacityValidity { 2000 };
+
     // Has the job's task run on the new life, which is listed after its first answer.
     auto startOnNewLife() -> void
     {
--- a/tests/shell/coordinator/MemoryStore.cpp
+++ b/tests/shell/coordinator/MemoryStore.cpp
@@ -71,6 +71,7 @@
     read.m_end = records.size();
     for (auto offset = from; offset < records.size() && read.m_records.size() < m_maximumRead; ++offset)
         read.m_records.push_back(records[offset]);
+    m_newestRead[topic] = from + read.m_records.size();
     co_return read;
 }
 
--- a/tests/shell/coordinator/MemoryStore.h
+++ b/tests/shell/coordinator/MemoryStore.h
@@ -30,6 +30,7 @@
     std::size_t m_maximumRead = std::numeric_limits<std::size_t>::max(); ///< Maximum number of records in one read.
     std::size_t m_appendsLeft = std::numeric_limits<std::size_t>::max(); ///< After as many, the store is down.
     std::map<std::string, std::vector<std::string>> m_topics;
+    std::map<std::string, std::uint64_t> m_newestRead; ///< End of the newest read, by topic.
     std::map<std::string, std::uint64_t> m_epochs; ///< By topic and producer.
 };
 
--- a/tests/shell/coordinator/OwnerFixture.h
+++ b/tests/shell/coordinator/OwnerFixture.h
@@ -30,6 +30,8 @@
         m_memory = {};
         m_executors = {};
         m_spec = {};
+        m_rules = {};
+        m_rules.m_queues["checks"] = { "orders", 0, 4, 2.0, 600, false };
         m_spec.m_steps.resize(1);
         submit(job);
     }
@@ -70,10 +72,8 @@
         ports.m_earlierLeasesExpireBy = earlierLeasesExpireBy;
         ports.m_decoders.m_job = [this](std::string_view) { return std::optional(m_spec); };
         ports.m_decoders.m_executor = executorEntry;
-        scheduling::FleetRules rules;
-        rules.m_queues["checks"] = { "orders", 0, 4, 2.0, 600, false };
         m_coordinator = std::make_shared<Coordinator>(*m_context, ports, epoch);
-        m_coordinator->start(rules);
+        m_coordinator->start(m_rules);
     }
 
     template <typename Condition> auto runUntil(Condition condition) -> void
@@ -95,6 +95,7 @@
     ScriptedExecutors m_executors;
     Metrics m_metrics;
     scheduling::JobSpec m_spec; ///< Of all jobs.
+    scheduling::FleetRules m_rules;
     std::shared_ptr<Coordinator> m_coordinator;
 
 private:
