Refuse odd entries of executors, and other amounts that can't be meant

Report of other operators: one odd entry among those of the executors ended the machines that read the list, or stopped them following it.

Found here: no such entry ends a process or stops the following as a whole, but a start time far in the future under an executor's id made its own entries and answers look like those of an earlier life, for good (LOST). An id that holds a line end went into a header, and amounts near the limits of their type overflowed in sums.

The cases that held before stay as proof.

An entry is taken only if its id, address, start time, labels and amounts can be meant; answers, jobs, waves, tickets and pages of the list of machines are bounded alike, and a page that can't be read in full is no page.

--- a/tests/shell/coordinator/OwnerFixture.h
+++ b/tests/shell/coordinator/OwnerFixture.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/TestFixture.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,7 +55,7 @@
             encodeKeyedRecord(submissionPrefix + jobIdText(id), record.SerializeAsString()));
     }
 
-    /// @brief Appends to the registry; its records of these tests contain only the start time.
+    /// @brief Appends to the registry. Unless the test decodes them otherwise, entries contain only the start time.
     auto list(const std::string& id, const std::string& startedAt) -> void
     {
         m_memory.m_topics[m_executorTopic].push_back(encodeKeyedRecord(id, startedAt));
@@ -71,7 +72,7 @@
         ports.m_executorTopic = m_executorTopic;
         ports.m_earlierLeasesExpireBy = earlierLeasesExpireBy;
         ports.m_decoders.m_job = [this](std::string_view) { return std::optional(m_spec); };
-        ports.m_decoders.m_executor = executorEntry;
+        ports.m_decoders.m_executor = m_decodeExecutor;
         m_coordinator = std::make_shared<Coordinator>(*m_context, ports, epoch);
         m_coordinator->start(m_rules);
     }
@@ -96,6 +97,8 @@
     Metrics m_metrics;
     scheduling::JobSpec m_spec; ///< Of all jobs.
     scheduling::FleetRules m_rules;
+    std::function<std::optional<scheduling::ExecutorEntry>(std::string_view, std::string_view)> m_decodeExecutor
+        = executorEntry;
     std::shared_ptr<Coordinator> m_coordinator;
 
 private:
--- a/tests/shell/platform/DecodeTest.cpp
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -1,8 +1,10 @@
 #include "DecodeConfiguration.h"
 #include "DecodeExecutorEntry.h"
 #include "DecodeJob.h"
+#include "DecodeMachinePage.h"
 #include "DecodeWaveOrder.h"
 #include "LoadPlatformSettings.h"
+#include "MachinePage.h"
 #include "PlatformSettings.h"
 #include "TaskName.h"
 
@@ -13,6 +15,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace hemlockvane::platform {
 
@@ -22,10 +25,15 @@
     CPPUNIT_TEST(job_invalid_isRefusedWithReason);
     CPPUNIT_TEST(job_stepLimitInvalid_isRefusedByName);
     CPPUNIT_TEST(job_stepLimitHuge_isKeptAsLimit);
+    CPPUNIT_TEST(job_absurdNumbers_areRefusedByName);
     CPPUNIT_TEST(executorEntry_invalid_isIgnored);
+    CPPUNIT_TEST(executorEntry_odd_isIgnored);
+    CPPUNIT_TEST(executorEntry_idThatIsNoHeader_isIgnored);
+    CPPUNIT_TEST(machinePage_notReadInFull_isEmpty);
     CPPUNIT_TEST(configuration_routes_longestPrefixWins);
     CPPUNIT_TEST(configuration_unreadable_isEmpty);
     CPPUNIT_TEST(waveOrder_otherKey_isEmpty);
+    CPPUNIT_TEST(waveOrder_absurdNumber_isEmpty);
     CPPUNIT_TEST(taskName_invalid_isEmpty);
     CPPUNIT_TEST(settings_missingFields_areNamed);
     CPPUNIT_TEST_SUITE_END();
@@ -94,6 +102,67 @@
             CPPUNIT_ASSERT_MESSAGE(text, !decodeExecutorEntry("e", text));
     }
 
+    // Guards against an entry of another writer that is used, or hides the executor's own for good.
+    auto executorEntry_odd_isIgnored() -> void
+    {
+        const auto entry = [](const std::string& field, const std::string& value) {
+            std::string text = R"({"service":"s","address":"1.2.3.4:5","state":"ready","born":7,"capacity":{"cpu":1})";
+            if (const auto found = text.find("\"" + field + "\":"); found != std::string::npos)
+                text.replace(found, field.size() + 2, "\"earlier\"");
+            return text + ",\"" + field + "\":" + value + "}";
+        };
+        CPPUNIT_ASSERT(decodeExecutorEntry("e", entry("other", "1")));
+        CPPUNIT_ASSERT(decodeExecutorEntry("e", entry("labels", R"(["a","b"])")));
+        const auto nested = std::string(100000, '[') + std::string(100000, ']');
+        const std::pair<std::string, std::string> odd[] = { { "other", nested }, { "born", "1e400" },
+            { "born", "1e18" }, { "born", "4102444800001" }, { "born", "-1" }, { "born", "99999999999999999999" },
+            { "born", "7.5" }, { "address", R"("1.2.3.4:65536")" }, { "address", R"("1.2.3.4:0")" },
+            { "address", R"("1.2.3.4:-5")" }, { "address", R"("1.2.3.4:99999999999999999999")" },
+            { "address", R"("1.2.3.4")" }, { "address", R"(":5")" }, { "address", R"("1.2.3.999:5")" },
+            { "address", "[]" }, { "capacity", R"({"cpu":1e30})" }, { "capacity", R"({"cpu":-1})" },
+            { "capacity", R"({"cpu":9223372036854775807})" }, { "capacity", R"({"memMb":"1"})" },
+            { "capacity", R"({"gpu":99999999999999999999})" }, { "capacity", nested }, { "labels", R"(["a",7])" },
+            { "labels", R"("a")" }, { "state", nested } };
+        for (const auto& [field, value] : odd)
+            CPPUNIT_ASSERT_MESSAGE(field + " " + value.substr(0, 40), !decodeExecutorEntry("e", entry(field, value)));
+        const auto late = decodeExecutorEntry("e", entry("remainingMs", "9223372036854775807"));
+        CPPUNIT_ASSERT(late && late->m_remainingMs <= 86400000);
+    }
+
+    auto executorEntry_idThatIsNoHeader_isIgnored() -> void
+    {
+        const std::string good
+            = R"({"service":"s","address":"1.2.3.4:5","state":"ready","born":7,"capacity":{"cpu":1}})";
+        const std::string ids[] = { "", "a b", "a\r\nHemlockvane-Other: x", "\xff", std::string("a\0b", 3) };
+        for (const auto& id : ids)
+            CPPUNIT_ASSERT_MESSAGE(id, !decodeExecutorEntry(id, good));
+    }
+
+    auto job_absurdNumbers_areRefusedByName() -> void
+    {
+        for (const std::string name : { "cpu", "memMb", "gpu", "estimateMs", "targetMs" }) {
+            FailureReason reason;
+            CPPUNIT_ASSERT_MESSAGE(name, !decodeJob(R"({"steps":[{")" + name + R"(":9e18}]})", reason));
+            CPPUNIT_ASSERT_MESSAGE(name, reason.m_text.find("step 0: " + name) == 0);
+        }
+        FailureReason reason;
+        CPPUNIT_ASSERT(!decodeJob(R"({"steps":[{}],"runCount":9,"intervalMs":9e18})", reason));
+        CPPUNIT_ASSERT(decodeJob(R"({"steps":[{}],"runCount":9,"startAtMs":1796447275817,"intervalMs":500})", reason));
+    }
+
+    // Guards against a machine that is taken for gone.
+    auto machinePage_notReadInFull_isEmpty() -> void
+    {
+        const auto page
+            = decodeMachinePage(R"({"machines":[{"machine":"m","pool":"p","state":"up","id":"e"}],"nextToken":"n"})");
+        CPPUNIT_ASSERT(page);
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), page->m_machines.at(0).m_executorId);
+        CPPUNIT_ASSERT_EQUAL(std::string("n"), page->m_nextToken);
+        for (const auto* text : { "", "{}", "[]", R"({"machines":{}})", R"({"machines":[7]})",
+                 R"({"machines":[{"machine":"m"},{}]})", R"({"machines":[{"machine":7}]})" })
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeMachinePage(text));
+    }
+
     auto configuration_routes_longestPrefixWins() -> void
     {
         const auto rules = decodeConfiguration(R"({"version":3,"routes":[
@@ -124,6 +193,12 @@
         CPPUNIT_ASSERT(!decodeWaveOrder("wave/1", ""));
     }
 
+    auto waveOrder_absurdNumber_isEmpty() -> void
+    {
+        CPPUNIT_ASSERT(!decodeWaveOrder("wave/1", R"({"wave":1,"machines":["m"],"durationS":1e300,"maxCount":3})"));
+        CPPUNIT_ASSERT(!decodeWaveOrder("wave/1", R"({"wave":1,"machines":["m"],"durationS":2,"maxCount":1e30})"));
+    }
+
     auto taskName_invalid_isEmpty() -> void
     {
         const scheduling::TaskKey key { 0x5c0e7a21d94b36f8, 0, 1, 17 };
