Wait for stops of an earlier owner before evacuating tasks after a takeover

Cause, from the log of a play: the owner had a task stopped at 6.65 s and handed over at 7.05 s.

Evidence: takeover_earlierOwnerMayHaveStoppedAnotherRun_waitsUntilItWouldHaveEnded fails without the check.

An executor refuses an earlier owner's stops from its first answer to the next one. So a run that is still listed the longest stop later is not being stopped; until then runs of earlier owners count as unavailable when another task is to be evacuated.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -25,6 +25,7 @@
     std::uint64_t m_activation = 0; ///< Number of its last activation; order of `Scheduler::m_activeExecutors`.
     bool m_isTerminated = false; ///< This incarnation has certainly ended.
     bool m_isReconciled = false; ///< Its runs are known: it answered a poll of this owner, or it has terminated.
+    std::optional<Instant> m_firstAnsweredAt; ///< From then on it refuses requests of earlier owners.
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases granted by earlier owners have expired.
     bool m_isUnresponsive = false; ///< The last poll was not answered.
     std::optional<Instant>
--- a/include/hemlockvane/scheduling/TaskRun.h
+++ b/include/hemlockvane/scheduling/TaskRun.h
@@ -23,6 +23,7 @@
     bool m_isReported = false; ///< An answer to a poll of the executor's present life has listed it.
     std::optional<Instant> m_startAnsweredAt; ///< When its executor confirmed the request to start it.
     std::optional<Instant> m_sentAt; ///< When its start was last sent, or restored from the journal.
+    bool m_mayBeStopping = false; ///< An earlier owner may have had it stopped, and the stop may not have ended yet.
     bool m_isRestored = false; ///< Restored from the journal: it is not known when its start was sent.
     std::optional<Instant> m_outcomeUnknownSince; ///< When its start got no answer: it may still be carried out.
     std::int32_t m_percent = 0; ///< Progress as last reported; 100 for a long-running task that is available.
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -229,6 +229,7 @@
     const auto state = m_state;
     const auto startedAt = monotonicNow();
     state->m_earlierLeasesExpireBy = state->m_ports.m_earlierLeasesExpireBy;
+    state->m_scheduler.m_timing.m_longestStop = state->m_ports.m_longestStop;
     state->m_scheduler.m_timing.m_longestHold = state->m_ports.m_longestHold;
     state->m_fleet.m_timing = state->m_ports.m_fleetTiming;
     const auto isLoaded = co_await loadState(state);
--- a/src/scheduling/Evacuate.cpp
+++ b/src/scheduling/Evacuate.cpp
@@ -13,11 +13,11 @@
 
 constexpr std::int32_t availablePercent = 100;
 
-// A task on an unresponsive executor counts as unavailable.
+// A task on an unresponsive executor counts as unavailable, and one that an earlier owner may have had stopped.
 auto isAvailable(const Scheduler& scheduler, const TaskState& task) -> bool
 {
     return std::any_of(task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) {
-        return run.m_phase == RunPhase::Running && run.m_percent >= availablePercent
+        return run.m_phase == RunPhase::Running && !run.m_mayBeStopping && run.m_percent >= availablePercent
             && !scheduler.m_executors[run.m_executor]->m_isUnresponsive;
     });
 }
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -54,6 +54,7 @@
         isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
     run.m_sentAt = now; // Its start may have been sent at any time before.
     run.m_isRestored = true;
+    run.m_mayBeStopping = true;
 }
 
 auto restoreIsDone(StepState& step, TaskState& task, bool isDone) -> void
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -144,6 +144,7 @@
         && (task->m_runs.empty() || (spec.m_allowsDuplicates && !spec.m_isGang));
     auto& run = addRun(
         scheduler, reported.m_task, reported.m_run, index, isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
+    run.m_mayBeStopping = true;
     run.m_isConfirmed = true;
     run.m_isReported = true;
     run.m_percent = reported.m_percent;
@@ -159,6 +160,9 @@
     markBegun(*findJob(scheduler, reported.m_task.m_job));
     run.m_isConfirmed = true;
     run.m_isReported = true;
+    const auto& executor = *scheduler.m_executors[run.m_executor];
+    if (executor.m_firstAnsweredAt && pollSentAt >= *executor.m_firstAnsweredAt + scheduler.m_timing.m_longestStop)
+        run.m_mayBeStopping = false;
     if (run.m_phase == RunPhase::Starting)
         run.m_phase = RunPhase::Running;
     run.m_percent = reported.m_percent;
@@ -365,6 +369,7 @@
     executor.m_clockMs = report.m_clockMs;
     executor.m_clockReadAt = now;
     executor.m_isUnresponsive = false;
+    executor.m_firstAnsweredAt = executor.m_firstAnsweredAt.value_or(now);
     withdrawBlame(scheduler, index);
     for (const auto& end : report.m_endedRuns) {
         if (end.m_number <= executor.m_appliedEnd)
--- a/tests/core/scheduling/EvacuateTest.cpp
+++ b/tests/core/scheduling/EvacuateTest.cpp
@@ -2,6 +2,8 @@
 
 #include "core/scheduling/SchedulerFixture.h"
 
+#include "hemlockvane/scheduling/JobProgress.h"
+#include "hemlockvane/scheduling/StoreProgress.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -23,6 +25,7 @@
     CPPUNIT_TEST(stop_jobCancelledMeanwhile_isSent);
     CPPUNIT_TEST(stop_executorDrains_isSentAlthoughOthersFailed);
     CPPUNIT_TEST(stop_withdrawn_isPlannedAgainOnceOthersAreAvailable);
+    CPPUNIT_TEST(takeover_earlierOwnerMayHaveStoppedAnotherRun_waitsUntilItWouldHaveEnded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,11 +33,7 @@
     {
         SchedulerFixture::setUp();
         addExecutor("e2");
-        auto serving = step(3, 1000);
-        serving.m_isLongRunning = true;
-        serving.m_perExecutorLimit = 1;
-        serving.m_maxUnavailable = 1;
-        submit({ serving });
+        submitServing();
         m_starts = plan();
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, m_starts.size());
         answerStarts(m_starts);
@@ -97,7 +96,33 @@
         CPPUNIT_ASSERT(confirmStop(m_scheduler, planStop(), false));
     }
 
+    // Guards against two tasks of a step that are unavailable at a time: a run that is being stopped is still listed.
+    auto takeover_earlierOwnerMayHaveStoppedAnotherRun_waitsUntilItWouldHaveEnded() -> void
+    {
+        const auto stored = progressOf(m_scheduler, *findJob(m_scheduler, job));
+        SchedulerFixture::setUp();
+        addExecutor("e2");
+        submitServing();
+        restoreProgress(m_scheduler, job, stored, m_now);
+        for (const auto& start : m_starts)
+            reportAvailable(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, evacuate(m_scheduler, m_starts[0].m_executor));
+        m_now += m_scheduler.m_timing.m_longestStop;
+        for (const auto& start : m_starts)
+            reportAvailable(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, evacuate(m_scheduler, m_starts[0].m_executor));
+    }
+
 private:
+    auto submitServing() -> void
+    {
+        auto serving = step(3, 1000);
+        serving.m_isLongRunning = true;
+        serving.m_perExecutorLimit = 1;
+        serving.m_maxUnavailable = 1;
+        submit({ serving });
+    }
+
     auto reportAvailable(const Action& start) -> void
     {
         report(start.m_executor, { { start.m_task, start.m_run, {}, 100, 0 } });
