Acknowledge an executor's ends only behind a connection that was used before

What callers would see: a task whose run had ended as done runs again (TWICE), since the end was acknowledged and never read.

Cause: ends are numbered from 1 in each life of an executor, and a poll names the newest number that is stored. Whether the life was still the same was judged by time: within 0.3 s of its last answer it counted as certain. A life that had begun within that time forgot its own ends up to a number of the earlier life.

Change: a connection ends with the process behind it, so HttpPool can send another request on a new one; a poll acknowledges nothing there, and ends that are listed again are known by their numbers. The limit in time stays for what the poll waits for.

poll_order_hasAllFields and poll_withoutLeaseAndWait_hasNeither polled on a new connection and expected an acknowledgement there. They poll once before, and expect the same as before on the connection that this leaves.

--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -162,11 +162,24 @@
 auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, FailureReason& reason)
     -> asio::awaitable<std::optional<HttpResponse>>
 {
-    return call(std::move(address), std::move(request), timeout, {}, reason);
+    return exchange(std::move(address), std::move(request), std::nullopt, timeout, {}, reason);
 }
 
 auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout,
     std::function<bool()> mayBeSent, FailureReason& reason) -> asio::awaitable<std::optional<HttpResponse>>
+{
+    return exchange(std::move(address), std::move(request), std::nullopt, timeout, std::move(mayBeSent), reason);
+}
+
+auto HttpPool::call(std::string address, HttpRequest request, HttpRequest onNewConnection,
+    std::chrono::milliseconds timeout, FailureReason& reason) -> asio::awaitable<std::optional<HttpResponse>>
+{
+    return exchange(std::move(address), std::move(request), std::move(onNewConnection), timeout, {}, reason);
+}
+
+auto HttpPool::exchange(std::string address, HttpRequest request, std::optional<HttpRequest> onNewConnection,
+    std::chrono::milliseconds timeout, std::function<bool()> mayBeSent, FailureReason& reason)
+    -> asio::awaitable<std::optional<HttpResponse>>
 {
     const auto server = m_impl->serverAt(address);
     ++server->m_calls;
@@ -179,6 +192,7 @@
     auto& connection = pooled->m_connection;
     m_impl->closeUnneeded();
     auto isConnected = idle.has_value();
+    const auto& sent = isConnected || !onNewConnection ? request : *onNewConnection;
     // A request that is not wanted any more needs no new connection either.
     auto isWanted = !mayBeSent || mayBeSent();
     if (!isConnected) {
@@ -190,7 +204,7 @@
     if (!isWanted)
         fail(reason, ErrorKind::Cancelled, "the request is not wanted any more");
     else if (isConnected)
-        response = co_await connection.exchange(request, timeout, maximumResponseBytes, reason);
+        response = co_await connection.exchange(sent, timeout, maximumResponseBytes, reason);
     m_impl->release(pooled);
     --server->m_calls;
     m_impl->forgetIfUnused(*server);
--- a/tests/shell/platform/HttpExecutorsTest.cpp
+++ b/tests/shell/platform/HttpExecutorsTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(pace_order_hasAllFields);
     CPPUNIT_TEST(poll_order_hasAllFields);
     CPPUNIT_TEST(poll_withoutLeaseAndWait_hasNeither);
+    CPPUNIT_TEST(poll_processWasReplaced_acknowledgesNothing);
     CPPUNIT_TEST(poll_report_hasRunsAndEnds);
     CPPUNIT_TEST(poll_largeReport_isReadInFull);
     CPPUNIT_TEST(poll_unreadableRow_isLeftOut);
@@ -52,12 +53,7 @@
     auto setUp() -> void override
     {
         m_context = std::make_unique<asio::io_context>();
-        m_server = std::make_unique<detail::HttpServer>(*m_context, detail::HttpLimits {},
-            [this](detail::HttpRequest request) { return answer(std::move(request)); });
-        FailureReason reason;
-        const auto port = m_server->listen("127.0.0.1:0", reason);
-        CPPUNIT_ASSERT(port);
-        m_address = "127.0.0.1:" + std::to_string(*port);
+        startServer("127.0.0.1:0");
         m_pool = std::make_unique<detail::HttpPool>(*m_context, detail::HttpPoolLimits {});
         m_status = 200;
         m_answer = R"({"clockMs":5})";
@@ -157,6 +153,7 @@
 
     auto poll_order_hasAllFields() -> void
     {
+        poll({}); // Opens the connection.
         CPPUNIT_ASSERT(poll({ 9, 57, 486000, Duration(1000) }).m_outcome == CallOutcome::Answered);
         assertReceived(
             "/hemlockvane/hold", { { "fence", 9 }, { "lastSeen", 57 }, { "deadlineMs", 486000 }, { "waitMs", 1000 } });
@@ -164,10 +161,24 @@
 
     auto poll_withoutLeaseAndWait_hasNeither() -> void
     {
+        poll({}); // Opens the connection.
         poll({ 9, 57, std::nullopt, Duration(0) });
         assertReceived("/hemlockvane/hold", { { "fence", 9 }, { "lastSeen", 57 } });
     }
 
+    // Guards against the loss of an end that a life of some milliseconds has numbered like one of the earlier life.
+    auto poll_processWasReplaced_acknowledgesNothing() -> void
+    {
+        poll({ 9, 57, 486000, Duration(1000) });
+        assertReceived(
+            "/hemlockvane/hold", { { "fence", 9 }, { "lastSeen", 0 }, { "deadlineMs", 486000 }, { "waitMs", 1000 } });
+        poll({ 9, 57, std::nullopt, Duration(0) });
+        assertReceived("/hemlockvane/hold", { { "fence", 9 }, { "lastSeen", 57 } });
+        replaceServer();
+        poll({ 9, 57, std::nullopt, Duration(0) });
+        assertReceived("/hemlockvane/hold", { { "fence", 9 }, { "lastSeen", 0 } });
+    }
+
     auto poll_report_hasRunsAndEnds() -> void
     {
         m_answer = R"({"clockMs":482113,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41],)"
@@ -279,6 +290,25 @@
         return { { 0x5c0e7a21d94b36f8, 4, 1, 17 }, 2, "work", -7, std::numeric_limits<std::uint64_t>::max(), "c", "t" };
     }
 
+    auto startServer(const std::string& address) -> void
+    {
+        m_server = std::make_unique<detail::HttpServer>(*m_context, detail::HttpLimits {},
+            [this](detail::HttpRequest request) { return answer(std::move(request)); });
+        FailureReason reason;
+        const auto port = m_server->listen(address, reason);
+        CPPUNIT_ASSERT_MESSAGE(reason.m_text, port);
+        m_address = "127.0.0.1:" + std::to_string(*port);
+    }
+
+    // Another process at the same address: all connections have ended.
+    auto replaceServer() -> void
+    {
+        m_server->drain();
+        m_context->restart();
+        m_context->run_for(Duration(20));
+        startServer(m_address);
+    }
+
     auto answer(detail::HttpRequest request) -> asio::awaitable<detail::HttpResponse>
     {
         m_received = std::move(request);
