Play a deployment with real processes from a seed

FleetRun starts the processes of the deployment Roata on loopback, with stand-ins for its store, machines, executors and clients in one program, and prints what breaks TWICE or LOST. Disruptions are coroutines that overlap.

--- a/standins/StandinServer.cpp
+++ b/standins/StandinServer.cpp
@@ -180,6 +180,14 @@
     }
 }
 
+auto StandinServer::closeAll() -> void
+{
+    beast::error_code error;
+    m_impl->m_acceptor.close(error);
+    for (const auto& session : m_impl->m_sessions)
+        session->m_stream.close();
+}
+
 auto runUntilStopped(asio::io_context& context, StandinServer& server, const std::string& address) -> int
 {
     FailureReason reason;
--- a/standins/StandinServer.h
+++ b/standins/StandinServer.h
@@ -36,6 +36,9 @@
     /// accepted later are served normally.
     auto silenceOpenConnections() -> void;
 
+    /// @brief Stops listening and closes all connections, as the end of the process would.
+    auto closeAll() -> void;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- /dev/null
+++ b/tests/fleet/FleetClients.cpp
@@ -0,0 +1,231 @@
+#include "FleetClients.h"
+
+#include "FleetInstances.h"
+#include "FleetRecord.h"
+
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/errors/FailureReason.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace hemlockvane::fleetrun {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration clientTimeout { 3000 };
+constexpr int submitAttempts = 5;
+constexpr Duration submitPause { 300 };
+constexpr Duration stateInterval { 700 };
+constexpr Duration cancelDelay { 400 };
+constexpr std::int64_t visibleMs = 3000; // An accepted job must be known after this.
+constexpr double inTurn = 5;
+constexpr double outOfTurn = 0.05;
+constexpr std::int64_t lastingMs = 700; // Estimate of tasks that last.
+constexpr std::size_t lastingTasks = 5;
+constexpr std::int64_t taskMemoryMb = 1024;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusGone = 410;
+
+auto isEnd(const std::string& state) -> bool
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+} // namespace
+
+FleetClients::FleetClients(asio::io_context& context, FleetRecord& record, FleetInstances& instances,
+    FactsByStep& facts, FleetSite site, FleetLoad load, std::uint64_t seed)
+    : m_context(context)
+    , m_record(record)
+    , m_instances(instances)
+    , m_facts(facts)
+    , m_site(std::move(site))
+    , m_load(load)
+    , m_random(seed)
+    , m_pool(context, { .m_perServer = 64 })
+{
+}
+
+auto FleetClients::queueInTurn(std::int64_t at) const -> std::size_t
+{
+    const auto queues = static_cast<std::size_t>(std::count_if(
+        m_site.m_pools.begin(), m_site.m_pools.end(), [](const PoolSite& pool) { return pool.m_jobsPerSecond > 0; }));
+    return static_cast<std::size_t>(at / m_load.m_turnMs) % queues;
+}
+
+auto FleetClients::serviceInTurn(std::int64_t at) const -> std::string
+{
+    return m_site.m_pools[queueInTurn(at)].m_service;
+}
+
+auto FleetClients::nextTurnAt(std::int64_t at) const -> std::int64_t
+{
+    return (at / m_load.m_turnMs + 1) * m_load.m_turnMs;
+}
+
+auto FleetClients::call(std::string method, const FleetJob& job) -> asio::awaitable<std::optional<detail::HttpResponse>>
+{
+    const auto count = m_instances.instances().size();
+    const auto first = m_random() % count;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = (first + i) % count;
+        if (m_instances.instances()[index].m_process <= 0)
+            continue;
+        detail::HttpRequest request;
+        request.m_method = method;
+        request.m_target = job.m_target;
+        request.m_headers = { { "Host", host }, { "Content-Type", "application/json" }, { "Hemlockvane-Key", key },
+            { "Hemlockvane-Deadline-Ms", std::to_string(clientTimeout.count()) } };
+        request.m_body = method == "POST" ? job.m_body : std::string();
+        FailureReason reason;
+        auto response
+            = co_await m_pool.call(m_instances.frontAddress(index), std::move(request), clientTimeout, reason);
+        if (!response && reason.m_kind == ErrorKind::NoCapacity)
+            continue;
+        m_record.write("client",
+            method + " " + job.m_id + " at " + m_instances.instances()[index].m_name + " -> "
+                + (response ? std::to_string(response->m_status) + " " + response->m_body : reason.m_text));
+        co_return response;
+    }
+    co_return std::nullopt;
+}
+
+auto FleetClients::newJob(const PoolSite& pool, bool isLasting) -> FleetJob&
+{
+    std::array<char, 20> id {};
+    std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(m_random()));
+    const auto share = std::uniform_real_distribution<> { 0, 1 }(m_random);
+    const auto steps = isLasting || share > pool.m_steps - 1 ? 1U : 2U;
+    auto& job = m_jobs.emplace_back();
+    job.m_id = id.data();
+    job.m_target = pool.m_queue + job.m_id;
+    job.m_isLasting = isLasting;
+    job.m_isHopeless = !isLasting && std::uniform_real_distribution<> { 0, 1 }(m_random) < m_load.m_hopeless;
+    json::array stepList;
+    for (std::size_t step = 0; step < steps; ++step) {
+        StepFacts facts { pool.m_cpu, taskMemoryMb, pool.m_workMs, isLasting, job.m_isHopeless && step + 1 == steps,
+            false };
+        m_facts[job.m_id + "." + std::to_string(step)] = facts;
+        const auto count = isLasting ? lastingTasks : pool.m_tasks;
+        job.m_tasks += count;
+        json::object object { { "count", count }, { "cpu", pool.m_cpu }, { "memMb", taskMemoryMb },
+            { "estimateMs", isLasting ? lastingMs : pool.m_workMs } };
+        if (isLasting)
+            object["longRunning"] = true;
+        if (step > 0)
+            object["after"] = json::array { step - 1 };
+        stepList.push_back(std::move(object));
+    }
+    job.m_body = json::serialize(json::object { { "spec", "" }, { "steps", std::move(stepList) } });
+    return job;
+}
+
+auto FleetClients::submit(FleetJob& job) -> asio::awaitable<void>
+{
+    job.m_sentAt = m_record.now();
+    for (int attempt = 0; attempt < submitAttempts; ++attempt) {
+        const auto response = co_await call("POST", job);
+        job.m_wasRefusedOnly = job.m_wasRefusedOnly && response && response->m_status != statusOk;
+        if (response && response->m_status == statusOk) {
+            job.m_acceptedAt = m_record.now();
+            co_return;
+        }
+        co_await detail::sleepFor(submitPause);
+    }
+}
+
+auto FleetClients::askState(FleetJob& job) -> asio::awaitable<bool>
+{
+    const auto askedAt = m_record.now();
+    const auto response = co_await call("GET", job);
+    if (!response)
+        co_return false;
+    if (response->m_status == statusGone && job.m_acceptedAt != never && askedAt > job.m_acceptedAt + visibleMs
+        && job.m_cancelSentAt == never) {
+        m_violations.push_back("LOST: job " + job.m_id + ", accepted at " + std::to_string(job.m_acceptedAt)
+            + ", is unknown at " + std::to_string(askedAt));
+        job.m_state = "unknown";
+        co_return true;
+    }
+    if (response->m_status != statusOk)
+        co_return false;
+    boost::system::error_code error;
+    const auto value = json::parse(response->m_body, error);
+    if (error || !value.is_object() || !value.as_object().contains("state"))
+        co_return false;
+    job.m_state = std::string(value.as_object().at("state").as_string());
+    if (isEnd(job.m_state))
+        job.m_shownAt = m_record.now();
+    co_return isEnd(job.m_state);
+}
+
+auto FleetClients::runJob(FleetJob& job, std::int64_t workMs) -> asio::awaitable<void>
+{
+    co_await submit(job);
+    if (job.m_acceptedAt == never)
+        co_return;
+    const auto isCancelled
+        = !job.m_isLasting && std::uniform_real_distribution<> { 0, 1 }(m_random) < m_load.m_cancelled;
+    if (isCancelled) {
+        co_await detail::sleepFor(cancelDelay);
+        job.m_cancelSentAt = m_record.now();
+        co_await call("DELETE", job);
+        co_return;
+    }
+    co_await detail::sleepFor(Duration { workMs });
+    if (!job.m_isLasting)
+        co_await askState(job);
+}
+
+auto FleetClients::submitJobs(std::size_t pool, std::int64_t until) -> asio::awaitable<void>
+{
+    const auto& site = m_site.m_pools[pool];
+    if (m_load.m_hasLasting)
+        asio::co_spawn(m_context, runJob(newJob(site, true), lastingMs), asio::detached);
+    constexpr std::int64_t slotMs = 20;
+    for (auto now = m_record.now(); now < until; now = m_record.now()) {
+        const auto factor = queueInTurn(now) == pool ? inTurn : outOfTurn;
+        const auto mean = site.m_jobsPerSecond * m_load.m_scale * factor * slotMs / 1000;
+        for (auto arrivals = std::poisson_distribution<int> { mean }(m_random); arrivals > 0; --arrivals) {
+            auto& job = newJob(site, false);
+            asio::co_spawn(m_context, runJob(job, site.m_workMs * 2), asio::detached);
+        }
+        co_await detail::sleepFor(Duration { slotMs });
+    }
+}
+
+auto FleetClients::play(std::int64_t until) -> asio::awaitable<void>
+{
+    for (std::size_t pool = 0; pool < m_site.m_pools.size(); ++pool) {
+        if (m_site.m_pools[pool].m_jobsPerSecond > 0)
+            asio::co_spawn(m_context, submitJobs(pool, until), asio::detached);
+    }
+    while (m_record.now() < until)
+        co_await detail::sleepFor(stateInterval);
+}
+
+auto FleetClients::awaitEnds(std::int64_t until) -> asio::awaitable<void>
+{
+    for (auto isOpen = true; isOpen && m_record.now() < until;) {
+        isOpen = false;
+        for (auto& job : m_jobs) {
+            if (job.m_acceptedAt == never || job.m_isLasting || job.m_shownAt != never || job.m_state == "unknown"
+                || job.m_cancelSentAt != never)
+                continue;
+            const auto hasEnded = co_await askState(job);
+            isOpen = isOpen || !hasEnded;
+        }
+        co_await detail::sleepFor(stateInterval);
+    }
+}
+
+} // namespace hemlockvane::fleetrun
--- /dev/null
+++ b/tests/fleet/FleetExecutor.cpp
@@ -0,0 +1,338 @@
+#include "FleetExecutor.h"
+
+#include "FleetRecord.h"
+
+#include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/clock/Clock.h"
+#include "hemlockvane/detail/http/HttpResponse.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace hemlockvane::fleetrun {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using standins::Delivery;
+using standins::StandinAnswer;
+
+namespace {
+
+constexpr Duration tickInterval { 5 };
+constexpr Duration callerTimeout { 700 }; // Longer than callers wait for the answer to an order.
+constexpr std::size_t listedEnds = 500;
+constexpr std::int64_t shortestLateMs = 300;
+constexpr std::int64_t longestLateMs = 5000;
+constexpr double percentOfWork = 50;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusConflict = 409;
+
+auto steadyMs() -> std::int64_t { return detail::monotonicNow().time_since_epoch().count(); }
+
+auto numberAt(const json::object& body, std::string_view name) -> std::int64_t
+{
+    const auto* value = body.if_contains(name);
+    return value == nullptr ? 0 : value->to_number<std::int64_t>();
+}
+
+auto textAt(const json::object& body, std::string_view name) -> std::string
+{
+    const auto* value = body.if_contains(name);
+    return value == nullptr ? std::string() : std::string(value->as_string());
+}
+
+auto headerOf(const detail::HttpRequest& request, std::string_view name) -> std::string
+{
+    for (const auto& header : request.m_headers) {
+        if (header.m_name == name)
+            return header.m_value;
+    }
+    return {};
+}
+
+// ID.STEP of a task ID.K.STEP.INDEX.
+auto stepOf(const std::string& task) -> std::string
+{
+    const auto first = task.find('.');
+    const auto second = task.find('.', first + 1);
+    return task.substr(0, first) + task.substr(second, task.rfind('.') - second);
+}
+
+} // namespace
+
+FleetExecutor::FleetExecutor(asio::io_context& context, ExecutorPlace place, FleetRecord& record,
+    const FactsByStep& facts, std::uint64_t seed)
+    : m_context(context)
+    , m_place(std::move(place))
+    , m_record(record)
+    , m_facts(facts)
+    , m_random(seed)
+{
+}
+
+FleetExecutor::~FleetExecutor() = default;
+
+auto FleetExecutor::start() -> bool
+{
+    m_server = std::make_unique<standins::StandinServer>(
+        m_context, [this](detail::HttpRequest request) { return handle(std::move(request)); });
+    FailureReason reason;
+    if (!m_server->listen(m_place.m_address, reason)) {
+        m_record.write(m_place.m_id, reason.m_text);
+        return false;
+    }
+    ++m_life;
+    m_isUp = true;
+    m_bornUnixMs = detail::wallNow();
+    m_bornAt = steadyMs();
+    m_fence = 0;
+    m_leaseUntil = 0;
+    m_nextEnd = 1;
+    m_ended.clear();
+    m_highestEnded.clear();
+    m_record.write(m_place.m_id, "up, born " + std::to_string(m_bornUnixMs));
+    asio::co_spawn(m_context, tick(m_life), asio::detached);
+    return true;
+}
+
+auto FleetExecutor::crash() -> void
+{
+    if (!m_isUp)
+        return;
+    m_isUp = false;
+    ++m_life;
+    m_server->closeAll();
+    m_record.write(m_place.m_id, "crashed with " + std::to_string(m_active.size()) + " runs");
+    for (const auto& [key, active] : m_active) {
+        active.m_run->m_endedAt = m_record.now();
+        active.m_run->m_how = "crashed";
+    }
+    m_active.clear();
+    m_usedCpu = 0;
+    m_usedMemoryMb = 0;
+}
+
+auto FleetExecutor::entry() -> std::string
+{
+    return json::serialize(json::object { { "service", m_place.m_service }, { "address", m_place.m_address },
+        { "zone", m_place.m_zone }, { "version", "v1" }, { "slots", 8 },
+        { "state", m_isDraining ? "draining" : "ready" }, { "coldRemainingMs", 0 },
+        { "capacity", json::object { { "cpu", m_place.m_cpu }, { "memMb", m_place.m_memoryMb }, { "gpu", 0 } } },
+        { "labels", json::array { "a", m_place.m_rack } }, { "clockMs", clockMs() }, { "seq", ++m_sequence },
+        { "born", m_bornUnixMs } });
+}
+
+auto FleetExecutor::clockMs() const -> std::int64_t
+{
+    return static_cast<std::int64_t>(static_cast<double>(steadyMs() - m_bornAt) * m_faults.m_clockRate) + 1;
+}
+
+auto FleetExecutor::draw(double probability) -> bool
+{
+    return probability > 0 && std::uniform_real_distribution<> { 0, 1 }(m_random) < probability;
+}
+
+auto FleetExecutor::answer(unsigned status, json::object more) const -> StandinAnswer
+{
+    more["clockMs"] = clockMs();
+    more["born"] = m_bornUnixMs;
+    return { { status, { { "Content-Type", "application/json" } }, json::serialize(more) }, Delivery::Complete };
+}
+
+auto FleetExecutor::awaitReachable(bool ExecutorFaults::*fault, std::uint64_t life) -> asio::awaitable<void>
+{
+    while (m_faults.*fault && m_life == life)
+        co_await detail::sleepFor(tickInterval);
+}
+
+auto FleetExecutor::carryOutLate(detail::HttpRequest request, std::uint64_t life) -> asio::awaitable<void>
+{
+    const auto lateMs = std::uniform_int_distribution<std::int64_t> { shortestLateMs, longestLateMs }(m_random);
+    co_await detail::sleepFor(Duration { lateMs });
+    if (m_life != life)
+        co_return;
+    const auto body = json::parse(request.m_body).as_object();
+    co_await carryOut(request.m_target, body, true);
+}
+
+auto FleetExecutor::handle(detail::HttpRequest request) -> asio::awaitable<StandinAnswer>
+{
+    const auto self = shared_from_this();
+    const auto life = m_life;
+    StandinAnswer none;
+    none.m_delivery = Delivery::None;
+    co_await awaitReachable(&ExecutorFaults::m_isCut, life);
+    if (m_life != life)
+        co_return none;
+    const auto expected = headerOf(request, "Hemlockvane-Expect-Instance");
+    if (!expected.empty() && expected != m_place.m_id)
+        co_return answer(421, {});
+    const auto isOrder = request.m_target != "/hemlockvane/hold";
+    if (draw(m_faults.m_refusal))
+        co_return answer(503, {});
+    if (isOrder && draw(m_faults.m_lateOrder)) {
+        asio::co_spawn(m_context, carryOutLate(std::move(request), life), asio::detached);
+        co_await detail::sleepFor(callerTimeout);
+        co_return none;
+    }
+    const auto body = json::parse(request.m_body).as_object();
+    const auto result = co_await carryOut(request.m_target, body, false);
+    co_await awaitReachable(&ExecutorFaults::m_isCut, life);
+    co_await awaitReachable(&ExecutorFaults::m_isMute, life);
+    if (m_life != life || draw(m_faults.m_lostAnswer))
+        co_return none;
+    co_return result;
+}
+
+auto FleetExecutor::carryOut(const std::string& path, const json::object& body, bool isLate)
+    -> asio::awaitable<StandinAnswer>
+{
+    const auto fence = numberAt(body, "fence");
+    if (fence < m_fence)
+        co_return answer(statusConflict, { { "reason", "fence" } });
+    m_fence = fence;
+    if (path == "/hemlockvane/run-start")
+        co_return startRun(body, isLate);
+    if (path == "/hemlockvane/run-stop")
+        stopRun(body);
+    if (path == "/hemlockvane/hold") {
+        const auto report = co_await hold(body);
+        co_return report;
+    }
+    co_return answer(statusOk, {});
+}
+
+auto FleetExecutor::extendLease(const json::object& body) -> void
+{
+    m_leaseUntil = std::max(m_leaseUntil, std::min(numberAt(body, "deadlineMs"), clockMs() + holdMaxMs));
+}
+
+auto FleetExecutor::startRun(const json::object& body, bool isLate) -> StandinAnswer
+{
+    const RunKey key { textAt(body, "task"), numberAt(body, "run") };
+    if (m_active.contains(key)) {
+        extendLease(body);
+        return answer(statusOk, {});
+    }
+    if (numberAt(body, "deadlineMs") <= clockMs())
+        return answer(statusConflict, { { "reason", "late" } });
+    extendLease(body);
+    const auto ended = m_highestEnded.find(key.first);
+    if (ended != m_highestEnded.end() && key.second <= ended->second)
+        return answer(statusConflict, { { "reason", "old" } });
+    const auto found = m_facts.find(stepOf(key.first));
+    const auto facts = found == m_facts.end() ? StepFacts {} : found->second;
+    if (m_usedCpu + facts.m_cpu > m_place.m_cpu || m_usedMemoryMb + facts.m_memoryMb > m_place.m_memoryMb)
+        return answer(statusConflict, { { "reason", "room" } });
+    StartedRun started;
+    started.m_task = key.first;
+    started.m_run = key.second;
+    started.m_executor = m_place.m_id;
+    started.m_service = m_place.m_service;
+    started.m_zone = m_place.m_zone;
+    started.m_starter = m_starterOf ? m_starterOf(m_fence) : std::string();
+    started.m_isLate = isLate;
+    started.m_mayRunTwice = facts.m_mayRunTwice;
+    started.m_startedAt = m_record.now();
+    m_record.m_runs.push_back(started);
+    Active active;
+    active.m_run = &m_record.m_runs.back();
+    active.m_isLasting = facts.m_isLasting;
+    active.m_cpu = facts.m_cpu;
+    active.m_memoryMb = facts.m_memoryMb;
+    active.m_how = facts.m_isHopeless || draw(m_faults.m_failure) ? "failed" : "done";
+    const auto workMs = active.m_how == "failed" ? facts.m_workMs / 4 : facts.m_workMs;
+    active.m_endsAt = active.m_isLasting ? std::numeric_limits<std::int64_t>::max() : clockMs() + workMs;
+    m_usedCpu += facts.m_cpu;
+    m_usedMemoryMb += facts.m_memoryMb;
+    m_active.emplace(key, active);
+    m_record.write(m_place.m_id, "start " + key.first + " run " + std::to_string(key.second) + " from "
+            + started.m_starter + (isLate ? " late" : ""));
+    return answer(statusOk, {});
+}
+
+auto FleetExecutor::stopRun(const json::object& body) -> void
+{
+    const RunKey key { textAt(body, "task"), numberAt(body, "run") };
+    m_record.write(m_place.m_id, "stop " + key.first + " run " + std::to_string(key.second));
+    const auto active = m_active.find(key);
+    if (active == m_active.end()) {
+        m_highestEnded[key.first] = std::max(m_highestEnded[key.first], key.second);
+        return;
+    }
+    if (active->second.m_run->m_stopAt == never)
+        active->second.m_run->m_stopAt = m_record.now();
+    const auto endsAt = clockMs() + std::uniform_int_distribution<std::int64_t> { 0, shutdownMs }(m_random);
+    if (active->second.m_how == "stopped" || active->second.m_endsAt <= endsAt)
+        return;
+    active->second.m_endsAt = endsAt;
+    active->second.m_how = "stopped";
+}
+
+auto FleetExecutor::hold(const json::object& body) -> asio::awaitable<StandinAnswer>
+{
+    const auto life = m_life;
+    extendLease(body);
+    const auto lastSeen = numberAt(body, "lastSeen");
+    while (!m_ended.empty() && m_ended.front().m_number <= lastSeen) {
+        m_ended.front().m_run->m_notedAt = m_record.now();
+        m_ended.pop_front();
+    }
+    const auto waitUntil = steadyMs() + numberAt(body, "waitMs");
+    while (m_ended.empty() && m_life == life && steadyMs() < waitUntil)
+        co_await detail::sleepFor(tickInterval);
+    json::array running;
+    for (const auto& [key, active] : m_active)
+        running.push_back(
+            json::array { key.first, key.second, "", active.m_isLasting ? 100 : percentOfWork, active.m_cpu });
+    json::array finished;
+    for (const auto& ended : m_ended) {
+        if (finished.size() == listedEnds)
+            break;
+        finished.push_back(
+            json::array { ended.m_number, ended.m_key.first, ended.m_key.second, ended.m_how, "" });
+    }
+    co_return answer(statusOk, { { "running", std::move(running) }, { "finished", std::move(finished) } });
+}
+
+auto FleetExecutor::endRun(std::map<RunKey, Active>::iterator item, const std::string& how)
+    -> std::map<RunKey, Active>::iterator
+{
+    const auto& [task, run] = item->first;
+    auto& active = item->second;
+    m_ended.push_back({ m_nextEnd++, item->first, how, active.m_run });
+    m_highestEnded[task] = std::max(m_highestEnded[task], run);
+    m_usedCpu -= active.m_cpu;
+    m_usedMemoryMb -= active.m_memoryMb;
+    active.m_run->m_endedAt = m_record.now();
+    active.m_run->m_how = how;
+    m_record.write(m_place.m_id, "end " + task + " run " + std::to_string(run) + " " + how);
+    return m_active.erase(item);
+}
+
+auto FleetExecutor::tick(std::uint64_t life) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    while (m_life == life) {
+        const auto now = clockMs();
+        const auto hasLapsed = now > m_leaseUntil;
+        if (hasLapsed) {
+            for (const auto& ended : m_ended)
+                ended.m_run->m_hasLapsed = true;
+        }
+        for (auto item = m_active.begin(); item != m_active.end();) {
+            if (item->second.m_endsAt <= now)
+                item = endRun(item, item->second.m_how);
+            else if (hasLapsed)
+                item = endRun(item, "lapsed");
+            else
+                ++item;
+        }
+        co_await detail::sleepFor(tickInterval);
+    }
+}
+
+} // namespace hemlockvane::fleetrun
--- /dev/null
+++ b/tests/fleet/FleetInstances.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "FleetSite.h"
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::fleetrun {
+
+class FleetRecord;
+
+/// @brief One process of the product.
+struct FleetInstance {
+    std::string m_name;
+    std::string m_zone;
+    std::string m_ip;
+    std::string m_settingsFile;
+    std::string m_logFile;
+    pid_t m_process = 0; ///< 0: not running.
+};
+
+/// @brief The processes of the product, with settings files as the users' platform writes them.
+class FleetInstances {
+public:
+    /// @param program path of hemlockvane
+    /// @param folder for settings and logs
+    /// @param basePort first of eight free ports
+    FleetInstances(FleetRecord& record, std::string program, std::string folder, std::uint16_t basePort);
+    ~FleetInstances();
+    FleetInstances(const FleetInstances&) = delete;
+    auto operator=(const FleetInstances&) -> FleetInstances& = delete;
+
+    auto add(const FleetSite& site) -> void;
+    auto start(std::size_t index) -> void;
+
+    /// @brief Sends a signal; after SIGKILL the process has ended when this returns.
+    auto signal(std::size_t index, int number) -> void;
+
+    /// @brief Collects processes that have ended by themselves or on SIGTERM.
+    auto reap() -> void;
+
+    auto instances() -> std::vector<FleetInstance>& { return m_instances; }
+    [[nodiscard]] auto frontAddress(std::size_t index) const -> std::string;
+    [[nodiscard]] auto readinessAddress(std::size_t index) const -> std::string;
+
+    std::string m_storeAddress;
+    std::string m_machinesAddress;
+
+private:
+    [[nodiscard]] auto settingsOf(const FleetInstance& instance) const -> std::string;
+    [[nodiscard]] auto port(int which) const -> std::string;
+
+    FleetRecord& m_record;
+    std::string m_program;
+    std::string m_folder;
+    std::uint16_t m_basePort;
+    std::vector<FleetInstance> m_instances;
+};
+
+} // namespace hemlockvane::fleetrun
--- /dev/null
+++ b/tests/fleet/FleetMachines.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "FleetExecutor.h"
+#include "FleetSite.h"
+
+#include "hemlockvane/time/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hemlockvane::fleetrun {
+
+class FleetRecord;
+
+/// @brief One machine; its executor changes with each move and maintenance.
+struct FleetMachine {
+    std::string m_id;
+    std::string m_pool;
+    std::string m_state = "up";
+    std::string m_zone;
+    std::string m_rack;
+    std::string m_address;
+    std::shared_ptr<FleetExecutor> m_executor;
+    std::int64_t m_highestToken = 0;
+    std::set<std::int64_t> m_wavesDone;
+};
+
+/// @brief The platform's machines, their executors and the interface through which they are listed and ordered.
+class FleetMachines {
+public:
+    using Publish = std::function<void(const std::string& id, const std::string& entry)>;
+
+    /// @param publish writes an entry of the registry; an empty one removes it
+    FleetMachines(boost::asio::io_context& context, FleetRecord& record, const FactsByStep& facts, Publish publish,
+        std::uint64_t seed);
+
+    /// @param port of all executors
+    auto addPools(const FleetSite& site, std::uint16_t port) -> bool;
+    auto handle(detail::HttpRequest request) -> boost::asio::awaitable<standins::StandinAnswer>;
+    auto heartbeats() -> boost::asio::awaitable<void>;
+
+    /// @brief Ends an executor and lets it begin again under its id after `down`, unless its machine was ordered away.
+    auto crashAndReturn(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
+
+    auto machines() -> std::vector<FleetMachine>& { return m_machines; }
+
+    std::function<std::string(std::int64_t)> m_starterOf;
+    std::map<std::int64_t, std::set<std::string>> m_waves; ///< Machines of each wave.
+    bool m_loseAnswers = false; ///< Orders are carried out and not answered.
+
+private:
+    auto newExecutor(FleetMachine& machine) -> bool;
+    auto order(const detail::HttpRequest& request, bool isMove) -> standins::StandinAnswer;
+    auto takeAway(std::size_t index, const std::string& state, Duration time) -> boost::asio::awaitable<void>;
+    auto publish(const FleetExecutor& executor) -> void;
+
+    boost::asio::io_context& m_context;
+    FleetRecord& m_record;
+    const FactsByStep& m_facts;
+    Publish m_publish;
+    std::mt19937_64 m_random;
+    FleetSite m_site;
+    std::vector<FleetMachine> m_machines;
+    std::vector<std::shared_ptr<FleetExecutor>> m_pastExecutors;
+    std::map<std::string, std::int64_t> m_lastBeat; ///< By id of an executor.
+};
+
+} // namespace hemlockvane::fleetrun
--- /dev/null
+++ b/tests/fleet/FleetTroubles.cpp
@@ -0,0 +1,256 @@
+#include "FleetTroubles.h"
+
+#include "FleetClients.h"
+#include "FleetInstances.h"
+#include "FleetMachines.h"
+#include "FleetRecord.h"
+
+#include "hemlockvane/detail/async/Signal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace hemlockvane::fleetrun {
+
+namespace asio = boost::asio;
+
+FleetTroubles::FleetTroubles(asio::io_context& context, FleetRecord& record, FleetInstances& instances,
+    FleetMachines& machines, FleetClients& clients, StoreFaults& store, std::uint64_t seed)
+    : m_context(context)
+    , m_record(record)
+    , m_instances(instances)
+    , m_machines(machines)
+    , m_clients(clients)
+    , m_store(store)
+    , m_random(seed)
+{
+}
+
+auto FleetTroubles::kindOf(std::string_view name) const -> Kind
+{
+    static const std::pair<std::string_view, Kind> kinds[] = {
+        { "idle-crash", &FleetTroubles::idleCrash },
+        { "blink", &FleetTroubles::blink },
+        { "crash", &FleetTroubles::crash },
+        { "cut", &FleetTroubles::cut },
+        { "mute", &FleetTroubles::mute },
+        { "lost-answers", &FleetTroubles::lostAnswers },
+        { "late-orders", &FleetTroubles::lateOrders },
+        { "owner-kill", &FleetTroubles::ownerKill },
+        { "owner-pause", &FleetTroubles::ownerPause },
+        { "owner-term", &FleetTroubles::ownerTerm },
+        { "store", &FleetTroubles::storeTrouble },
+    };
+    for (const auto& [known, kind] : kinds) {
+        if (known == name)
+            return kind;
+    }
+    return nullptr;
+}
+
+auto FleetTroubles::play(std::string names, std::int64_t until) -> asio::awaitable<void>
+{
+    std::istringstream list(names);
+    for (std::string name; std::getline(list, name, ',');) {
+        const auto kind = kindOf(name);
+        if (kind == nullptr)
+            m_record.write("troubles", "unknown: " + name);
+        else
+            asio::co_spawn(m_context, (this->*kind)(until), asio::detached);
+    }
+    co_return;
+}
+
+auto FleetTroubles::end() -> asio::awaitable<void>
+{
+    m_isOver = true;
+    m_store.m_isDown = false;
+    m_store.m_delayMs = 0;
+    m_store.m_lostPercent = 0;
+    for (auto& machine : m_machines.machines())
+        machine.m_executor->m_faults = {};
+    for (std::size_t i = 0; i < m_instances.instances().size(); ++i) {
+        m_instances.signal(i, SIGCONT);
+        m_instances.start(i);
+    }
+    co_return;
+}
+
+auto FleetTroubles::between(std::int64_t least, std::int64_t most) -> std::int64_t
+{
+    return std::uniform_int_distribution<std::int64_t> { least, most }(m_random);
+}
+
+auto FleetTroubles::pause(std::int64_t leastMs, std::int64_t mostMs) -> asio::awaitable<void>
+{
+    const Duration time { between(leastMs, mostMs) };
+    co_await detail::sleepFor(time);
+}
+
+auto FleetTroubles::anyMachine() -> std::size_t { return m_random() % m_machines.machines().size(); }
+
+auto FleetTroubles::owner() -> std::size_t
+{
+    const auto& starters = m_record.m_starterByFence;
+    const auto& instances = m_instances.instances();
+    const auto found = starters.empty() ? instances.end()
+                                        : std::find_if(instances.begin(), instances.end(), [&](const auto& instance) {
+                                              return instance.m_name == starters.rbegin()->second;
+                                          });
+    return found == instances.end() ? m_random() % instances.size()
+                                    : static_cast<std::size_t>(found - instances.begin());
+}
+
+// Idle executors of the queue whose turn comes next crash, and are back just before or after it begins.
+auto FleetTroubles::idleCrash(std::int64_t until) -> asio::awaitable<void>
+{
+    constexpr std::int64_t leadMs = 900;
+    while (!m_isOver) {
+        const auto turnAt = m_clients.nextTurnAt(m_record.now());
+        if (turnAt >= until)
+            co_return;
+        co_await detail::sleepFor(Duration { std::max<std::int64_t>(turnAt - leadMs - m_record.now(), 0) });
+        const auto service = m_clients.serviceInTurn(turnAt);
+        for (std::size_t i = 0; i < m_machines.machines().size(); ++i) {
+            const auto& machine = m_machines.machines()[i];
+            if (machine.m_pool != service || !machine.m_executor->isUp() || machine.m_executor->runCount() > 0
+                || m_random() % 2 == 0)
+                continue;
+            const Duration down { leadMs + between(-300, 500) };
+            asio::co_spawn(m_context, m_machines.crashAndReturn(i, down), asio::detached);
+        }
+        co_await detail::sleepFor(Duration { leadMs + 100 });
+    }
+}
+
+// Executors at work crash and are back within milliseconds.
+auto FleetTroubles::blink(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(20, 200);
+        const auto machine = anyMachine();
+        const auto& executor = m_machines.machines()[machine].m_executor;
+        if (executor->isUp() && executor->runCount() > 0)
+            asio::co_spawn(m_context, m_machines.crashAndReturn(machine, Duration { between(1, 30) }), asio::detached);
+    }
+}
+
+auto FleetTroubles::crash(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(200, 1200);
+        const auto machine = anyMachine();
+        const Duration down { m_random() % 2 == 0 ? between(20, 300) : between(300, 6000) };
+        if (m_machines.machines()[machine].m_executor->isUp())
+            asio::co_spawn(m_context, m_machines.crashAndReturn(machine, down), asio::detached);
+    }
+}
+
+auto FleetTroubles::cut(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(200, 2000);
+        const auto executor = m_machines.machines()[anyMachine()].m_executor;
+        executor->m_faults.m_isCut = true;
+        m_record.write(executor->place().m_id, "cut off");
+        co_await pause(200, 7000);
+        executor->m_faults.m_isCut = false;
+        m_record.write(executor->place().m_id, "reachable");
+    }
+}
+
+auto FleetTroubles::mute(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(200, 2000);
+        const auto executor = m_machines.machines()[anyMachine()].m_executor;
+        executor->m_faults.m_isMute = true;
+        m_record.write(executor->place().m_id, "answers are lost");
+        co_await pause(200, 7000);
+        executor->m_faults.m_isMute = false;
+        m_record.write(executor->place().m_id, "answers get through");
+    }
+}
+
+auto FleetTroubles::lostAnswers(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        for (auto& machine : m_machines.machines())
+            machine.m_executor->m_faults.m_lostAnswer = 0.05;
+        co_await pause(2000, 6000);
+        for (auto& machine : m_machines.machines())
+            machine.m_executor->m_faults.m_lostAnswer = 0;
+        co_await pause(500, 3000);
+    }
+}
+
+auto FleetTroubles::lateOrders(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        for (auto& machine : m_machines.machines())
+            machine.m_executor->m_faults.m_lateOrder = 0.06;
+        co_await pause(2000, 6000);
+        for (auto& machine : m_machines.machines())
+            machine.m_executor->m_faults.m_lateOrder = 0;
+        co_await pause(500, 3000);
+    }
+}
+
+auto FleetTroubles::ownerKill(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(2000, 7000);
+        const auto index = owner();
+        m_instances.signal(index, SIGKILL);
+        co_await pause(100, 3000);
+        m_instances.start(index);
+    }
+}
+
+auto FleetTroubles::ownerPause(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(2000, 7000);
+        const auto index = owner();
+        m_instances.signal(index, SIGSTOP);
+        co_await pause(200, 7000);
+        m_instances.signal(index, SIGCONT);
+    }
+}
+
+auto FleetTroubles::ownerTerm(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(1000, 4000);
+        const auto index = owner();
+        m_instances.signal(index, SIGTERM);
+        co_await pause(6000, 7000);
+        m_instances.signal(index, SIGKILL);
+        m_instances.start(index);
+    }
+}
+
+auto FleetTroubles::storeTrouble(std::int64_t until) -> asio::awaitable<void>
+{
+    while (!m_isOver && m_record.now() < until) {
+        co_await pause(1500, 5000);
+        const auto kind = between(0, 2);
+        m_record.write("store", kind == 0 ? "down" : kind == 1 ? "slow" : "loses answers");
+        m_store.m_isDown = kind == 0;
+        m_store.m_delayMs = kind == 1 ? 200 : 0;
+        m_store.m_lostPercent = kind == 2 ? 30 : 0;
+        co_await pause(500, 5000);
+        m_record.write("store", "sound");
+        m_store.m_isDown = false;
+        m_store.m_delayMs = 0;
+        m_store.m_lostPercent = 0;
+    }
+}
+
+} // namespace hemlockvane::fleetrun
--- /dev/null
+++ b/tests/fleet/StoreFaults.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "review/standin/Store.hh"
+
+#include <atomic>
+#include <chrono>
+#include <random>
+#include <thread>
+
+namespace hemlockvane::fleetrun {
+
+/// @brief Faults of the platform's store; used by several threads.
+struct StoreFaults {
+    std::atomic<bool> m_isDown { false }; ///< 503, and nothing is done.
+    std::atomic<int> m_delayMs { 0 }; ///< Of each answer.
+    std::atomic<int> m_lostPercent { 0 }; ///< Of the appends: carried out, their answer comes too late.
+
+    auto handle(review::Store& store, const review::Request& request) -> review::Response
+    {
+        constexpr std::chrono::milliseconds tooLate { 2500 };
+        if (m_isDown)
+            return review::jsonResponse(503, {});
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMs));
+        auto response = store.handle(request);
+        thread_local std::minstd_rand random { std::random_device {}() };
+        if (request.m_path == "/hemlockvane/log-append" && static_cast<int>(random() % 100) < m_lostPercent)
+            std::this_thread::sleep_for(tooLate);
+        return response;
+    }
+};
+
+} // namespace hemlockvane::fleetrun
