--- a/tests/fleet/FleetClients.h
+++ b/tests/fleet/FleetClients.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FleetJob.h"
+#include "FleetLoad.h"
 #include "FleetSite.h"
 #include "StepFacts.h"
 
@@ -21,15 +22,6 @@
 class FleetInstances;
 class FleetRecord;
 
-/// @brief What part of the users' load is played.
-struct FleetLoad {
-    double m_scale = 1; ///< Of the rates of the site.
-    std::int64_t m_turnMs = 6000; ///< Each queue in turn asks five times its mean for this time, and little otherwise.
-    double m_hopeless = 0; ///< Share of jobs that can never be done.
-    double m_cancelled = 0; ///< Share of jobs that are cancelled soon after.
-    bool m_hasLasting = false; ///< One job of tasks that last in each queue.
-};
-
 /// @brief The users' clients: they submit jobs, ask for their states, and keep their connections open.
 class FleetClients {
 public:
--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -63,8 +63,8 @@
 
 } // namespace
 
-FleetExecutor::FleetExecutor(asio::io_context& context, ExecutorPlace place, FleetRecord& record,
-    const FactsByStep& facts, std::uint64_t seed)
+FleetExecutor::FleetExecutor(
+    asio::io_context& context, ExecutorPlace place, FleetRecord& record, const FactsByStep& facts, std::uint64_t seed)
     : m_context(context)
     , m_place(std::move(place))
     , m_record(record)
@@ -234,6 +234,7 @@
     started.m_service = m_place.m_service;
     started.m_zone = m_place.m_zone;
     started.m_starter = m_starterOf ? m_starterOf(m_fence) : std::string();
+    started.m_isStarterInTouch = m_record.isInTouch(started.m_starter);
     started.m_isLate = isLate;
     started.m_mayRunTwice = facts.m_mayRunTwice;
     started.m_startedAt = m_record.now();
@@ -249,8 +250,9 @@
     m_usedCpu += facts.m_cpu;
     m_usedMemoryMb += facts.m_memoryMb;
     m_active.emplace(key, active);
-    m_record.write(m_place.m_id, "start " + key.first + " run " + std::to_string(key.second) + " from "
-            + started.m_starter + (isLate ? " late" : ""));
+    m_record.write(m_place.m_id,
+        "start " + key.first + " run " + std::to_string(key.second) + " from " + started.m_starter
+            + (isLate ? " late" : ""));
     return answer(statusOk, {});
 }
 
@@ -292,8 +294,7 @@
     for (const auto& ended : m_ended) {
         if (finished.size() == listedEnds)
             break;
-        finished.push_back(
-            json::array { ended.m_number, ended.m_key.first, ended.m_key.second, ended.m_how, "" });
+        finished.push_back(json::array { ended.m_number, ended.m_key.first, ended.m_key.second, ended.m_how, "" });
     }
     co_return answer(statusOk, { { "running", std::move(running) }, { "finished", std::move(finished) } });
 }
--- a/tests/fleet/FleetInstances.cpp
+++ b/tests/fleet/FleetInstances.cpp
@@ -112,6 +112,7 @@
         _exit(notStarted);
     }
     m_record.write(instance.m_name, "started");
+    m_record.disturb(instance.m_name, m_record.now());
 }
 
 auto FleetInstances::signal(std::size_t index, int number) -> void
@@ -121,6 +122,7 @@
         return;
     kill(instance.m_process, number);
     m_record.write(instance.m_name, "signal " + std::to_string(number));
+    m_record.disturb(instance.m_name, m_record.now());
     if (number != SIGKILL)
         return;
     waitpid(instance.m_process, nullptr, 0);
--- a/tests/fleet/FleetInstances.h
+++ b/tests/fleet/FleetInstances.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "FleetInstance.h"
 #include "FleetSite.h"
 
-#include <sys/types.h>
-
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,16 +11,6 @@
 
 class FleetRecord;
 
-/// @brief One process of the product.
-struct FleetInstance {
-    std::string m_name;
-    std::string m_zone;
-    std::string m_ip;
-    std::string m_settingsFile;
-    std::string m_logFile;
-    pid_t m_process = 0; ///< 0: not running.
-};
-
 /// @brief The processes of the product, with settings files as the users' platform writes them.
 class FleetInstances {
 public:
--- a/tests/fleet/FleetMachines.cpp
+++ b/tests/fleet/FleetMachines.cpp
@@ -46,8 +46,8 @@
 
 } // namespace
 
-FleetMachines::FleetMachines(asio::io_context& context, FleetRecord& record, const FactsByStep& facts, Publish publish,
-    std::uint64_t seed)
+FleetMachines::FleetMachines(
+    asio::io_context& context, FleetRecord& record, const FactsByStep& facts, Publish publish, std::uint64_t seed)
     : m_context(context)
     , m_record(record)
     , m_facts(facts)
@@ -159,15 +159,15 @@
         return jsonAnswer(statusConflict, { { "reason", "wave" } });
     if (found->m_state != "up" || !found->m_executor->isUp() || found->m_executor->m_isDraining)
         return jsonAnswer(statusConflict, { { "reason", "busy" } });
-    m_record.write(id, (isMove ? "move to " + pool : "upkeep of wave " + std::to_string(wave)) + " token "
-            + std::to_string(token));
+    m_record.write(id,
+        (isMove ? "move to " + pool : "upkeep of wave " + std::to_string(wave)) + " token " + std::to_string(token));
     if (isMove)
         found->m_pool = pool;
     else
         found->m_wavesDone.insert(wave);
     const auto index = static_cast<std::size_t>(found - m_machines.begin());
-    asio::co_spawn(m_context, takeAway(index, isMove ? "moving" : "upkeep", isMove ? moveTime : upkeepTime),
-        asio::detached);
+    asio::co_spawn(
+        m_context, takeAway(index, isMove ? "moving" : "upkeep", isMove ? moveTime : upkeepTime), asio::detached);
     return jsonAnswer(statusOk, {});
 }
 
@@ -186,7 +186,8 @@
             { "state", isDown ? "down" : machine.m_state }, { "zone", machine.m_zone },
             { "labels", json::array { "a", machine.m_rack } },
             { "capacity",
-                json::object { { "cpu", m_site.m_executorCpu }, { "memMb", m_site.m_executorMemoryMb }, { "gpu", 0 } } },
+                json::object {
+                    { "cpu", m_site.m_executorCpu }, { "memMb", m_site.m_executorMemoryMb }, { "gpu", 0 } } },
             { "id", machine.m_state == "up" ? machine.m_executor->place().m_id : std::string() } });
     }
     co_return jsonAnswer(statusOk, { { "machines", std::move(machines) }, { "nextToken", nullptr } });
--- a/tests/fleet/FleetMachines.h
+++ b/tests/fleet/FleetMachines.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "FleetExecutor.h"
+#include "FleetMachine.h"
 #include "FleetSite.h"
 
 #include "hemlockvane/time/Time.h"
@@ -21,19 +21,6 @@
 
 class FleetRecord;
 
-/// @brief One machine; its executor changes with each move and maintenance.
-struct FleetMachine {
-    std::string m_id;
-    std::string m_pool;
-    std::string m_state = "up";
-    std::string m_zone;
-    std::string m_rack;
-    std::string m_address;
-    std::shared_ptr<FleetExecutor> m_executor;
-    std::int64_t m_highestToken = 0;
-    std::set<std::int64_t> m_wavesDone;
-};
-
 /// @brief The platform's machines, their executors and the interface through which they are listed and ordered.
 class FleetMachines {
 public:
--- /dev/null
+++ b/tests/fleet/FleetOptions.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "FleetLoad.h"
+
+#include <cstdint>
+#include <string>
+
+namespace hemlockvane::fleetrun {
+
+/// @brief What is played; see the command line of FleetRun.
+struct FleetOptions {
+    std::string m_program;
+    std::string m_folder;
+    std::uint64_t m_seed = 1;
+    int m_seconds = 0;
+    std::uint16_t m_basePort = 0;
+    std::string m_troubles;
+    double m_work = 1;
+    FleetLoad m_load;
+};
+
+} // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetRecord.cpp
+++ b/tests/fleet/FleetRecord.cpp
@@ -24,6 +24,21 @@
 
 auto FleetRecord::now() const -> std::int64_t { return clockMs() - m_startedAt; }
 
+auto FleetRecord::disturb(std::string_view who, std::int64_t until) -> void
+{
+    m_disturbedUntil.insert_or_assign(std::string(who), until);
+}
+
+auto FleetRecord::isInTouch(std::string_view instance) const -> bool
+{
+    for (const auto& who : { instance, store }) {
+        const auto found = m_disturbedUntil.find(who);
+        if (found != m_disturbedUntil.end() && now() <= found->second + contactMs)
+            return false;
+    }
+    return true;
+}
+
 auto FleetRecord::write(std::string_view who, std::string_view what) -> void
 {
     if (m_file != nullptr)
--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -242,11 +242,13 @@
         co_await pause(1500, 5000);
         const auto kind = between(0, 2);
         m_record.write("store", kind == 0 ? "down" : kind == 1 ? "slow" : "loses answers");
+        m_record.disturb(FleetRecord::store, FleetRecord::lasting);
         m_store.m_isDown = kind == 0;
         m_store.m_delayMs = kind == 1 ? 200 : 0;
         m_store.m_lostPercent = kind == 2 ? 30 : 0;
         co_await pause(500, 5000);
         m_record.write("store", "sound");
+        m_record.disturb(FleetRecord::store, m_record.now());
         m_store.m_isDown = false;
         m_store.m_delayMs = 0;
         m_store.m_lostPercent = 0;
--- a/tests/fleet/StartedRun.h
+++ b/tests/fleet/StartedRun.h
@@ -15,6 +15,7 @@
     std::string m_service;
     std::string m_zone;
     std::string m_starter; ///< The instance that sent the start.
+    bool m_isStarterInTouch = false; ///< At its start.
     bool m_isLate = false; ///< The start was carried out after its caller had stopped waiting.
     bool m_mayRunTwice = false; ///< The step allows duplicates.
     std::int64_t m_startedAt = 0;
