--- a/tests/fleet/FleetPlay.cpp
+++ b/tests/fleet/FleetPlay.cpp
@@ -139,7 +139,7 @@
         co_return;
     }
     co_await detail::sleepFor(trafficDelay);
-    const auto until = m_record.now() + m_options.m_seconds * 1000;
+    const auto until = m_record.now() + std::int64_t { m_options.m_seconds } * 1000;
     asio::co_spawn(m_context, m_troubles.play(m_options.m_troubles, until), asio::detached);
     co_await m_clients.play(until);
     co_await m_troubles.end();
