--- a/tests/shell/platform/HttpExecutorsTest.cpp
+++ b/tests/shell/platform/HttpExecutorsTest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(start_withoutCheckpointAndTicket_hasNeither);
     CPPUNIT_TEST(start_anyCharacter_isReadBackAsItWas);
     CPPUNIT_TEST(start_refused_isToldByReason);
+    CPPUNIT_TEST(start_statusThatDoesNothing_isRefused);
+    CPPUNIT_TEST(start_statusThatThePagesDoNotName_isUnknown);
     CPPUNIT_TEST(start_notWanted_isNotSent);
     CPPUNIT_TEST(stop_order_hasAllFields);
     CPPUNIT_TEST(pace_order_hasAllFields);
@@ -127,6 +129,22 @@
         CPPUNIT_ASSERT(start(order(), true) == StartAnswer::Refused);
     }
 
+    auto start_statusThatDoesNothing_isRefused() -> void
+    {
+        for (const auto status : { 400U, 429U, 503U }) {
+            m_status = status;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), start(order(), true) == StartAnswer::Refused);
+        }
+    }
+
+    auto start_statusThatThePagesDoNotName_isUnknown() -> void
+    {
+        for (const auto status : { 201U, 202U, 302U, 404U, 408U, 500U, 502U, 504U }) {
+            m_status = status;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), start(order(), true) == StartAnswer::Unknown);
+        }
+    }
+
     auto start_notWanted_isNotSent() -> void
     {
         CPPUNIT_ASSERT(start(order(), false) == StartAnswer::NotSent);
