Play faults of calls to executors

Cause: the plays had no executor that stands still as a process, answers late or with an error after it carried out an order, or starts again while it is cut off; and a run whose lease ended while its process stood still was recorded as going on until the process went on.

Late orders are up to 12 s late. The stand-in ends runs with their lease before it takes an order, and records the end at the time at which the lease passed on its clock.

--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -25,7 +25,8 @@
 constexpr Duration callerTimeout { 700 }; // Longer than callers wait for the answer to an order.
 constexpr std::size_t listedEnds = 500;
 constexpr std::int64_t shortestLateMs = 300;
-constexpr std::int64_t longestLateMs = 5000;
+constexpr std::int64_t longestLateMs = 12000;
+constexpr double evenOdds = 0.5;
 constexpr double percentOfWork = 50;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusConflict = 409;
@@ -87,7 +88,8 @@
     ++m_life;
     m_isUp = true;
     m_bornUnixMs = detail::wallNow();
-    m_bornAt = steadyMs();
+    m_clockSetAt = steadyMs();
+    m_clockAtSet = 0;
     m_fence = 0;
     m_leaseUntil = 0;
     m_nextEnd = 1;
@@ -127,7 +129,15 @@
 
 auto FleetExecutor::clockMs() const -> std::int64_t
 {
-    return static_cast<std::int64_t>(static_cast<double>(steadyMs() - m_bornAt) * m_faults.m_clockRate) + 1;
+    return static_cast<std::int64_t>(m_clockAtSet + static_cast<double>(steadyMs() - m_clockSetAt) * m_clockRate) + 1;
+}
+
+auto FleetExecutor::setClockRate(double rate) -> void
+{
+    const auto now = steadyMs();
+    m_clockAtSet += static_cast<double>(now - m_clockSetAt) * m_clockRate;
+    m_clockSetAt = now;
+    m_clockRate = rate;
 }
 
 auto FleetExecutor::draw(double probability) -> bool
@@ -152,8 +162,10 @@
 {
     const auto lateMs = std::uniform_int_distribution<std::int64_t> { shortestLateMs, longestLateMs }(m_random);
     co_await detail::sleepFor(Duration { lateMs });
+    co_await awaitReachable(&ExecutorFaults::m_isPaused, life);
     if (m_life != life)
         co_return;
+    endDue();
     const auto body = json::parse(request.m_body).as_object();
     co_await carryOut(request.m_target, body, true);
 }
@@ -165,21 +177,30 @@
     StandinAnswer none;
     none.m_delivery = Delivery::None;
     co_await awaitReachable(&ExecutorFaults::m_isCut, life);
+    co_await awaitReachable(&ExecutorFaults::m_isPaused, life);
     if (m_life != life)
         co_return none;
+    endDue();
     const auto expected = headerOf(request, "Hemlockvane-Expect-Instance");
     if (!expected.empty() && expected != m_place.m_id)
         co_return answer(421, {});
     const auto isOrder = request.m_target != "/hemlockvane/hold";
     if (draw(m_faults.m_refusal))
-        co_return answer(503, {});
+        co_return answer(draw(evenOdds) ? 429 : 503, {});
     if (isOrder && draw(m_faults.m_lateOrder)) {
         asio::co_spawn(m_context, carryOutLate(std::move(request), life), asio::detached);
         co_await detail::sleepFor(callerTimeout);
         co_return none;
     }
     const auto body = json::parse(request.m_body).as_object();
-    const auto result = co_await carryOut(request.m_target, body, false);
+    auto result = co_await carryOut(request.m_target, body, false);
+    co_await awaitReachable(&ExecutorFaults::m_isPaused, life);
+    if (isOrder && draw(m_faults.m_error))
+        result = answer(draw(evenOdds) ? 500 : 502, {});
+    if (m_faults.m_answerDelayMs > 0) {
+        const Duration delay { std::uniform_int_distribution<std::int64_t> { 0, m_faults.m_answerDelayMs }(m_random) };
+        co_await detail::sleepFor(delay);
+    }
     co_await awaitReachable(&ExecutorFaults::m_isCut, life);
     co_await awaitReachable(&ExecutorFaults::m_isMute, life);
     if (m_life != life || draw(m_faults.m_lostAnswer))
@@ -267,7 +288,8 @@
     }
     if (active->second.m_run->m_stopAt == never)
         active->second.m_run->m_stopAt = m_record.now();
-    const auto endsAt = clockMs() + std::uniform_int_distribution<std::int64_t> { 0, shutdownMs }(m_random);
+    const auto leastMs = m_faults.m_stopsSlowly ? shutdownMs : 0;
+    const auto endsAt = clockMs() + std::uniform_int_distribution<std::int64_t> { leastMs, shutdownMs }(m_random);
     if (active->second.m_how == "stopped" || active->second.m_endsAt <= endsAt)
         return;
     active->second.m_endsAt = endsAt;
@@ -314,24 +336,33 @@
     return m_active.erase(item);
 }
 
+auto FleetExecutor::endDue() -> void
+{
+    const auto now = clockMs();
+    const auto hasLapsed = now > m_leaseUntil;
+    if (hasLapsed) {
+        for (const auto& ended : m_ended)
+            ended.m_run->m_hasLapsed = true;
+    }
+    for (auto item = m_active.begin(); item != m_active.end();) {
+        if (hasLapsed) {
+            // Also of a process that stood still: its lease ended when its clock passed it.
+            auto* run = item->second.m_run;
+            item = endRun(item, "lapsed");
+            run->m_endedAt -= static_cast<std::int64_t>(static_cast<double>(now - m_leaseUntil) / m_clockRate);
+        } else if (item->second.m_endsAt <= now)
+            item = endRun(item, item->second.m_how);
+        else
+            ++item;
+    }
+}
+
 auto FleetExecutor::tick(std::uint64_t life) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
     while (m_life == life) {
-        const auto now = clockMs();
-        const auto hasLapsed = now > m_leaseUntil;
-        if (hasLapsed) {
-            for (const auto& ended : m_ended)
-                ended.m_run->m_hasLapsed = true;
-        }
-        for (auto item = m_active.begin(); item != m_active.end();) {
-            if (item->second.m_endsAt <= now)
-                item = endRun(item, item->second.m_how);
-            else if (hasLapsed)
-                item = endRun(item, "lapsed");
-            else
-                ++item;
-        }
+        if (!m_faults.m_isPaused)
+            endDue();
         co_await detail::sleepFor(tickInterval);
     }
 }
--- a/tests/fleet/FleetExecutor.h
+++ b/tests/fleet/FleetExecutor.h
@@ -43,6 +43,9 @@
     /// @result false if its address can't be listened on
     auto start() -> bool;
 
+    /// @brief Lets its clock go at this rate of the true one from now on, without a step.
+    auto setClockRate(double rate) -> void;
+
     /// @brief Ends at once, with everything that runs.
     auto crash() -> void;
 
@@ -85,6 +88,7 @@
     auto hold(const boost::json::object& body) -> boost::asio::awaitable<standins::StandinAnswer>;
     auto answer(unsigned status, boost::json::object more) const -> standins::StandinAnswer;
     auto extendLease(const boost::json::object& body) -> void;
+    auto endDue() -> void;
     auto tick(std::uint64_t life) -> boost::asio::awaitable<void>;
     auto endRun(std::map<RunKey, Active>::iterator item, const std::string& how) -> std::map<RunKey, Active>::iterator;
     auto clockMs() const -> std::int64_t;
@@ -99,7 +103,9 @@
     bool m_isUp = false;
     std::uint64_t m_life = 0;
     std::int64_t m_bornUnixMs = 0;
-    std::int64_t m_bornAt = 0;
+    std::int64_t m_clockSetAt = 0;
+    double m_clockAtSet = 0;
+    double m_clockRate = 1;
     std::int64_t m_fence = 0;
     std::int64_t m_leaseUntil = 0;
     std::int64_t m_nextEnd = 1;
--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -29,6 +29,7 @@
     , m_clients(clients)
     , m_store(store)
     , m_random(seed)
+    , m_calls(context, record, machines, seed)
 {
 }
 
@@ -59,6 +60,8 @@
     std::istringstream list(names);
     for (std::string name; std::getline(list, name, ',');) {
         const auto kind = kindOf(name);
+        if (m_calls.play(name, until))
+            continue;
         if (kind == nullptr)
             m_record.write("troubles", "unknown: " + name);
         else
@@ -70,6 +73,7 @@
 auto FleetTroubles::end() -> asio::awaitable<void>
 {
     m_isOver = true;
+    m_calls.end();
     m_store.m_isDown = false;
     m_store.m_delayMs = 0;
     m_store.m_lostPercent = 0;
--- a/tests/fleet/FleetTroubles.h
+++ b/tests/fleet/FleetTroubles.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallTroubles.h"
 #include "StoreFaults.h"
 
 #include "hemlockvane/time/Time.h"
@@ -60,6 +61,7 @@
     FleetClients& m_clients;
     StoreFaults& m_store;
     std::mt19937_64 m_random;
+    CallTroubles m_calls;
     bool m_isOver = false;
 };
 
