Log why a run was forgotten and which unknown runs executors report

Change: event=run_dropped names each run that is forgotten without its end, with the reason, its age and the life known then; it is a warning, except for refused, not_sent and stopped. event=run_found warns of a reported run, at work or ended, that the owner did not know, with the other run of its task. Counters runs_dropped_total and runs_found_total. event=start and event=stop get the life for which the request was made. event=run_lost stays. No decision is changed.

Not done: the HTTP status of an answer in event=start.

The bytes of log per second were not measured.

--- a/include/hemlockvane/detail/logging/OutcomeNames.h
+++ b/include/hemlockvane/detail/logging/OutcomeNames.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 namespace hemlockvane::scheduling {
+enum class DropReason : std::uint8_t;
 enum class JobPhase : std::uint8_t;
 enum class StartAnswer : std::uint8_t;
 } // namespace hemlockvane::scheduling
@@ -18,6 +19,7 @@
 [[nodiscard]] auto nameOf(CallOutcome outcome) -> std::string_view;
 [[nodiscard]] auto nameOf(IntakeOutcome outcome) -> std::string_view;
 [[nodiscard]] auto nameOf(MachineOutcome outcome) -> std::string_view;
+[[nodiscard]] auto nameOf(scheduling::DropReason reason) -> std::string_view;
 [[nodiscard]] auto nameOf(scheduling::JobPhase phase) -> std::string_view;
 [[nodiscard]] auto nameOf(scheduling::StartAnswer answer) -> std::string_view;
 
--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "hemlockvane/scheduling/Arrival.h"
+#include "hemlockvane/scheduling/DroppedRun.h"
 #include "hemlockvane/scheduling/Executor.h"
 #include "hemlockvane/scheduling/FleetRules.h"
+#include "hemlockvane/scheduling/FoundRun.h"
 #include "hemlockvane/scheduling/Job.h"
 #include "hemlockvane/scheduling/LostRun.h"
 #include "hemlockvane/scheduling/SchedulerTiming.h"
@@ -42,6 +44,8 @@
     std::vector<TaskKey> m_crashingTasks; ///< Tasks found to crash executors, whose jobs are to be failed.
     StartFlow m_startFlow;
     std::vector<LostRun> m_lostRuns; ///< Runs that were lost since the owner last logged them.
+    std::vector<DroppedRun> m_droppedRuns; ///< Runs that were forgotten since the owner last logged them.
+    std::vector<FoundRun> m_foundRuns; ///< Unknown runs that were reported since the owner last logged them.
     StartIndex m_starts;
 };
 
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/scheduling/Action.h"
+#include "hemlockvane/scheduling/DropReason.h"
 #include "hemlockvane/scheduling/ExecutorEntry.h"
 #include "hemlockvane/scheduling/ExecutorReport.h"
 #include "hemlockvane/scheduling/TaskRun.h"
@@ -35,7 +36,9 @@
 auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void;
 
 /// @brief Marks an executor's incarnation as ended and removes its runs. The caller must be certain that it has ended.
-auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void;
+/// @param reason what showed it
+auto markTerminated(
+    Scheduler& scheduler, ExecutorIndex index, Instant now, DropReason reason = DropReason::OtherIncarnation) -> void;
 
 /// @brief Applies an executor's answer to a poll. A newer start time removes the runs that ended with the earlier life,
 /// and no task is started there until the registry shows it. Nothing is concluded from what is missing in an incomplete
--- a/include/hemlockvane/scheduling/TrackRuns.h
+++ b/include/hemlockvane/scheduling/TrackRuns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/scheduling/DropReason.h"
 #include "hemlockvane/scheduling/EndedRun.h"
 #include "hemlockvane/scheduling/Resources.h"
 #include "hemlockvane/scheduling/StartAnswer.h"
@@ -24,6 +25,14 @@
 /// later.
 auto removeRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor) -> void;
 
+/// @brief Removes a run whose end was not read, and notes why, for the log. The same certainty is needed.
+auto dropRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor, DropReason reason,
+    Instant now) -> void;
+
+/// @brief Notes a reported run that the scheduler does not know, for the log.
+auto noteFoundRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor, bool hasEnded,
+    bool isStopped) -> void;
+
 /// @brief Lets `planStops` stop a run.
 auto stopRun(Scheduler& scheduler, TaskRun& run) -> void;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -12,6 +12,7 @@
 #include "hemlockvane/detail/coordinator/SendActions.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
@@ -27,6 +28,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace hemlockvane::detail {
@@ -67,6 +69,40 @@
     state.m_scheduler.m_lostRuns.clear();
 }
 
+// Whether the orders and answers that are logged anyway show that the run was given up.
+auto isOrdinary(scheduling::DropReason reason) -> bool
+{
+    using scheduling::DropReason;
+    return reason == DropReason::Refused || reason == DropReason::NotSent || reason == DropReason::Stopped;
+}
+
+auto logDroppedRuns(CoordinatorState& state) -> void
+{
+    for (const auto& dropped : state.m_scheduler.m_droppedRuns) {
+        const auto reason = nameOf(dropped.m_reason);
+        logOf("jobs").log(isOrdinary(dropped.m_reason) ? spdlog::level::info : spdlog::level::warn,
+            "event=run_dropped task={} run={} executor={} reason={} age_ms={} born={}", taskText(dropped.m_task),
+            dropped.m_run, state.m_scheduler.m_executors[dropped.m_executor]->m_entry.m_id, reason,
+            dropped.m_age.count(), dropped.m_startedAtMs);
+        state.m_ports.m_metrics->count("runs_dropped_total{reason=\"" + std::string(reason) + "\"}");
+    }
+    state.m_scheduler.m_droppedRuns.clear();
+}
+
+auto logFoundRuns(CoordinatorState& state) -> void
+{
+    for (const auto& found : state.m_scheduler.m_foundRuns) {
+        const auto* other
+            = found.m_otherRun ? state.m_scheduler.m_executors[found.m_otherExecutor]->m_entry.m_id.c_str() : "";
+        logOf("jobs").warn("event=run_found task={} run={} executor={} born={} ended={} stopped={} other_run={} "
+                           "other_executor={}",
+            taskText(found.m_task), found.m_run, state.m_scheduler.m_executors[found.m_executor]->m_entry.m_id,
+            found.m_startedAtMs, found.m_hasEnded, found.m_isStopped, found.m_otherRun.value_or(0), other);
+        state.m_ports.m_metrics->count("runs_found_total");
+    }
+    state.m_scheduler.m_foundRuns.clear();
+}
+
 auto giveUpCrashingTasks(CoordinatorState& state) -> void
 {
     for (const auto& key : scheduling::giveUpCrashingTasks(state.m_scheduler, wallNow()))
@@ -99,6 +135,8 @@
     if (expired > 0)
         logOf("executors").info("event=leases_lapsed runs={}", expired);
     logLostRuns(state);
+    logDroppedRuns(state);
+    logFoundRuns(state);
     dropExecutorRecords(state);
     scheduling::retireJobs(scheduler);
     scheduling::planStops(scheduler, now, actions);
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -65,7 +65,8 @@
         executor.m_isLeaving = executor.m_isLeaving || isAway(machines, id, state.m_fleet.m_machines);
         if (!executor.m_runs.empty())
             logOf("fleet").info("event=gone executor={} runs={}", id, executor.m_runs.size());
-        scheduling::markTerminated(state.m_scheduler, found->second, monotonicNow());
+        scheduling::markTerminated(
+            state.m_scheduler, found->second, monotonicNow(), scheduling::DropReason::ListOfMachines);
         state.m_planSignal.notify();
     }
 }
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -120,10 +120,10 @@
     if (state->m_isStopped)
         co_return;
     ++state->m_load.m_starts;
-    logOf("orders").info("event=start task={} run={} executor={} used_cpu={} reason=\"{}\" answer={} "
+    logOf("orders").info("event=start task={} run={} executor={} born={} used_cpu={} reason=\"{}\" answer={} "
                          "obstacle=\"{}\" took_ms={}",
-        taskText(action.m_task), action.m_run, executor.m_entry.m_id, executor.m_used.m_cpuMilliCores, action.m_reason,
-        nameOf(answer), obstacle, (monotonicNow() - sentAt).count());
+        taskText(action.m_task), action.m_run, executor.m_entry.m_id, startedAtMs, executor.m_used.m_cpuMilliCores,
+        action.m_reason, nameOf(answer), obstacle, (monotonicNow() - sentAt).count());
     state->m_ports.m_metrics->count("starts_total{answer=\"" + std::string(nameOf(answer)) + "\"}");
     // The executor whose life has ended is no other one: nothing was done.
     if (executor.m_entry.m_startedAtMs != startedAtMs && answer == scheduling::StartAnswer::OtherIncarnation)
@@ -178,8 +178,8 @@
         co_return;
     if (outcome == CallOutcome::NotSent && !wasSent)
         noteStopSent(*state, action, false);
-    logOf("orders").info("event=stop task={} run={} executor={} reason=\"{}\" outcome={}", taskText(action.m_task),
-        action.m_run, executor.m_entry.m_id, action.m_reason, nameOf(outcome));
+    logOf("orders").info("event=stop task={} run={} executor={} born={} reason=\"{}\" outcome={}",
+        taskText(action.m_task), action.m_run, executor.m_entry.m_id, startedAtMs, action.m_reason, nameOf(outcome));
     if (outcome == CallOutcome::Answered && executor.m_entry.m_startedAtMs == startedAtMs)
         scheduling::applyStopAnswer(state->m_scheduler, action.m_executor, action.m_task, action.m_run, monotonicNow());
     wakePolling(*state, executor.m_entry.m_id);
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/intake/IntakeOutcome.h"
 #include "hemlockvane/detail/ports/CallOutcome.h"
 #include "hemlockvane/detail/ports/MachineOutcome.h"
+#include "hemlockvane/scheduling/DropReason.h"
 #include "hemlockvane/scheduling/JobPhase.h"
 #include "hemlockvane/scheduling/StartAnswer.h"
 
@@ -63,6 +64,29 @@
     return "invalid";
 }
 
+auto nameOf(scheduling::DropReason reason) -> std::string_view
+{
+    switch (reason) {
+    case scheduling::DropReason::NewLife:
+        return "new_life";
+    case scheduling::DropReason::OtherIncarnation:
+        return "other_incarnation";
+    case scheduling::DropReason::ListOfMachines:
+        return "list_of_machines";
+    case scheduling::DropReason::LeaseLapsed:
+        return "lease_lapsed";
+    case scheduling::DropReason::Refused:
+        return "refused";
+    case scheduling::DropReason::NotSent:
+        return "not_sent";
+    case scheduling::DropReason::NotReported:
+        return "not_reported";
+    case scheduling::DropReason::Stopped:
+        return "stopped";
+    }
+    return "invalid";
+}
+
 auto nameOf(scheduling::JobPhase phase) -> std::string_view
 {
     switch (phase) {
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -35,7 +35,7 @@
 
 // Removes runs that were lost with their executor or with their lease.
 auto loseRuns(Scheduler& scheduler, ExecutorIndex index, std::span<const ExecutorRun> runs, const EndedLife& life,
-    bool isCrashCertain, Instant now) -> std::size_t
+    bool isCrashCertain, DropReason reason, Instant now) -> std::size_t
 {
     blameCrash(scheduler, index, runs, life, isCrashCertain);
     for (const auto& item : runs) {
@@ -43,7 +43,7 @@
         const auto& task = *findTask(scheduler, item.m_task);
         scheduler.m_lostRuns.push_back(
             { item.m_task, item.m_run, index, now - run->m_orderedAt, task.m_crashes, task.m_possibleCrashes });
-        removeRun(scheduler, item.m_task, item.m_run, index);
+        dropRun(scheduler, item.m_task, item.m_run, index, reason, now);
     }
     return runs.size();
 }
@@ -77,7 +77,7 @@
     life.m_noticedAt = now;
     const auto areLostSuspected = hasSuspects(scheduler, index, lost, life.m_lostSince);
     life.m_hasOtherSuspects = hasSuspects(scheduler, index, kept, life.m_lostSince);
-    loseRuns(scheduler, index, lost, life, true, now);
+    loseRuns(scheduler, index, lost, life, true, DropReason::NewLife, now);
     if (kept.empty())
         return;
     life.m_hasOtherSuspects = areLostSuspected;
@@ -134,6 +134,7 @@
 {
     auto* task = findTask(scheduler, reported.m_task);
     if (task == nullptr) {
+        noteFoundRun(scheduler, reported.m_task, reported.m_run, index, false, true);
         actions.push_back({ ActionKind::Stop, index, reported.m_task, reported.m_run, 100, {}, {}, "unknown run" });
         return;
     }
@@ -142,6 +143,7 @@
     markBegun(job);
     const auto isNeeded = !isFinal(job.m_phase) && !task->m_isDone
         && (task->m_runs.empty() || (spec.m_allowsDuplicates && !spec.m_isGang));
+    noteFoundRun(scheduler, reported.m_task, reported.m_run, index, false, !isNeeded);
     auto& run = addRun(
         scheduler, reported.m_task, reported.m_run, index, isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
     run.m_mayBeStopping = true;
@@ -180,13 +182,13 @@
 
 // On the first answer to this owner's epoch: a run of an earlier owner that is not reported will not start any more,
 // since the executor now refuses requests of earlier owners. This owner's own starts may still arrive.
-auto removeUnreportedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
+auto removeUnreportedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now) -> void
 {
     const auto runs = scheduler.m_executors[index]->m_runs;
     for (const auto& item : runs) {
         const auto* run = findRun(scheduler, item.m_task, item.m_run, index);
         if (run != nullptr && run->m_isRestored && !isReported(report, item))
-            removeRun(scheduler, item.m_task, item.m_run, index);
+            dropRun(scheduler, item.m_task, item.m_run, index, DropReason::NotReported, now);
     }
 }
 
@@ -205,7 +207,7 @@
 
 // Removes runs that are missing from the answer to a poll sent after the executor confirmed their stop: they can no
 // longer start there.
-auto removeStoppedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report) -> void
+auto removeStoppedRuns(Scheduler& scheduler, ExecutorIndex index, const ExecutorReport& report, Instant now) -> void
 {
     const auto runs = scheduler.m_executors[index]->m_runs;
     for (const auto& item : runs) {
@@ -213,7 +215,7 @@
         if (run == nullptr || !run->m_stopAnsweredAt || *run->m_stopAnsweredAt > report.m_pollSentAt)
             continue;
         if (!isReported(report, item))
-            removeRun(scheduler, item.m_task, item.m_run, index);
+            dropRun(scheduler, item.m_task, item.m_run, index, DropReason::Stopped, now);
     }
 }
 
@@ -244,7 +246,7 @@
         else
             isSettled = false;
     }
-    loseRuns(scheduler, index, lost, *executor.m_endedLife, true, now);
+    loseRuns(scheduler, index, lost, *executor.m_endedLife, true, DropReason::NewLife, now);
     if (isSettled)
         executor.m_endedLife.reset();
     executor.m_leaseUntilMs
@@ -343,11 +345,11 @@
         scheduler.m_executors[found->second]->m_isRegistered = false;
 }
 
-auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
+auto markTerminated(Scheduler& scheduler, ExecutorIndex index, Instant now, DropReason reason) -> void
 {
     auto& executor = *scheduler.m_executors[index];
     markUnresponsive(executor, now);
-    loseRuns(scheduler, index, std::vector(executor.m_runs), presentLife(executor), true, now);
+    loseRuns(scheduler, index, std::vector(executor.m_runs), presentLife(executor), true, reason, now);
     executor.m_endedLife.reset();
     confirmBlame(scheduler, index);
     executor.m_isRegistered = false;
@@ -390,9 +392,9 @@
         return;
     stopUnconfirmedStarts(scheduler, index, report);
     settleEndedLife(scheduler, index, report, now);
-    removeStoppedRuns(scheduler, index, report);
+    removeStoppedRuns(scheduler, index, report, now);
     if (!executor.m_isReconciled)
-        removeUnreportedRuns(scheduler, index, report);
+        removeUnreportedRuns(scheduler, index, report, now);
     executor.m_isReconciled = true;
 }
 
@@ -407,7 +409,8 @@
             && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
-        removed += loseRuns(scheduler, index, std::vector(executor.m_runs), presentLife(executor), false, now);
+        removed += loseRuns(
+            scheduler, index, std::vector(executor.m_runs), presentLife(executor), false, DropReason::LeaseLapsed, now);
     }
     return removed;
 }
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -192,6 +192,30 @@
     markChanged(scheduler, job);
 }
 
+auto dropRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor, DropReason reason,
+    Instant now) -> void
+{
+    const auto* found = findRun(scheduler, key, run, executor);
+    if (found == nullptr)
+        return;
+    const auto startedAtMs = scheduler.m_executors[executor]->m_entry.m_startedAtMs;
+    scheduler.m_droppedRuns.push_back({ key, run, executor, reason, now - found->m_orderedAt, startedAtMs });
+    removeRun(scheduler, key, run, executor);
+}
+
+auto noteFoundRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor, bool hasEnded,
+    bool isStopped) -> void
+{
+    const auto startedAtMs = scheduler.m_executors[executor]->m_entry.m_startedAtMs;
+    FoundRun found { key, run, executor, startedAtMs, hasEnded, isStopped, {}, 0 };
+    const auto* task = findTask(scheduler, key);
+    if (task != nullptr && !task->m_runs.empty()) {
+        found.m_otherRun = task->m_runs.back().m_run;
+        found.m_otherExecutor = task->m_runs.back().m_executor;
+    }
+    scheduler.m_foundRuns.push_back(found);
+}
+
 auto countsAsFailure(Scheduler& scheduler, const EndedRun& end) -> bool
 {
     const auto* task = findTask(scheduler, end.m_task);
@@ -205,6 +229,7 @@
     -> void
 {
     updateFailureBackoff(scheduler, *scheduler.m_executors[executor], end, now);
+    const auto wasPresent = findRun(scheduler, end.m_task, end.m_run, executor) != nullptr;
     removeRun(scheduler, end.m_task, end.m_run, executor);
     auto* task = findTask(scheduler, end.m_task);
     if (task == nullptr)
@@ -220,6 +245,8 @@
     markDirty(scheduler, job);
     const auto isKnown = wasCounted(*task, end);
     markCounted(*task, end.m_run);
+    if (!wasPresent && !isKnown)
+        noteFoundRun(scheduler, end.m_task, end.m_run, executor, true, false);
     if (spec.m_isLongRunning || isKnown || isFinal(job.m_phase))
         return;
     if (end.m_kind == RunOutcome::Done)
@@ -278,7 +305,8 @@
         for (auto& member : findStep(scheduler, key)->m_tasks)
             stopOtherRuns(scheduler, member);
     }
-    removeRun(scheduler, key, run, executor);
+    const auto reason = answer == StartAnswer::NotSent ? DropReason::NotSent : DropReason::Refused;
+    dropRun(scheduler, key, run, executor, reason, now);
 }
 
 auto applyStopAnswer(Scheduler& scheduler, ExecutorIndex executor, const TaskKey& key, std::uint32_t run, Instant now)
--- a/tests/shell/logging/OutcomeNamesTest.cpp
+++ b/tests/shell/logging/OutcomeNamesTest.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/logging/OutcomeNames.h"
 
 #include "hemlockvane/detail/ports/MachineOutcome.h"
+#include "hemlockvane/scheduling/DropReason.h"
 #include "hemlockvane/scheduling/StartAnswer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -14,6 +15,7 @@
     CPPUNIT_TEST_SUITE(OutcomeNamesTest);
     CPPUNIT_TEST(nameOf_everyStartAnswer_isUnique);
     CPPUNIT_TEST(nameOf_everyMachineOutcome_isUnique);
+    CPPUNIT_TEST(nameOf_everyDropReason_isUnique);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -27,6 +29,11 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 7 }, namesUpTo(MachineOutcome::Unknown).size());
     }
 
+    auto nameOf_everyDropReason_isUnique() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, namesUpTo(scheduling::DropReason::Stopped).size());
+    }
+
 private:
     template <typename Outcome> static auto namesUpTo(Outcome last) -> std::set<std::string>
     {
