--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -345,15 +345,15 @@
             ended.m_run->m_hasLapsed = true;
     }
     for (auto item = m_active.begin(); item != m_active.end();) {
-        if (hasLapsed) {
-            // Also of a process that stood still: its lease ended when its clock passed it.
-            auto* run = item->second.m_run;
-            item = endRun(item, "lapsed");
-            run->m_endedAt -= static_cast<std::int64_t>(static_cast<double>(now - m_leaseUntil) / m_clockRate);
-        } else if (item->second.m_endsAt <= now)
-            item = endRun(item, item->second.m_how);
-        else
+        const auto endsAt = std::min(item->second.m_endsAt, m_leaseUntil + 1);
+        if (endsAt > now) {
             ++item;
+            continue;
+        }
+        auto* run = item->second.m_run;
+        item = endRun(item, item->second.m_endsAt <= m_leaseUntil ? item->second.m_how : "lapsed");
+        // Also of a process that stood still: its clock went on.
+        run->m_endedAt -= static_cast<std::int64_t>(static_cast<double>(now - endsAt) / m_clockRate);
     }
 }
 
