Play planned work and leaving executors, and watch open connections

Cause: the play of a deployment had no SIGTERM of instances in turn, no SIGHUP, no new configurations, no waves, no lost answers to machine orders and no executors that drain, and nothing checked requests on connections that stay open or tasks that last.

--- a/tests/fleet/FleetClients.cpp
+++ b/tests/fleet/FleetClients.cpp
@@ -4,6 +4,7 @@
 #include "FleetRecord.h"
 
 #include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/http/HttpConnection.h"
 #include "hemlockvane/errors/FailureReason.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <map>
 
 namespace hemlockvane::fleetrun {
 
@@ -27,6 +29,14 @@
 constexpr Duration stateInterval { 700 };
 constexpr Duration cancelDelay { 400 };
 constexpr std::int64_t visibleMs = 3000; // An accepted job must be known after this.
+constexpr std::int64_t lossSlackMs = 200;
+constexpr std::int64_t askPauseMs = 60;
+constexpr std::uint64_t submitEach = 200; // One in so many of these requests hands in a job.
+constexpr std::size_t watchedConnections = 3; // To each instance.
+constexpr std::size_t maximumAnswer = 1UL << 20U;
+constexpr std::int64_t lastingBackMs = 6000; // A task that lasts must run again after this,
+constexpr std::int64_t missingMs = 3000; // unless it is missing for less than this,
+constexpr std::int64_t calmMs = 4000; // and this time before it was calm.
 constexpr double inTurn = 5;
 constexpr double outOfTurn = 0.05;
 constexpr std::int64_t lastingMs = 700; // Estimate of tasks that last.
@@ -215,8 +225,9 @@
 
 auto FleetClients::awaitEnds(std::int64_t until) -> asio::awaitable<void>
 {
+    const auto lastingUntil = m_record.now() + (m_load.m_hasLasting ? calmMs + lastingBackMs + missingMs : 0);
     for (auto isOpen = true; isOpen && m_record.now() < until;) {
-        isOpen = false;
+        isOpen = m_record.now() < lastingUntil;
         for (auto& job : m_jobs) {
             if (job.m_acceptedAt == never || job.m_isLasting || job.m_shownAt != never || job.m_state == "unknown"
                 || job.m_cancelSentAt != never)
@@ -228,4 +239,80 @@
     }
 }
 
+auto FleetClients::watchRequests(std::int64_t until) -> void
+{
+    for (std::size_t i = 0; i < m_instances.instances().size() * watchedConnections; ++i)
+        asio::co_spawn(m_context, keepAsking(i / watchedConnections, until), asio::detached);
+}
+
+auto FleetClients::keepAsking(std::size_t instance, std::int64_t until) -> asio::awaitable<void>
+{
+    detail::HttpConnection connection { m_context.get_executor() };
+    while (m_record.now() < until) {
+        co_await detail::sleepFor(Duration { static_cast<std::int64_t>(m_random() % askPauseMs) });
+        FailureReason reason;
+        if (!connection.isOpen()) {
+            connection = detail::HttpConnection { m_context.get_executor() };
+            co_await connection.connect(m_instances.frontAddress(instance), clientTimeout, reason);
+            continue;
+        }
+        const auto kind = m_random() % submitEach;
+        const auto& pool = m_site.m_pools[m_random() % (m_site.m_pools.size() - 1)];
+        auto* const job = kind == 0 ? &newJob(pool, false) : nullptr;
+        detail::HttpRequest request;
+        request.m_method = kind == 0 ? "POST" : "GET";
+        request.m_target = kind == 0           ? job->m_target
+            : kind % 2 == 1 && !m_jobs.empty() ? m_jobs[m_random() % m_jobs.size()].m_target
+                                               : pool.m_queue;
+        request.m_headers = { { "Host", host }, { "Content-Type", "application/json" }, { "Hemlockvane-Key", key },
+            { "Hemlockvane-Deadline-Ms", std::to_string(clientTimeout.count()) } };
+        request.m_body = kind == 0 ? job->m_body : std::string();
+        const auto sentAt = m_record.now();
+        if (job != nullptr)
+            job->m_sentAt = sentAt;
+        const auto response = co_await connection.exchange(request, clientTimeout, maximumAnswer, reason);
+        if (!response)
+            noteCut(instance, request.m_method + " " + request.m_target, sentAt);
+        else if (job != nullptr && response->m_status == statusOk)
+            job->m_acceptedAt = m_record.now();
+    }
+}
+
+// A request that has used up its deadline is not cut.
+auto FleetClients::noteCut(std::size_t instance, const std::string& request, std::int64_t sentAt) -> void
+{
+    const auto endedAt = m_record.now();
+    const auto& name = m_instances.instances()[instance].m_name;
+    const auto line = request + " at " + name + " sent at " + std::to_string(sentAt) + " ended at "
+        + std::to_string(endedAt) + " without an answer";
+    m_record.write("client", "cut: " + line);
+    if (endedAt - sentAt > lossSlackMs && endedAt - sentAt < clientTimeout.count())
+        m_violations.push_back("LOST: " + line);
+}
+
+auto FleetClients::checkLasting(std::int64_t calmFrom) -> void
+{
+    std::map<std::string, std::vector<const StartedRun*>> runsByTask;
+    for (const auto& run : m_record.m_runs)
+        runsByTask[run.m_task].push_back(&run);
+    for (const auto& job : m_jobs) {
+        for (std::size_t task = 0; job.m_isLasting && job.m_acceptedAt != never && task < job.m_tasks; ++task) {
+            const auto name = job.m_id + ".0.0." + std::to_string(task);
+            auto awayFrom = job.m_acceptedAt;
+            const auto check = [&](std::int64_t backAt) {
+                if (backAt - std::max(awayFrom + lastingBackMs, calmFrom + calmMs) > missingMs)
+                    m_violations.push_back("LOST: lasting " + name + " is away from " + std::to_string(awayFrom)
+                        + " to " + std::to_string(backAt) + ", calm from " + std::to_string(calmFrom));
+                if (backAt - awayFrom > lastingBackMs)
+                    m_record.write("client", "lasting " + name + " away from " + std::to_string(awayFrom));
+            };
+            for (const auto* run : runsByTask[name]) {
+                check(run->m_startedAt);
+                awayFrom = run->m_endedAt == never ? m_record.now() : std::max(awayFrom, run->m_endedAt);
+            }
+            check(m_record.now());
+        }
+    }
+}
+
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetClients.h
+++ b/tests/fleet/FleetClients.h
@@ -37,6 +37,13 @@
     /// @brief Asks for all jobs that have not been shown as ended, until they are or until the given time.
     auto awaitEnds(std::int64_t until) -> boost::asio::awaitable<void>;
 
+    /// @brief Checks, beside the load, that no request on a connection that is kept open is cut by planned work.
+    auto watchRequests(std::int64_t until) -> void;
+
+    /// @brief Checks that each task that lasts runs again in time.
+    /// @param calmFrom when the last disruption ended
+    auto checkLasting(std::int64_t calmFrom) -> void;
+
     /// @result the queue whose turn it is, and when the next turn begins
     [[nodiscard]] auto queueInTurn(std::int64_t at) const -> std::size_t;
     [[nodiscard]] auto serviceInTurn(std::int64_t at) const -> std::string;
@@ -50,6 +57,8 @@
     auto runJob(FleetJob& job, std::int64_t workMs) -> boost::asio::awaitable<void>;
     auto submit(FleetJob& job) -> boost::asio::awaitable<void>;
     auto askState(FleetJob& job) -> boost::asio::awaitable<bool>;
+    auto keepAsking(std::size_t instance, std::int64_t until) -> boost::asio::awaitable<void>;
+    auto noteCut(std::size_t instance, const std::string& request, std::int64_t sentAt) -> void;
     auto newJob(const PoolSite& pool, bool isLasting) -> FleetJob&;
     auto call(std::string method, const FleetJob& job) -> boost::asio::awaitable<std::optional<detail::HttpResponse>>;
 
--- a/tests/fleet/FleetOptions.h
+++ b/tests/fleet/FleetOptions.h
@@ -17,6 +17,7 @@
     std::string m_troubles;
     double m_work = 1;
     FleetLoad m_load;
+    bool m_watchesRequests = false; ///< Also sends requests on connections that stay open.
 };
 
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetPlay.cpp
+++ b/tests/fleet/FleetPlay.cpp
@@ -69,6 +69,7 @@
     , m_site(siteOf(m_options))
     , m_storeServer(platformIp, port(storePort),
           [this](const review::Request& request) { return m_storeFaults.handle(m_store, request); })
+    , m_planned(m_context, m_record, m_instances, m_machines, m_store, configurationOf(m_site), m_options.m_seed + 3)
 {
     m_instances.m_storeAddress = std::string(platformIp) + ":" + std::to_string(port(storePort));
     m_instances.m_machinesAddress = std::string(platformIp) + ":" + std::to_string(port(machinesPort));
@@ -141,9 +142,14 @@
     co_await detail::sleepFor(trafficDelay);
     const auto until = m_record.now() + std::int64_t { m_options.m_seconds } * 1000;
     asio::co_spawn(m_context, m_troubles.play(m_options.m_troubles, until), asio::detached);
+    m_planned.play(m_options.m_troubles, until);
+    if (m_options.m_watchesRequests)
+        m_clients.watchRequests(until);
     co_await m_clients.play(until);
     co_await m_troubles.end();
+    const auto calmFrom = m_record.now();
     co_await m_clients.awaitEnds(m_record.now() + finishMs);
+    m_clients.checkLasting(calmFrom);
     judge();
     m_context.stop();
 }
--- a/tests/fleet/FleetPlay.h
+++ b/tests/fleet/FleetPlay.h
@@ -6,6 +6,7 @@
 #include "FleetOptions.h"
 #include "FleetRecord.h"
 #include "FleetTroubles.h"
+#include "PlannedTroubles.h"
 
 #include "review/standin/Store.hh"
 
@@ -54,6 +55,7 @@
         m_options.m_seed + 1 };
     FleetTroubles m_troubles { m_context, m_record, m_instances, m_machines, m_clients, m_storeFaults,
         m_options.m_seed + 2 };
+    PlannedTroubles m_planned;
 };
 
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetRun.cpp
+++ b/tests/fleet/FleetRun.cpp
@@ -27,6 +27,7 @@
     const TCLAP::ValueArg<double> cancelled(
         "", "cancelled", "share of jobs that are cancelled", false, 0, "share", command);
     const TCLAP::SwitchArg lasting("", "lasting", "also tasks that last", command);
+    const TCLAP::SwitchArg watch("", "watch-requests", "also requests on connections that are kept open", command);
     command.parse(count, arguments);
     FleetOptions options;
     options.m_program = program.getValue();
@@ -40,6 +41,7 @@
     options.m_load.m_hopeless = hopeless.getValue();
     options.m_load.m_cancelled = cancelled.getValue();
     options.m_load.m_hasLasting = lasting.getValue();
+    options.m_watchesRequests = watch.getValue();
     return options;
 }
 
