Keep runs for a lease that was granted before an executor had listed all it knew

What callers would see: a task runs on two executors at once (TWICE) after a takeover.

Cause: until an executor has listed all its runs and ends, only the leases of earlier owners were waited for.

--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -162,22 +162,24 @@
 auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout, FailureReason& reason)
     -> asio::awaitable<std::optional<HttpResponse>>
 {
-    return exchange(std::move(address), std::move(request), std::nullopt, timeout, {}, reason);
+    return call(std::move(address), std::move(request), timeout, {}, reason);
 }
 
 auto HttpPool::call(std::string address, HttpRequest request, std::chrono::milliseconds timeout,
     std::function<bool()> mayBeSent, FailureReason& reason) -> asio::awaitable<std::optional<HttpResponse>>
 {
-    return exchange(std::move(address), std::move(request), std::nullopt, timeout, std::move(mayBeSent), reason);
+    std::function<HttpRequest(bool)> makeRequest
+        = [request = std::move(request)](bool) mutable { return std::move(request); };
+    return exchange(std::move(address), std::move(makeRequest), timeout, std::move(mayBeSent), reason);
 }
 
-auto HttpPool::call(std::string address, HttpRequest request, HttpRequest onNewConnection,
+auto HttpPool::call(std::string address, std::function<HttpRequest(bool)> makeRequest,
     std::chrono::milliseconds timeout, FailureReason& reason) -> asio::awaitable<std::optional<HttpResponse>>
 {
-    return exchange(std::move(address), std::move(request), std::move(onNewConnection), timeout, {}, reason);
+    return exchange(std::move(address), std::move(makeRequest), timeout, {}, reason);
 }
 
-auto HttpPool::exchange(std::string address, HttpRequest request, std::optional<HttpRequest> onNewConnection,
+auto HttpPool::exchange(std::string address, std::function<HttpRequest(bool)> makeRequest,
     std::chrono::milliseconds timeout, std::function<bool()> mayBeSent, FailureReason& reason)
     -> asio::awaitable<std::optional<HttpResponse>>
 {
@@ -192,7 +194,7 @@
     auto& connection = pooled->m_connection;
     m_impl->closeUnneeded();
     auto isConnected = idle.has_value();
-    const auto& sent = isConnected || !onNewConnection ? request : *onNewConnection;
+    const auto request = makeRequest(!isConnected);
     // A request that is not wanted any more needs no new connection either.
     auto isWanted = !mayBeSent || mayBeSent();
     if (!isConnected) {
@@ -204,7 +206,7 @@
     if (!isWanted)
         fail(reason, ErrorKind::Cancelled, "the request is not wanted any more");
     else if (isConnected)
-        response = co_await connection.exchange(sent, timeout, maximumResponseBytes, reason);
+        response = co_await connection.exchange(request, timeout, maximumResponseBytes, reason);
     m_impl->release(pooled);
     --server->m_calls;
     m_impl->forgetIfUnused(*server);
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -404,9 +404,11 @@
     for (const auto index : scheduler.m_activeExecutors) {
         auto& executor = *scheduler.m_executors[index];
         const auto lapsesAt = executor.m_leaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
-        // Also when it has answered: until a deadline is sent, its runs go on by the lease of an earlier owner.
-        const auto hasLapsed = now >= executor.m_earlierLeasesExpireBy
-            && (!executor.m_isReconciled || clockLowerBound(executor, now) > lapsesAt);
+        // Also when it has answered: until a deadline is sent, its runs go on by the lease of an earlier owner. One
+        // that has not listed all its runs and ends yet may have got a deadline.
+        const auto hasOwnLease = executor.m_isReconciled || executor.m_leaseUntilMs > 0;
+        const auto hasLapsed
+            = now >= executor.m_earlierLeasesExpireBy && (!hasOwnLease || clockLowerBound(executor, now) > lapsesAt);
         if (executor.m_runs.empty() || !executor.m_isUnresponsive || !hasLapsed)
             continue;
         removed += loseRuns(
--- a/tests/core/scheduling/IncompleteReportTest.cpp
+++ b/tests/core/scheduling/IncompleteReportTest.cpp
@@ -7,6 +7,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace hemlockvane::scheduling {
 
 /// Answers to polls that list only some of the ended runs.
@@ -17,6 +19,7 @@
     CPPUNIT_TEST(stoppedRun_endNotListedYet_itsOutcomeCounts);
     CPPUNIT_TEST(unansweredStart_endNotListedYet_isNotStopped);
     CPPUNIT_TEST(newLife_endNotListedYet_runIsNotLost);
+    CPPUNIT_TEST(takeover_deadlineSentBeforeAllIsListed_runsAreKeptUntilIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +82,22 @@
         CPPUNIT_ASSERT(phase() == JobPhase::Completed);
     }
 
+    // Guards against a task that is started elsewhere while its executor holds a lease that this owner has granted.
+    auto takeover_deadlineSentBeforeAllIsListed_runsAreKeptUntilIt() -> void
+    {
+        const auto start = takeOver();
+        reportSome(start.m_executor);
+        auto& executor = *m_scheduler.m_executors[start.m_executor];
+        m_now = std::max(m_now, executor.m_earlierLeasesExpireBy) + Duration(1);
+        reportSome(start.m_executor);
+        executor.m_leaseUntilMs = executor.m_clockMs + m_scheduler.m_timing.m_lease.count();
+        markUnresponsive(executor, m_now);
+        m_now += m_scheduler.m_timing.m_lease;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, expireLeases(m_scheduler, m_now));
+        m_now += m_scheduler.m_timing.m_lease;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, expireLeases(m_scheduler, m_now));
+    }
+
 private:
     // Reports no runs, but that there are further ends.
     auto reportSome(ExecutorIndex index) -> void
