Send no deadline on a new connection, and acknowledge there every second time

A poll on a new connection still carried a deadline, a time on the earlier life's clock, by which a new life would keep its tasks for up to bounds.holdMaxMs. And where a server ends each connection, or the pool does, nothing was ever acknowledged: from 500 ends on, the same ones are listed again and new ones are not read.

Change: the request is made once it is known whether the connection is new. The first poll on one only looks: it carries neither an end, a deadline nor a wait. If the next one is on a new connection too, it is sent in full.

Evidence: poll_processWasReplaced_acknowledgesNothing now expects that the poll on a new connection has no deadline and no wait either, and failed before; poll_serverEndsEachConnection_acknowledgesEverySecondTime fails without the second part (57 of 0, then 0 of 57).

--- a/include/hemlockvane/detail/http/HttpPool.h
+++ b/include/hemlockvane/detail/http/HttpPool.h
@@ -40,10 +40,10 @@
     auto call(std::string address, HttpRequest request, std::chrono::milliseconds timeout,
         std::function<bool()> mayBeSent, FailureReason& reason) -> boost::asio::awaitable<std::optional<HttpResponse>>;
 
-    /// @brief As above, but sends another request where no connection is open that has been used before: behind a new
-    /// one there may be another process than the one that answered last.
-    /// @param onNewConnection sent on a new connection
-    auto call(std::string address, HttpRequest request, HttpRequest onNewConnection, std::chrono::milliseconds timeout,
+    /// @brief As above, but makes the request by the connection: behind a new one there may be another process than the
+    /// one that answered last.
+    /// @param makeRequest called with true for a new connection, with false for one that was used before
+    auto call(std::string address, std::function<HttpRequest(bool)> makeRequest, std::chrono::milliseconds timeout,
         FailureReason& reason) -> boost::asio::awaitable<std::optional<HttpResponse>>;
 
     /// @brief Number of open connections, idle and in use.
@@ -52,9 +52,8 @@
 private:
     struct Impl;
 
-    auto exchange(std::string address, HttpRequest request, std::optional<HttpRequest> onNewConnection,
-        std::chrono::milliseconds timeout, std::function<bool()> mayBeSent, FailureReason& reason)
-        -> boost::asio::awaitable<std::optional<HttpResponse>>;
+    auto exchange(std::string address, std::function<HttpRequest(bool)> makeRequest, std::chrono::milliseconds timeout,
+        std::function<bool()> mayBeSent, FailureReason& reason) -> boost::asio::awaitable<std::optional<HttpResponse>>;
 
     std::unique_ptr<Impl> m_impl;
 };
