--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -124,9 +124,9 @@
         for (std::size_t i = 0; i < m_machines.machines().size(); ++i) {
             const auto& machine = m_machines.machines()[i];
             if (machine.m_pool != service || !machine.m_executor->isUp() || machine.m_executor->runCount() > 0
-                || m_random() % 2 == 0)
+                || m_random() % 8 == 0)
                 continue;
-            const Duration down { leadMs + between(-300, 500) };
+            const Duration down { leadMs + between(-100, 300) };
             asio::co_spawn(m_context, m_machines.crashAndReturn(i, down), asio::detached);
         }
         co_await detail::sleepFor(Duration { leadMs + 100 });
