--- a/tests/fleet/CallTroubles.cpp
+++ b/tests/fleet/CallTroubles.cpp
@@ -88,8 +88,10 @@
 // Executors at work stand still as a process, also beyond their lease.
 auto CallTroubles::paused(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!isOver(until)) {
+    while (true) {
         co_await pause(100, 800);
+        if (isOver(until))
+            co_return;
         const auto executor = atWork();
         executor->m_faults.m_isPaused = true;
         m_record.write(executor->place().m_id, "paused");
@@ -108,8 +110,10 @@
 // Executors at work carry out what they get while their answers are held back, longer than a lease.
 auto CallTroubles::longMute(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!isOver(until)) {
+    while (true) {
         co_await pause(300, 1500);
+        if (isOver(until))
+            co_return;
         const auto executor = atWork();
         executor->m_faults.m_isMute = true;
         m_record.write(executor->place().m_id, "answers are held back");
@@ -170,8 +174,10 @@
 // Executors at work are out of reach until about the end of their lease, and then answer late.
 auto CallTroubles::lapses(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!isOver(until)) {
+    while (true) {
         co_await pause(100, 600);
+        if (isOver(until))
+            co_return;
         const auto executor = atWork();
         executor->m_faults.m_isCut = true;
         m_record.write(executor->place().m_id, "cut off until about its lease's end");
@@ -194,8 +200,10 @@
 // Executors crash and are back under their id while nothing reaches them.
 auto CallTroubles::reborn(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!isOver(until)) {
+    while (true) {
         co_await pause(100, 800);
+        if (isOver(until))
+            co_return;
         const auto index = static_cast<std::size_t>(m_random() % m_machines.machines().size());
         const auto executor = m_machines.machines()[index].m_executor;
         if (!executor->isUp() || executor->m_faults.m_isCut)
--- a/tests/fleet/CheckRuns.cpp
+++ b/tests/fleet/CheckRuns.cpp
@@ -10,14 +10,6 @@
 
 auto timeText(std::int64_t at) -> std::string { return at == never ? "-" : std::to_string(at); }
 
-auto describe(const StartedRun& run) -> std::string
-{
-    return "[" + run.m_task + " run " + std::to_string(run.m_run) + " on " + run.m_executor + " (" + run.m_service
-        + ", " + run.m_zone + ") from " + run.m_starter + ", late " + (run.m_isLate ? "true" : "false") + ", start "
-        + timeText(run.m_startedAt) + " stop " + timeText(run.m_stopAt) + " end " + timeText(run.m_endedAt) + " "
-        + (run.m_how.empty() ? "-" : run.m_how) + " noted " + timeText(run.m_notedAt) + "]";
-}
-
 auto jobOf(std::string_view task) -> std::string_view { return task.substr(0, task.find('.')); }
 
 auto isNotedDone(const StartedRun& run) -> bool
@@ -27,6 +19,14 @@
 
 } // namespace
 
+auto describe(const StartedRun& run) -> std::string
+{
+    return "[" + run.m_task + " run " + std::to_string(run.m_run) + " on " + run.m_executor + " (" + run.m_service
+        + ", " + run.m_zone + ") from " + run.m_starter + ", late " + (run.m_isLate ? "true" : "false") + ", start "
+        + timeText(run.m_startedAt) + " stop " + timeText(run.m_stopAt) + " end " + timeText(run.m_endedAt) + " "
+        + (run.m_how.empty() ? "-" : run.m_how) + " noted " + timeText(run.m_notedAt) + "]";
+}
+
 auto findTwice(std::span<const StartedRun> runs, const TimeByJob& completedAt, std::int64_t now)
     -> std::vector<std::string>
 {
--- a/tests/fleet/CheckRuns.h
+++ b/tests/fleet/CheckRuns.h
@@ -21,4 +21,7 @@
 auto findTwice(std::span<const StartedRun> runs, const TimeByJob& completedAt, std::int64_t now)
     -> std::vector<std::string>;
 
+/// @result the run in one line, in the form of the users' records
+[[nodiscard]] auto describe(const StartedRun& run) -> std::string;
+
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/ExecutorPlace.h
+++ b/tests/fleet/ExecutorPlace.h
@@ -14,6 +14,8 @@
     std::string m_address;
     std::int64_t m_cpu = 0; ///< Thousandths of a core.
     std::int64_t m_memoryMb = 0;
+    std::int64_t m_longestHoldMs = 0; ///< Longer leases are shortened to this.
+    std::int64_t m_longestStopMs = 0;
 };
 
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetClients.cpp
+++ b/tests/fleet/FleetClients.cpp
@@ -1,5 +1,6 @@
 #include "FleetClients.h"
 
+#include "CheckLasting.h"
 #include "FleetInstances.h"
 #include "FleetRecord.h"
 
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <map>
 
@@ -34,14 +36,11 @@
 constexpr std::uint64_t submitEach = 200; // One in so many of these requests hands in a job.
 constexpr std::size_t watchedConnections = 3; // To each instance.
 constexpr std::size_t maximumAnswer = 1UL << 20U;
-constexpr std::int64_t lastingBackMs = 6000; // A task that lasts must run again after this,
-constexpr std::int64_t missingMs = 3000; // unless it is missing for less than this,
-constexpr std::int64_t calmMs = 4000; // and this time before it was calm.
 constexpr double inTurn = 5;
 constexpr double outOfTurn = 0.05;
 constexpr std::int64_t lastingMs = 700; // Estimate of tasks that last.
-constexpr std::size_t lastingTasks = 5;
-constexpr std::int64_t taskMemoryMb = 1024;
+constexpr Duration lastingPause { 2000 }; // Between the submissions of two jobs of tasks that last.
+constexpr double mostOfMean = 3; // What is drawn about a mean is at most this multiple of it.
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusGone = 410;
 
@@ -69,7 +68,7 @@
 {
     const auto queues = static_cast<std::size_t>(std::count_if(
         m_site.m_pools.begin(), m_site.m_pools.end(), [](const PoolSite& pool) { return pool.m_jobsPerSecond > 0; }));
-    return static_cast<std::size_t>(at / m_load.m_turnMs) % queues;
+    return static_cast<std::size_t>(at / m_site.m_turnMs) % queues;
 }
 
 auto FleetClients::serviceInTurn(std::int64_t at) const -> std::string
@@ -79,7 +78,7 @@
 
 auto FleetClients::nextTurnAt(std::int64_t at) const -> std::int64_t
 {
-    return (at / m_load.m_turnMs + 1) * m_load.m_turnMs;
+    return (at / m_site.m_turnMs + 1) * m_site.m_turnMs;
 }
 
 auto FleetClients::call(std::string method, const FleetJob& job) -> asio::awaitable<std::optional<detail::HttpResponse>>
@@ -121,24 +120,63 @@
     job.m_isLasting = isLasting;
     job.m_isHopeless = !isLasting && std::uniform_real_distribution<> { 0, 1 }(m_random) < m_load.m_hopeless;
     json::array stepList;
-    for (std::size_t step = 0; step < steps; ++step) {
-        StepFacts facts { pool.m_cpu, taskMemoryMb, pool.m_workMs, isLasting, job.m_isHopeless && step + 1 == steps,
-            false };
-        m_facts[job.m_id + "." + std::to_string(step)] = facts;
-        const auto count = isLasting ? lastingTasks : pool.m_tasks;
-        job.m_tasks += count;
-        json::object object { { "count", count }, { "cpu", pool.m_cpu }, { "memMb", taskMemoryMb },
-            { "estimateMs", isLasting ? lastingMs : pool.m_workMs } };
-        if (isLasting)
-            object["longRunning"] = true;
-        if (step > 0)
-            object["after"] = json::array { step - 1 };
-        stepList.push_back(std::move(object));
-    }
+    for (std::size_t step = 0; step < steps; ++step)
+        stepList.push_back(isLasting ? lastingStep(job, pool) : quickStep(job, pool, step, step + 1 == steps));
     job.m_body = json::serialize(json::object { { "spec", "" }, { "steps", std::move(stepList) } });
     return job;
 }
 
+// Draws nothing without a spread, so that the jobs of such a site depend on the seed alone as before.
+auto FleetClients::drawAbout(double mean, double spread, double most) -> double
+{
+    if (spread <= 0)
+        return mean;
+    const auto drawn = std::lognormal_distribution<> { std::log(mean) - spread * spread / 2, spread }(m_random);
+    return std::clamp(drawn, 1.0, most);
+}
+
+auto FleetClients::quickStep(FleetJob& job, const PoolSite& pool, std::size_t step, bool isLast) -> json::object
+{
+    const auto draw = [&](auto mean) {
+        const auto value = static_cast<double>(mean);
+        return static_cast<std::int64_t>(drawAbout(value, pool.m_spread, value * mostOfMean));
+    };
+    StepFacts facts;
+    const auto count = static_cast<std::size_t>(draw(pool.m_tasks));
+    facts.m_cpu = draw(pool.m_cpu);
+    facts.m_memoryMb = draw(pool.m_memoryMb);
+    facts.m_workMs = draw(pool.m_workMs);
+    facts.m_isHopeless = job.m_isHopeless && isLast;
+    m_facts[job.m_id + "." + std::to_string(step)] = facts;
+    job.m_tasks += count;
+    json::object object { { "count", count }, { "cpu", facts.m_cpu }, { "memMb", facts.m_memoryMb },
+        { "estimateMs", facts.m_workMs } };
+    if (step > 0)
+        object["after"] = json::array { step - 1 };
+    return object;
+}
+
+auto FleetClients::lastingStep(FleetJob& job, const PoolSite& pool) -> json::object
+{
+    const auto& site = pool.m_lasting;
+    const auto memory = static_cast<double>(site.m_memoryMb);
+    const auto tasks
+        = drawAbout(static_cast<double>(site.m_tasks), site.m_spread, static_cast<double>(site.m_mostTasks));
+    StepFacts facts;
+    facts.m_cpu = site.m_cpu > 0 ? site.m_cpu : pool.m_cpu;
+    facts.m_memoryMb = static_cast<std::int64_t>(drawAbout(memory, site.m_spread, memory * mostOfMean));
+    facts.m_isLasting = true;
+    m_facts[job.m_id + ".0"] = facts;
+    job.m_tasks = static_cast<std::size_t>(std::lround(tasks));
+    json::object object { { "count", job.m_tasks }, { "cpu", facts.m_cpu }, { "memMb", facts.m_memoryMb },
+        { "estimateMs", lastingMs }, { "longRunning", true } };
+    if (site.m_perExecutor > 0)
+        object["antiAffinity"] = site.m_perExecutor;
+    if (site.m_mayMiss > 0)
+        object["mayMiss"] = site.m_mayMiss;
+    return object;
+}
+
 auto FleetClients::submit(FleetJob& job) -> asio::awaitable<void>
 {
     job.m_sentAt = m_record.now();
@@ -200,7 +238,7 @@
 {
     const auto& site = m_site.m_pools[pool];
     if (m_load.m_hasLasting)
-        asio::co_spawn(m_context, runJob(newJob(site, true), lastingMs), asio::detached);
+        asio::co_spawn(m_context, submitLasting(site), asio::detached);
     constexpr std::int64_t slotMs = 20;
     for (auto now = m_record.now(); now < until; now = m_record.now()) {
         const auto factor = queueInTurn(now) == pool ? inTurn : outOfTurn;
@@ -213,6 +251,15 @@
     }
 }
 
+auto FleetClients::submitLasting(const PoolSite& pool) -> asio::awaitable<void>
+{
+    for (std::size_t job = 0; job < pool.m_lasting.m_jobs; ++job) {
+        if (job > 0)
+            co_await detail::sleepFor(lastingPause);
+        asio::co_spawn(m_context, runJob(newJob(pool, true), lastingMs), asio::detached);
+    }
+}
+
 auto FleetClients::play(std::int64_t until) -> asio::awaitable<void>
 {
     for (std::size_t pool = 0; pool < m_site.m_pools.size(); ++pool) {
@@ -225,7 +272,7 @@
 
 auto FleetClients::awaitEnds(std::int64_t until) -> asio::awaitable<void>
 {
-    const auto lastingUntil = m_record.now() + (m_load.m_hasLasting ? calmMs + lastingBackMs + missingMs : 0);
+    const auto lastingUntil = m_record.now() + (m_load.m_hasLasting ? longestMissingMs : 0);
     for (auto isOpen = true; isOpen && m_record.now() < until;) {
         isOpen = m_record.now() < lastingUntil;
         for (auto& job : m_jobs) {
@@ -290,27 +337,19 @@
         m_violations.push_back("LOST: " + line);
 }
 
-auto FleetClients::checkLasting(std::int64_t calmFrom) -> void
+auto FleetClients::checkLasting() -> void
 {
-    std::map<std::string, std::vector<const StartedRun*>> runsByTask;
+    std::map<std::string, std::vector<StartedRun>> runsByTask;
     for (const auto& run : m_record.m_runs)
-        runsByTask[run.m_task].push_back(&run);
+        runsByTask[run.m_task].push_back(run);
     for (const auto& job : m_jobs) {
-        for (std::size_t task = 0; job.m_isLasting && job.m_acceptedAt != never && task < job.m_tasks; ++task) {
+        if (!job.m_isLasting || job.m_acceptedAt == never)
+            continue;
+        for (std::size_t task = 0; task < job.m_tasks; ++task) {
             const auto name = job.m_id + ".0.0." + std::to_string(task);
-            auto awayFrom = job.m_acceptedAt;
-            const auto check = [&](std::int64_t backAt) {
-                if (backAt - std::max(awayFrom + lastingBackMs, calmFrom + calmMs) > missingMs)
-                    m_violations.push_back("LOST: lasting " + name + " is away from " + std::to_string(awayFrom)
-                        + " to " + std::to_string(backAt) + ", calm from " + std::to_string(calmFrom));
-                if (backAt - awayFrom > lastingBackMs)
-                    m_record.write("client", "lasting " + name + " away from " + std::to_string(awayFrom));
-            };
-            for (const auto* run : runsByTask[name]) {
-                check(run->m_startedAt);
-                awayFrom = run->m_endedAt == never ? m_record.now() : std::max(awayFrom, run->m_endedAt);
-            }
-            check(m_record.now());
+            for (const auto& line :
+                findMissing(name, runsByTask[name], job.m_acceptedAt, m_record.disruptions(), m_record.now()))
+                m_violations.push_back("LOST: " + line);
         }
     }
 }
--- a/tests/fleet/FleetClients.h
+++ b/tests/fleet/FleetClients.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -40,9 +41,8 @@
     /// @brief Checks, beside the load, that no request on a connection that is kept open is cut by planned work.
     auto watchRequests(std::int64_t until) -> void;
 
-    /// @brief Checks that each task that lasts runs again in time.
-    /// @param calmFrom when the last disruption ended
-    auto checkLasting(std::int64_t calmFrom) -> void;
+    /// @brief Checks that each task that lasts ran again in time.
+    auto checkLasting() -> void;
 
     /// @result the queue whose turn it is, and when the next turn begins
     [[nodiscard]] auto queueInTurn(std::int64_t at) const -> std::size_t;
@@ -60,6 +60,10 @@
     auto keepAsking(std::size_t instance, std::int64_t until) -> boost::asio::awaitable<void>;
     auto noteCut(std::size_t instance, const std::string& request, std::int64_t sentAt) -> void;
     auto newJob(const PoolSite& pool, bool isLasting) -> FleetJob&;
+    auto quickStep(FleetJob& job, const PoolSite& pool, std::size_t step, bool isLast) -> boost::json::object;
+    auto lastingStep(FleetJob& job, const PoolSite& pool) -> boost::json::object;
+    auto drawAbout(double mean, double spread, double most) -> double;
+    auto submitLasting(const PoolSite& pool) -> boost::asio::awaitable<void>;
     auto call(std::string method, const FleetJob& job) -> boost::asio::awaitable<std::optional<detail::HttpResponse>>;
 
     boost::asio::io_context& m_context;
--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -228,7 +228,7 @@
 
 auto FleetExecutor::extendLease(const json::object& body) -> void
 {
-    m_leaseUntil = std::max(m_leaseUntil, std::min(numberAt(body, "deadlineMs"), clockMs() + holdMaxMs));
+    m_leaseUntil = std::max(m_leaseUntil, std::min(numberAt(body, "deadlineMs"), clockMs() + m_place.m_longestHoldMs));
 }
 
 auto FleetExecutor::startRun(const json::object& body, bool isLate) -> StandinAnswer
@@ -288,8 +288,9 @@
     }
     if (active->second.m_run->m_stopAt == never)
         active->second.m_run->m_stopAt = m_record.now();
-    const auto leastMs = m_faults.m_stopsSlowly ? shutdownMs : 0;
-    const auto endsAt = clockMs() + std::uniform_int_distribution<std::int64_t> { leastMs, shutdownMs }(m_random);
+    const auto leastMs = m_faults.m_stopsSlowly ? m_place.m_longestStopMs : 0;
+    const auto endsAt
+        = clockMs() + std::uniform_int_distribution<std::int64_t> { leastMs, m_place.m_longestStopMs }(m_random);
     if (active->second.m_how == "stopped" || active->second.m_endsAt <= endsAt)
         return;
     active->second.m_endsAt = endsAt;
--- a/tests/fleet/FleetExecutor.h
+++ b/tests/fleet/FleetExecutor.h
@@ -29,9 +29,6 @@
 /// @brief An executor of the users' platform, as their pages describe it. It may end and start again under its id.
 class FleetExecutor : public std::enable_shared_from_this<FleetExecutor> {
 public:
-    static constexpr std::int64_t holdMaxMs = 6000;
-    static constexpr std::int64_t shutdownMs = 900; ///< Longest time that a stop takes.
-
     /// @param facts of all steps; grows during the play
     FleetExecutor(boost::asio::io_context& context, ExecutorPlace place, FleetRecord& record, const FactsByStep& facts,
         std::uint64_t seed);
--- a/tests/fleet/FleetInstances.cpp
+++ b/tests/fleet/FleetInstances.cpp
@@ -54,6 +54,9 @@
 
 auto FleetInstances::add(const FleetSite& site) -> void
 {
+    m_region = site.m_region;
+    m_longestHoldMs = site.m_longestHoldMs;
+    m_longestStopMs = site.m_longestStopMs;
     for (std::size_t i = 0; i < site.m_instances; ++i) {
         FleetInstance instance;
         instance.m_zone = site.m_zones[i % site.m_zones.size()];
@@ -68,16 +71,18 @@
 auto FleetInstances::settingsOf(const FleetInstance& instance) const -> std::string
 {
     return "node=" + instance.m_name + "\nrole=entry\nmachineClass=front\nserves=front\nip=" + instance.m_ip
-        + "\nzone=" + instance.m_zone + "\nregion=ro-centru\nlisten.front=" + instance.m_ip + ":" + port(frontPort)
-        + "\nlisten.ready=" + instance.m_ip + ":" + port(readinessPort) + "\ninternalPorts=" + port(firstInternalPort)
-        + "," + port(lastInternalPort)
+        + "\nzone=" + instance.m_zone + "\nregion=" + m_region + "\nlisten.front=" + instance.m_ip + ":"
+        + port(frontPort) + "\nlisten.ready=" + instance.m_ip + ":" + port(readinessPort)
+        + "\ninternalPorts=" + port(firstInternalPort) + "," + port(lastInternalPort)
         + "\nbootstrap=true\ncountsAsLoss=false\nlimits.cpuShare=0.25\nlimits.cores=1\nlimits.memoryMb=260\n"
           "limits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform\nentry=virtual_ip\n"
           "heartbeatMs=1500\n"
           "contracts=base,drain,config,cost,recover,sched,tenants,quota,platform,upkeep,sharing\n"
           "bounds.contactMs=3000\nbounds.ackMs=4000\nbounds.drainMs=2000\nbounds.graceS=6\n"
           "bounds.lossSlackMs=200\nbounds.configApplyMs=2000\nbounds.strictRevoke=true\nbounds.revokeMs=5000\n"
-          "bounds.holdMaxMs=6000\nbounds.shutdownMs=900\nbounds.gangMs=3000\nbounds.cancel_ms=3000\n"
+          "bounds.holdMaxMs="
+        + std::to_string(m_longestHoldMs) + "\nbounds.shutdownMs=" + std::to_string(m_longestStopMs)
+        + "\nbounds.gangMs=3000\nbounds.cancel_ms=3000\n"
           "bounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\n"
           "bounds.remoteFactor=2\nbounds.checkpointS=1\nbounds.restoreMs=600\nbounds.noticeMs=4500\n"
           "bounds.moveS=1.5\nbounds.upkeepS=2\nbounds.requireFence=true\nbounds.leaseMs=3000\n"
--- a/tests/fleet/FleetInstances.h
+++ b/tests/fleet/FleetInstances.h
@@ -46,6 +46,9 @@
     std::string m_program;
     std::string m_folder;
     std::uint16_t m_basePort;
+    std::string m_region;
+    std::int64_t m_longestHoldMs = 0;
+    std::int64_t m_longestStopMs = 0;
     std::vector<FleetInstance> m_instances;
 };
 
--- a/tests/fleet/FleetMachines.cpp
+++ b/tests/fleet/FleetMachines.cpp
@@ -83,7 +83,7 @@
     std::array<char, 16> name {};
     std::snprintf(name.data(), name.size(), "i-%08x", static_cast<unsigned>(m_random()));
     ExecutorPlace place { name.data(), machine.m_pool, machine.m_zone, machine.m_rack, machine.m_address,
-        m_site.m_executorCpu, m_site.m_executorMemoryMb };
+        m_site.m_executorCpu, m_site.m_executorMemoryMb, m_site.m_longestHoldMs, m_site.m_longestStopMs };
     if (machine.m_executor)
         m_pastExecutors.push_back(machine.m_executor);
     machine.m_executor = std::make_shared<FleetExecutor>(m_context, std::move(place), m_record, m_facts, m_random());
@@ -96,23 +96,38 @@
 
 auto FleetMachines::publish(const FleetExecutor& executor) -> void
 {
-    m_lastBeat[executor.place().m_id] = m_record.now();
+    auto& beat = m_beats[executor.place().m_id];
+    beat.m_sentAt = m_record.now();
+    if (m_isStoreAway())
+        return;
+    beat.m_storedAt = beat.m_sentAt;
+    beat.m_hasExpired = false;
     m_publish(executor.place().m_id, const_cast<FleetExecutor&>(executor).entry());
 }
 
+// The time without the store counts only if entries expire in it.
+auto FleetMachines::expire(const std::string& id, Beat& beat) -> void
+{
+    const auto heardAt = m_doEntriesExpire ? beat.m_storedAt : std::max(beat.m_storedAt, m_storeAwayAt);
+    if (beat.m_hasExpired || m_record.now() - heardAt < heartbeatMs * silentBeats)
+        return;
+    beat.m_hasExpired = true;
+    m_publish(id, {});
+}
+
 auto FleetMachines::heartbeats() -> asio::awaitable<void>
 {
     while (true) {
         co_await detail::sleepFor(beatCheck);
+        if (m_isStoreAway())
+            m_storeAwayAt = m_record.now();
         for (auto& machine : m_machines) {
             const auto& id = machine.m_executor->place().m_id;
-            const auto silence = m_record.now() - m_lastBeat[id];
-            if (machine.m_executor->isUp() && !machine.m_executor->m_faults.m_isCut && silence >= heartbeatMs)
+            auto& beat = m_beats[id];
+            const auto isDue = m_record.now() - beat.m_sentAt >= heartbeatMs;
+            if (isDue && machine.m_executor->isUp() && !machine.m_executor->m_faults.m_isCut)
                 publish(*machine.m_executor);
-            else if (silence >= heartbeatMs * silentBeats && silence < heartbeatMs * silentBeats + heartbeatMs) {
-                m_publish(id, {});
-                m_lastBeat[id] -= heartbeatMs * (silentBeats + 1); // Once.
-            }
+            expire(id, beat);
         }
     }
 }
--- a/tests/fleet/FleetMachines.h
+++ b/tests/fleet/FleetMachines.h
@@ -42,13 +42,22 @@
 
     std::function<std::string(std::int64_t)> m_starterOf;
     std::map<std::int64_t, std::set<std::string>> m_waves; ///< Machines of each wave.
+    std::function<bool()> m_isStoreAway;
+    bool m_doEntriesExpire = false; ///< Also while the store is away.
     bool m_loseAnswers = false; ///< Orders are carried out and not answered.
 
 private:
+    struct Beat {
+        std::int64_t m_sentAt = 0;
+        std::int64_t m_storedAt = 0;
+        bool m_hasExpired = false;
+    };
+
     auto newExecutor(FleetMachine& machine) -> bool;
     auto order(const detail::HttpRequest& request, bool isMove) -> standins::StandinAnswer;
     auto takeAway(std::size_t index, const std::string& state, Duration time) -> boost::asio::awaitable<void>;
     auto publish(const FleetExecutor& executor) -> void;
+    auto expire(const std::string& id, Beat& beat) -> void;
 
     boost::asio::io_context& m_context;
     FleetRecord& m_record;
@@ -58,7 +67,8 @@
     FleetSite m_site;
     std::vector<FleetMachine> m_machines;
     std::vector<std::shared_ptr<FleetExecutor>> m_pastExecutors;
-    std::map<std::string, std::int64_t> m_lastBeat; ///< By id of an executor.
+    std::map<std::string, Beat> m_beats; ///< By id of an executor.
+    std::int64_t m_storeAwayAt = 0; ///< When it was last seen away.
 };
 
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetOptions.h
+++ b/tests/fleet/FleetOptions.h
@@ -15,6 +15,7 @@
     int m_seconds = 0;
     std::uint16_t m_basePort = 0;
     std::string m_troubles;
+    std::string m_site; ///< "roata" or "maraval".
     double m_work = 1;
     FleetLoad m_load;
     bool m_watchesRequests = false; ///< Also sends requests on connections that stay open.
--- a/tests/fleet/FleetPlay.cpp
+++ b/tests/fleet/FleetPlay.cpp
@@ -34,7 +34,7 @@
 
 auto siteOf(const FleetOptions& options) -> FleetSite
 {
-    auto site = roataSite();
+    auto site = options.m_site == "maraval" ? maravalSite() : roataSite();
     for (auto& pool : site.m_pools)
         pool.m_workMs = static_cast<std::int64_t>(static_cast<double>(pool.m_workMs) * options.m_work);
     return site;
@@ -73,6 +73,7 @@
 {
     m_instances.m_storeAddress = std::string(platformIp) + ":" + std::to_string(port(storePort));
     m_instances.m_machinesAddress = std::string(platformIp) + ":" + std::to_string(port(machinesPort));
+    m_machines.m_isStoreAway = [this] { return m_storeFaults.isAway(); };
     m_machines.m_starterOf = [this](std::int64_t fence) { return starterOf(fence); };
 }
 
@@ -147,9 +148,8 @@
         m_clients.watchRequests(until);
     co_await m_clients.play(until);
     co_await m_troubles.end();
-    const auto calmFrom = m_record.now();
     co_await m_clients.awaitEnds(m_record.now() + finishMs);
-    m_clients.checkLasting(calmFrom);
+    m_clients.checkLasting();
     judge();
     m_context.stop();
 }
--- a/tests/fleet/FleetRecord.cpp
+++ b/tests/fleet/FleetRecord.cpp
@@ -29,6 +29,26 @@
     m_disturbedUntil.insert_or_assign(std::string(who), until);
 }
 
+auto FleetRecord::beginDisruption() -> void
+{
+    if (!m_areDisruptionsOver && m_openDisruptions++ == 0)
+        m_disruptedSince = now();
+}
+
+auto FleetRecord::endDisruption() -> void
+{
+    if (!m_areDisruptionsOver && --m_openDisruptions == 0)
+        m_disruptions.push_back({ m_disruptedSince, now() });
+}
+
+auto FleetRecord::endDisruptions() -> void
+{
+    if (m_openDisruptions > 0)
+        m_disruptions.push_back({ m_disruptedSince, now() });
+    m_openDisruptions = 0;
+    m_areDisruptionsOver = true;
+}
+
 auto FleetRecord::isInTouch(std::string_view instance) const -> bool
 {
     for (const auto& who : { instance, store }) {
--- a/tests/fleet/FleetRecord.h
+++ b/tests/fleet/FleetRecord.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "StartedRun.h"
+#include "TimeSpan.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <cstdio>
 #include <deque>
@@ -10,6 +12,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hemlockvane::fleetrun {
 
@@ -31,6 +34,16 @@
     /// @param until its end; `lasting` until it is called again
     auto disturb(std::string_view who, std::int64_t until) -> void;
 
+    /// @brief Notes the begin and the end of a disruption of any kind; several may go on at a time.
+    auto beginDisruption() -> void;
+    auto endDisruption() -> void;
+
+    /// @brief Notes that all disruptions have ended, and that there will be no others.
+    auto endDisruptions() -> void;
+
+    /// @result the times of disruptions that have ended, in order and without overlaps
+    [[nodiscard]] auto disruptions() const -> const std::vector<TimeSpan>& { return m_disruptions; }
+
     /// @result whether neither the instance nor the store has been disrupted for `contactMs`
     [[nodiscard]] auto isInTouch(std::string_view instance) const -> bool;
 
@@ -43,6 +56,10 @@
 
 private:
     std::map<std::string, std::int64_t, std::less<>> m_disturbedUntil;
+    std::vector<TimeSpan> m_disruptions;
+    std::size_t m_openDisruptions = 0;
+    std::int64_t m_disruptedSince = 0;
+    bool m_areDisruptionsOver = false;
     std::FILE* m_file = nullptr;
     std::int64_t m_startedAt = 0;
 };
--- a/tests/fleet/FleetRun.cpp
+++ b/tests/fleet/FleetRun.cpp
@@ -6,12 +6,16 @@
 
 #include <tclap/CmdLine.h>
 
+#include <string>
+#include <vector>
+
 namespace hemlockvane::fleetrun {
 
 namespace {
 
 auto parse(int count, char** arguments) -> FleetOptions
 {
+    std::vector<std::string> siteNames { "roata", "maraval" };
     TCLAP::CmdLine command("Plays a deployment with real processes, and checks TWICE and LOST");
     const TCLAP::ValueArg<std::string> program("", "program", "path of hemlockvane", true, "", "path", command);
     const TCLAP::ValueArg<std::string> folder("", "folder", "for records and logs", true, "", "path", command);
@@ -20,6 +24,8 @@
     const TCLAP::ValueArg<int> basePort("", "port", "first of eight free ports", false, 21000, "number", command);
     const TCLAP::ValueArg<std::string> troubles(
         "", "troubles", "names, joined by commas; see FleetTroubles", false, "", "names", command);
+    TCLAP::ValuesConstraint<std::string> sites(siteNames);
+    const TCLAP::ValueArg<std::string> site("", "site", "deployment", false, "roata", &sites, command);
     const TCLAP::ValueArg<double> load("", "load", "share of the site's rates", false, 0.5, "share", command);
     const TCLAP::ValueArg<double> work("", "work", "factor of the time that a task takes", false, 1, "factor", command);
     const TCLAP::ValueArg<double> hopeless(
@@ -36,6 +42,7 @@
     options.m_seconds = seconds.getValue();
     options.m_basePort = static_cast<std::uint16_t>(basePort.getValue());
     options.m_troubles = troubles.getValue();
+    options.m_site = site.getValue();
     options.m_work = work.getValue();
     options.m_load.m_scale = load.getValue();
     options.m_load.m_hopeless = hopeless.getValue();
--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -20,6 +20,16 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Whether a kind notes each of its disruptions, or is none. The others count as one that lasts until the end.
+auto notesDisruptions(std::string_view kind) -> bool
+{
+    return kind == "store-away" || kind == "waves" || kind == "configurations";
+}
+
+} // namespace
+
 FleetTroubles::FleetTroubles(asio::io_context& context, FleetRecord& record, FleetInstances& instances,
     FleetMachines& machines, FleetClients& clients, StoreFaults& store, std::uint64_t seed)
     : m_context(context)
@@ -47,6 +57,7 @@
         { "owner-pause", &FleetTroubles::ownerPause },
         { "owner-term", &FleetTroubles::ownerTerm },
         { "store", &FleetTroubles::storeTrouble },
+        { "store-away", &FleetTroubles::storeAway },
     };
     for (const auto& [known, kind] : kinds) {
         if (known == name)
@@ -60,6 +71,8 @@
     std::istringstream list(names);
     for (std::string name; std::getline(list, name, ',');) {
         const auto kind = kindOf(name);
+        if (!notesDisruptions(name))
+            m_record.beginDisruption();
         if (m_calls.play(name, until))
             continue;
         if (kind == nullptr)
@@ -75,6 +88,7 @@
     m_isOver = true;
     m_calls.end();
     m_store.m_isDown = false;
+    m_store.m_isSilent = false;
     m_store.m_delayMs = 0;
     m_store.m_lostPercent = 0;
     for (auto& machine : m_machines.machines())
@@ -83,6 +97,7 @@
         m_instances.signal(i, SIGCONT);
         m_instances.start(i);
     }
+    m_record.endDisruptions();
     co_return;
 }
 
@@ -97,6 +112,8 @@
     co_await detail::sleepFor(time);
 }
 
+auto FleetTroubles::isOver(std::int64_t until) const -> bool { return m_isOver || m_record.now() >= until; }
+
 auto FleetTroubles::anyMachine() -> std::size_t { return m_random() % m_machines.machines().size(); }
 
 auto FleetTroubles::owner() -> std::size_t
@@ -136,8 +153,10 @@
 // Executors at work crash and are back within milliseconds.
 auto FleetTroubles::blink(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(20, 200);
+        if (isOver(until))
+            co_return;
         const auto machine = anyMachine();
         const auto& executor = m_machines.machines()[machine].m_executor;
         if (executor->isUp() && executor->runCount() > 0)
@@ -147,8 +166,10 @@
 
 auto FleetTroubles::crash(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(200, 1200);
+        if (isOver(until))
+            co_return;
         const auto machine = anyMachine();
         const Duration down { m_random() % 2 == 0 ? between(20, 300) : between(300, 6000) };
         if (m_machines.machines()[machine].m_executor->isUp())
@@ -158,8 +179,10 @@
 
 auto FleetTroubles::cut(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(200, 2000);
+        if (isOver(until))
+            co_return;
         const auto executor = m_machines.machines()[anyMachine()].m_executor;
         executor->m_faults.m_isCut = true;
         m_record.write(executor->place().m_id, "cut off");
@@ -171,8 +194,10 @@
 
 auto FleetTroubles::mute(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(200, 2000);
+        if (isOver(until))
+            co_return;
         const auto executor = m_machines.machines()[anyMachine()].m_executor;
         executor->m_faults.m_isMute = true;
         m_record.write(executor->place().m_id, "answers are lost");
@@ -184,7 +209,7 @@
 
 auto FleetTroubles::lostAnswers(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (!isOver(until)) {
         for (auto& machine : m_machines.machines())
             machine.m_executor->m_faults.m_lostAnswer = 0.05;
         co_await pause(2000, 6000);
@@ -196,7 +221,7 @@
 
 auto FleetTroubles::lateOrders(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (!isOver(until)) {
         for (auto& machine : m_machines.machines())
             machine.m_executor->m_faults.m_lateOrder = 0.06;
         co_await pause(2000, 6000);
@@ -208,8 +233,10 @@
 
 auto FleetTroubles::ownerKill(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(2000, 7000);
+        if (isOver(until))
+            co_return;
         const auto index = owner();
         m_instances.signal(index, SIGKILL);
         co_await pause(100, 3000);
@@ -219,8 +246,10 @@
 
 auto FleetTroubles::ownerPause(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(2000, 7000);
+        if (isOver(until))
+            co_return;
         const auto index = owner();
         m_instances.signal(index, SIGSTOP);
         co_await pause(200, 7000);
@@ -230,8 +259,10 @@
 
 auto FleetTroubles::ownerTerm(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(1000, 4000);
+        if (isOver(until))
+            co_return;
         const auto index = owner();
         m_instances.signal(index, SIGTERM);
         co_await pause(6000, 7000);
@@ -242,8 +273,10 @@
 
 auto FleetTroubles::storeTrouble(std::int64_t until) -> asio::awaitable<void>
 {
-    while (!m_isOver && m_record.now() < until) {
+    while (true) {
         co_await pause(1500, 5000);
+        if (isOver(until))
+            co_return;
         const auto kind = between(0, 2);
         m_record.write("store", kind == 0 ? "down" : kind == 1 ? "slow" : "loses answers");
         m_record.disturb(FleetRecord::store, FleetRecord::lasting);
@@ -251,6 +284,8 @@
         m_store.m_delayMs = kind == 1 ? 200 : 0;
         m_store.m_lostPercent = kind == 2 ? 30 : 0;
         co_await pause(500, 5000);
+        if (m_isOver)
+            co_return;
         m_record.write("store", "sound");
         m_record.disturb(FleetRecord::store, m_record.now());
         m_store.m_isDown = false;
@@ -259,4 +294,29 @@
     }
 }
 
+// The store is away longer than most leases, for everybody at the same time.
+auto FleetTroubles::storeAway(std::int64_t until) -> asio::awaitable<void>
+{
+    while (true) {
+        co_await pause(7000, 11000);
+        if (isOver(until))
+            co_return;
+        const auto isSilent = between(0, 1) == 1;
+        m_machines.m_doEntriesExpire = between(0, 1) == 1;
+        m_record.write("store", isSilent ? "silent" : "down");
+        m_record.disturb(FleetRecord::store, FleetRecord::lasting);
+        m_record.beginDisruption();
+        m_store.m_isSilent = isSilent;
+        m_store.m_isDown = !isSilent;
+        co_await pause(4000, 10000);
+        if (m_isOver)
+            co_return;
+        m_store.m_isSilent = false;
+        m_store.m_isDown = false;
+        m_record.write("store", "sound");
+        m_record.disturb(FleetRecord::store, m_record.now());
+        m_record.endDisruption();
+    }
+}
+
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetTroubles.h
+++ b/tests/fleet/FleetTroubles.h
@@ -47,10 +47,12 @@
     auto ownerPause(std::int64_t until) -> boost::asio::awaitable<void>;
     auto ownerTerm(std::int64_t until) -> boost::asio::awaitable<void>;
     auto storeTrouble(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto storeAway(std::int64_t until) -> boost::asio::awaitable<void>;
 
     auto kindOf(std::string_view name) const -> Kind;
     auto pause(std::int64_t leastMs, std::int64_t mostMs) -> boost::asio::awaitable<void>;
     auto between(std::int64_t least, std::int64_t most) -> std::int64_t;
+    [[nodiscard]] auto isOver(std::int64_t until) const -> bool;
     auto anyMachine() -> std::size_t;
     auto owner() -> std::size_t;
 
--- a/tests/fleet/PoolSite.h
+++ b/tests/fleet/PoolSite.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LastingSite.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -17,6 +19,9 @@
     std::size_t m_tasks = 0; ///< Of a step.
     std::int64_t m_workMs = 0;
     std::int64_t m_cpu = 0; ///< Of a task, in thousandths of a core.
+    std::int64_t m_memoryMb = 1024; ///< Of a task.
+    double m_spread = 0; ///< Of the number of tasks, their work, processor and memory, about their means.
+    LastingSite m_lasting {};
 };
 
 } // namespace hemlockvane::fleetrun
