Log why a long-running task waits

No line told whether a task that lasts had no run because the owner took it for running, because executors were closed to starts and why, or because they were full. event=waiting counts, once a second and for each step that waits, the executors of the pool by what keeps the task from them; isSchedulable and the check of room name their reasons for it.

--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -7,6 +7,7 @@
 #include "hemlockvane/fleet/FleetAction.h"
 #include "hemlockvane/scheduling/Action.h"
 #include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/TaskKey.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -53,6 +54,7 @@
     std::vector<fleet::FleetAction> m_pendingMachineOrders; ///< Orders for machines, to be sent once they are stored.
     FleetControlState m_fleet;
     OwnerLoad m_load;
+    std::set<scheduling::TaskKey> m_waitingSteps; ///< Steps with long-running tasks that waited a second ago.
     Duration m_loopDelay { 0 }; ///< How late timers are resumed at present.
 };
 
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -58,6 +58,10 @@
 /// @brief Lower bound of an executor's clock, in ms.
 auto clockLowerBound(const Executor& executor, Instant now) -> std::int64_t;
 
+/// @brief What keeps starts from the executor, whatever the task.
+/// @result a word for the logs; empty if tasks may be started there
+[[nodiscard]] auto obstacleToStarts(const Executor& executor, Instant now) -> std::string_view;
+
 /// @brief Whether tasks may be started on the executor.
 auto isSchedulable(const Executor& executor, Instant now) -> bool;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -7,6 +7,7 @@
 #include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/LoadState.h"
 #include "hemlockvane/detail/coordinator/ManageFleet.h"
+#include "hemlockvane/detail/coordinator/ReportWaiting.h"
 #include "hemlockvane/detail/coordinator/RulesVersion.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/SendActions.h"
@@ -183,7 +184,8 @@
     }
 }
 
-// Logs what the owner did in each second, so that a lack of processor time can be told from a lack of executors.
+// Logs what the owner did in each second, so that a lack of processor time can be told from a lack of executors, and
+// what waits although it should not.
 auto logLoad(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
 {
     while (!state->m_isStopped) {
@@ -200,6 +202,7 @@
             load.m_polls, load.m_pollsWithNews, load.m_pollsUnanswered, load.m_ends, load.m_starts, load.m_plans,
             load.m_planTime.count(), load.m_longestPlan.count(), load.m_batches, load.m_longestBatch.count(),
             load.m_longestDelay.count(), scheduler.m_active.size(), busy);
+        reportWaiting(*state);
     }
 }
 
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -2,8 +2,8 @@
 
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/CheckFit.h"
 #include "hemlockvane/scheduling/IndexRoom.h"
-#include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/OrderCandidates.h"
 #include "hemlockvane/scheduling/RankPlacement.h"
@@ -25,24 +25,10 @@
 
 namespace {
 
-auto hasTicket(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index) -> bool
-{
-    return !candidate.m_queue->m_needsAdvice || !ticketFor(candidate.m_state->m_advice, executor, index).empty();
-}
-
 auto hasRoom(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
     -> bool
 {
-    const auto& spec = *candidate.m_spec;
-    auto used = executor.m_used;
-    addTo(used, planned);
-    if (!fitsWithin(candidate.m_need, used, executor.m_entry.m_capacity))
-        return false;
-    if (!hasLabel(executor.m_entry.m_labels, spec.m_requiredLabel))
-        return false;
-    const auto runsOnExecutor = candidate.m_state->m_runsByExecutor.find(index);
-    return spec.m_perExecutorLimit == 0 || runsOnExecutor == candidate.m_state->m_runsByExecutor.end()
-        || runsOnExecutor->second < spec.m_perExecutorLimit;
+    return obstacleToRoom(candidate, executor, index, planned).empty();
 }
 
 auto canHold(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -260,12 +260,25 @@
     return executor.m_clockMs + (now - executor.m_clockReadAt).count() * minimumClockRatePercent / clockRatePercent;
 }
 
-auto isSchedulable(const Executor& executor, Instant now) -> bool
+auto obstacleToStarts(const Executor& executor, Instant now) -> std::string_view
 {
-    return executor.m_isRegistered && executor.m_isReconciled && !executor.m_isUnresponsive && !executor.m_isReserved
-        && !executor.m_isLeaving && !executor.m_entry.m_isDraining && executor.m_backoffUntil <= now;
+    if (!executor.m_isRegistered)
+        return "unlisted";
+    if (executor.m_isUnresponsive)
+        return "silent";
+    if (!executor.m_isReconciled)
+        return "not_listed_runs";
+    if (executor.m_isReserved)
+        return "reserved";
+    if (executor.m_isLeaving)
+        return "leaving";
+    if (executor.m_entry.m_isDraining)
+        return "draining";
+    return executor.m_backoffUntil <= now ? "" : "backoff";
 }
 
+auto isSchedulable(const Executor& executor, Instant now) -> bool { return obstacleToStarts(executor, now).empty(); }
+
 auto isCapacityKnown(const Scheduler& scheduler, const Executor& executor, Instant now) -> bool
 {
     return isCapacityKnown(scheduler, executor.m_entry.m_service, now);
