--- a/include/hemlockvane/scheduling/PollSchedule.h
+++ b/include/hemlockvane/scheduling/PollSchedule.h
@@ -6,9 +6,13 @@
 
 struct Executor;
 
-/// @brief Whether an executor is to be polled at all: it has runs, or ends that it does not know to be stored.
+/// @brief Whether an executor is to be polled at all: it has runs, or ends that it does not know to be stored, or it
+/// did not answer the last poll and is still listed.
 [[nodiscard]] auto needsPoll(const Executor& executor) -> bool;
 
+/// @brief Returns the time after a poll without an answer until the next one.
+[[nodiscard]] auto unansweredPollPause(const Executor& executor) -> Duration;
+
 /// @brief Returns the shortest time between two polls of an executor.
 ///
 /// Answers the load of an owner that is behind: it then polls less often, and one answer contains the ends of several
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -33,11 +33,10 @@
 
 constexpr Duration registryReadInterval { 250 }; // Between two reads of the registry; a drain must be known within 2 s.
 constexpr Duration pollWait { 900 }; // Maximum wait of a poll for an ended run; a lease lasts for several polls.
-constexpr Duration unresponsiveRetryInterval { 150 }; // After a poll without an answer.
 constexpr Duration newerOwnerCheckInterval { 200 }; // Until a renewal shows that there is no newer owner.
 // An executor that has not answered for longer may have been replaced by another life under its id.
 constexpr Duration lifeCheckInterval { 300 };
-constexpr Duration idlePollInterval { 30000 }; // For an executor without runs.
+constexpr Duration idlePollInterval { 30000 }; // For an executor without runs that answered the last poll.
 
 auto startPolling(const std::shared_ptr<CoordinatorState>& state, scheduling::ExecutorIndex index) -> void
 {
@@ -296,7 +295,7 @@
         if (state->m_isStopped)
             co_return;
         if (!isAnswered) {
-            co_await sleepFor(unresponsiveRetryInterval);
+            co_await sleepFor(scheduling::unansweredPollPause(executor));
             continue;
         }
         const auto answeredAt = monotonicNow();
--- a/src/scheduling/PollSchedule.cpp
+++ b/src/scheduling/PollSchedule.cpp
@@ -12,6 +12,8 @@
 constexpr Duration longestSpacing { 250 }; // Capacity that has become free is not noticed for longer than this.
 constexpr int spacingPerDelay = 3;
 constexpr Duration pauseWhileStoring { 900 }; // A lease lasts for several polls.
+constexpr Duration retryPause { 150 }; // A lease allows for several polls without an answer.
+constexpr Duration idleRetryPause { 500 }; // Without runs nothing is lost but the executor's capacity.
 constexpr int delaySmoothing = 8; // The delay follows about this many timers.
 
 } // namespace
@@ -20,8 +22,14 @@
 {
     if (executor.m_isTerminated || (!executor.m_isRegistered && executor.m_runs.empty()))
         return false;
-    return !executor.m_isReconciled || !executor.m_runs.empty() || executor.m_appliedEnd > executor.m_acknowledgedEnd
-        || !executor.m_unacknowledgedEnds.empty();
+    // Only an answer shows that a silent executor can be used again.
+    return executor.m_isUnresponsive || !executor.m_isReconciled || !executor.m_runs.empty()
+        || executor.m_appliedEnd > executor.m_acknowledgedEnd || !executor.m_unacknowledgedEnds.empty();
+}
+
+auto unansweredPollPause(const Executor& executor) -> Duration
+{
+    return executor.m_runs.empty() ? idleRetryPause : retryPause;
 }
 
 auto pollSpacing(Duration loopDelay) -> Duration
