--- a/include/hemlockvane/scheduling/BlameCrashes.h
+++ b/include/hemlockvane/scheduling/BlameCrashes.h
@@ -47,6 +47,9 @@
 /// @brief Counts as certain what was counted for a silent executor, which is now known to have ended.
 auto confirmBlame(Scheduler& scheduler, ExecutorIndex index) -> void;
 
+/// @brief Leaves open whether a silent executor has crashed, since nothing more will be heard of it.
+auto forgetSilence(Scheduler& scheduler, ExecutorIndex index) -> void;
+
 /// @brief Fails the jobs whose tasks were found to crash executors.
 /// @result the tasks that were given up
 auto giveUpCrashingTasks(Scheduler& scheduler, WallMillis wall) -> std::vector<TaskKey>;
--- a/include/hemlockvane/scheduling/TaskState.h
+++ b/include/hemlockvane/scheduling/TaskState.h
@@ -17,6 +17,8 @@
     /// Those of the possible crashes whose executor has certainly ended; only its receipt of the start is not certain.
     /// Not stored: after a takeover they count as possible only.
     std::uint32_t m_unansweredCrashes = 0;
+    /// Those of the possible crashes of which a silent executor's answer or end will tell. Not stored.
+    std::uint32_t m_pendingCrashes = 0;
     bool m_needsTrial = false; ///< It may be started on trial only; see `blameCrash`.
     std::uint32_t m_highestRun = 0;
     std::uint64_t m_countedRunBits = 0; ///< Bit `run % 64` is set once the outcome of that run was counted.
--- a/src/scheduling/BlameCrashes.cpp
+++ b/src/scheduling/BlameCrashes.cpp
@@ -75,6 +75,25 @@
         scheduler.m_crashingTasks.push_back(suspect.m_task);
 }
 
+auto suspectSilence(Executor& executor, TaskState& task, const SilentSuspect& suspect) -> void
+{
+    executor.m_suspectsOfSilence.push_back(suspect);
+    ++task.m_pendingCrashes;
+}
+
+// The suspects of a silence that has ended, and the state of each one's task if it is still known.
+auto takeSuspects(Scheduler& scheduler, ExecutorIndex index) -> std::vector<std::pair<SilentSuspect, TaskState*>>
+{
+    std::vector<std::pair<SilentSuspect, TaskState*>> taken;
+    for (const auto& suspect : std::exchange(scheduler.m_executors[index]->m_suspectsOfSilence, {})) {
+        auto* task = findTask(scheduler, suspect.m_task);
+        if (task != nullptr && task->m_pendingCrashes > 0)
+            --task->m_pendingCrashes;
+        taken.emplace_back(suspect, task);
+    }
+    return taken;
+}
+
 } // namespace
 
 auto isCrash(const Executor& executor) -> bool
@@ -109,7 +128,7 @@
         if (isCertain)
             countCertainEnd(scheduler, counted);
         else
-            executor.m_suspectsOfSilence.push_back(counted);
+            suspectSilence(executor, task, counted);
         task.m_needsTrial = wereStartedLast || task.m_crashes >= crashesOfOnlySuspect;
         markDirty(scheduler, *findJob(scheduler, suspect.m_task.m_job));
     }
@@ -117,23 +136,19 @@
 
 auto withdrawBlame(Scheduler& scheduler, ExecutorIndex index) -> void
 {
-    for (const auto& suspect : scheduler.m_executors[index]->m_suspectsOfSilence) {
-        auto* task = findTask(scheduler, suspect.m_task);
+    for (const auto& [suspect, task] : takeSuspects(scheduler, index)) {
         if (task == nullptr || task->m_possibleCrashes == 0)
             continue;
         --task->m_possibleCrashes;
         task->m_needsTrial = task->m_needsTrial && task->m_crashes + task->m_possibleCrashes > 0;
         markDirty(scheduler, *findJob(scheduler, suspect.m_task.m_job));
     }
-    scheduler.m_executors[index]->m_suspectsOfSilence.clear();
 }
 
 auto confirmBlame(Scheduler& scheduler, ExecutorIndex index) -> void
 {
-    auto& executor = *scheduler.m_executors[index];
-    for (const auto& suspect : std::exchange(executor.m_suspectsOfSilence, {})) {
-        auto* task = findTask(scheduler, suspect.m_task);
-        if (task == nullptr || task->m_possibleCrashes == 0 || !isCrash(executor))
+    for (const auto& [suspect, task] : takeSuspects(scheduler, index)) {
+        if (task == nullptr || task->m_possibleCrashes == 0 || !isCrash(*scheduler.m_executors[index]))
             continue;
         if (suspect.m_isConfirmed)
             --task->m_possibleCrashes;
@@ -142,6 +157,8 @@
     }
 }
 
+auto forgetSilence(Scheduler& scheduler, ExecutorIndex index) -> void { takeSuspects(scheduler, index); }
+
 auto giveUpCrashingTasks(Scheduler& scheduler, WallMillis wall) -> std::vector<TaskKey>
 {
     std::vector<TaskKey> givenUp;
@@ -175,8 +192,8 @@
 
 auto isHeldBack(const Scheduler& scheduler, const TaskState& task) -> bool
 {
-    // Whether executors have crashed under it is not known: it is neither given up nor started until that is.
-    if (task.m_possibleCrashes > 0 && task.m_crashes + task.m_possibleCrashes >= maximumCrashes)
+    // Whether executors have crashed under it will be known: until then it is neither given up nor started.
+    if (task.m_pendingCrashes > 0 && task.m_crashes + task.m_possibleCrashes >= maximumCrashes)
         return true;
     const auto unresolved = unresolvedCrashes(scheduler, task);
     return unresolved > 0 && task.m_crashes + unresolved >= crashesOfOnlySuspect;
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -344,6 +344,7 @@
         if (executor.m_isRegistered || !executor.m_runs.empty() || !executor.m_unacknowledgedEnds.empty())
             return false;
         executor.m_isActive = false;
+        forgetSilence(scheduler, index);
         removeFromPool(scheduler, index);
         retired.push_back(index);
         return true;
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -38,7 +38,9 @@
     CPPUNIT_TEST(silence_fourExecutorsCutOff_taskIsNotGivenUp);
     CPPUNIT_TEST(silence_endsInNewLife_taskIsGivenUpWithTheSecond);
     CPPUNIT_TEST(silence_fourExecutorsSilent_taskIsNotStarted);
+    CPPUNIT_TEST(silence_fourExecutorsGone_taskIsStartedOnTrial);
     CPPUNIT_TEST(crash_runRestoredAfterTakeover_countsAsPossible);
+    CPPUNIT_TEST(crash_runsRestoredByFourOwners_taskIsStartedOnTrial);
     CPPUNIT_TEST(crash_startsUnansweredFourTimes_taskIsGivenUp);
     CPPUNIT_TEST(crash_afterItsTaskIsDone_jobGoesOn);
     CPPUNIT_TEST_SUITE_END();
@@ -333,6 +335,22 @@
         CPPUNIT_ASSERT(phase() == JobPhase::Running);
     }
 
+    // Guards against a task that waits for ever for word of executors that have left.
+    auto silence_fourExecutorsGone_taskIsStartedOnTrial() -> void
+    {
+        for (const auto* id : { "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9" })
+            addExecutor(id);
+        std::vector<Action> silent;
+        for (int silences = 0; silences < 4; ++silences)
+            silent.push_back(silentUntilLeaseExpires());
+        CPPUNIT_ASSERT(startAll().empty());
+        for (const auto& start : silent)
+            unregisterExecutor(m_scheduler, m_scheduler.m_executors[start.m_executor]->m_entry.m_id);
+        retireExecutors(m_scheduler);
+        CPPUNIT_ASSERT(needsTrial(m_scheduler, *findTask(m_scheduler, silent[0].m_task)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
+    }
+
     // Guards against a task that crashes executors without end, since their leases expire before their next life.
     auto silence_endsInNewLife_taskIsGivenUpWithTheSecond() -> void
     {
@@ -361,6 +379,26 @@
         CPPUNIT_ASSERT_EQUAL(1U, findTask(m_scheduler, start.m_task)->m_possibleCrashes);
     }
 
+    // Guards against a task that is never started again, since nothing tells whether it crashed its executors.
+    auto crash_runsRestoredByFourOwners_taskIsStartedOnTrial() -> void
+    {
+        submit({ step(1, 1000) });
+        for (int owners = 0; owners < 4; ++owners) {
+            const auto start = startAll().at(0);
+            const auto progress = progressOf(m_scheduler, *findJob(m_scheduler, job));
+            setUp();
+            submit({ step(1, 1000) });
+            restoreProgress(m_scheduler, job, progress, m_now);
+            report(start.m_executor, { { start.m_task, start.m_run, {}, 10, 0 } });
+            m_now += crashAfter;
+            restart(start.m_executor);
+            m_now += downTime;
+        }
+        CPPUNIT_ASSERT_EQUAL(4U, findTask(m_scheduler, { job, 0, 0, 0 })->m_possibleCrashes);
+        CPPUNIT_ASSERT(needsTrial(m_scheduler, *findTask(m_scheduler, { job, 0, 0, 0 })));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
+    }
+
     auto crash_startsUnansweredFourTimes_taskIsGivenUp() -> void
     {
         submit({ step(1, 1000) });
