--- a/include/hemlockvane/fleet/MachineView.h
+++ b/include/hemlockvane/fleet/MachineView.h
@@ -17,6 +17,7 @@
     bool m_hasPendingOrder = false; ///< True while an order for it is in flight or not yet visible in the machine list.
     bool m_isSpare = false; ///< True when it is in a spare pool.
     std::string m_destinationPool; ///< Pool that it is moving to; empty when it is not moving.
+    std::string m_drainedFor; ///< Pool for whose long-running tasks it is drained; empty: none.
     std::uint32_t m_runs = 0; ///< Number of runs on its executor.
     std::uint32_t m_activeLongRunningRuns = 0; ///< Number of these that belong to long-running tasks.
     std::int64_t m_usedCpuMilliCores = 0;
--- a/include/hemlockvane/fleet/PlanPoolMoves.h
+++ b/include/hemlockvane/fleet/PlanPoolMoves.h
@@ -15,7 +15,11 @@
 ///
 /// Queues reach several times their mean load at different times, so their pools can share machines. Only machines
 /// without runs are moved, so no task is interrupted.
-/// @param actions receives the moves
+///
+/// When all are busy, none would become free for long-running tasks whose step may not use the machines of its pool:
+/// what ends there makes room for short tasks again. So machines without long-running tasks are drained for them, those
+/// of their own pool first, then the least busy ones.
+/// @param actions receives the moves, drains and releases
 auto planPoolMoves(const FleetView& view, const FleetTiming& timing, Instant now, std::vector<FleetAction>& actions)
     -> void;
 
--- a/include/hemlockvane/fleet/PoolView.h
+++ b/include/hemlockvane/fleet/PoolView.h
@@ -19,6 +19,9 @@
     std::int64_t m_blockedMilliCores = 0; ///< Tasks that wait for other tasks to finish.
     /// Number of further machines that waiting tasks need, by required label; an empty label stands for any machine.
     std::map<std::string, std::uint32_t> m_machinesWanted;
+    /// Those of them that long-running tasks need, by required label.
+    std::map<std::string, std::uint32_t> m_machinesForLongRunning {};
+    Duration m_waitOfLongRunning { 0 }; ///< For how long long-running tasks have wanted machines without a break.
     std::int64_t m_arrivingGrowth = 0; ///< Growth of `m_arrivingMilliCores`, in millicores a second; not negative.
 };
 
--- a/include/hemlockvane/scheduling/PoolDemand.h
+++ b/include/hemlockvane/scheduling/PoolDemand.h
@@ -15,6 +15,7 @@
     std::int64_t m_blockedMilliCores = 0; ///< Tasks that wait for other steps.
     /// Number of further executors that waiting tasks need, by required label; an empty label stands for any executor.
     std::map<std::string, std::uint32_t> m_executorsWanted;
+    std::map<std::string, std::uint32_t> m_executorsForLongRunning; ///< The same for long-running tasks alone.
 };
 
 } // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -38,6 +38,9 @@
         view.m_destinationPool = machine.m_pool;
     else if (ordered != fleetState.m_outstandingOrders.end())
         view.m_destinationPool = ordered->second.m_pool;
+    const auto drained = fleetState.m_drainedFor.find(machine.m_id);
+    if (drained != fleetState.m_drainedFor.end() && view.m_isReserved)
+        view.m_drainedFor = drained->second;
     view.m_isSpare = state.m_scheduler.m_rules.m_spareServices.contains(machine.m_pool);
     auto* executor = findExecutor(state, machine.m_executorId);
     if (executor != nullptr) {
@@ -58,6 +61,15 @@
     return view;
 }
 
+// For how long long-running tasks of the pool have wanted machines; starts and ends the count.
+auto measureWaitOfLongRunning(FleetControlState& fleetState, const fleet::PoolView& pool, Instant now) -> Duration
+{
+    if (!pool.m_machinesForLongRunning.empty())
+        return now - fleetState.m_waitOfLongRunningSince.try_emplace(pool.m_name, now).first->second;
+    fleetState.m_waitOfLongRunningSince.erase(pool.m_name);
+    return Duration { 0 };
+}
+
 } // namespace
 
 auto executorOf(CoordinatorState& state, const std::string& machine) -> scheduling::Executor*
@@ -87,6 +99,8 @@
         pool.m_arrivingGrowth = demand.m_arrivingGrowth;
         pool.m_blockedMilliCores = demand.m_blockedMilliCores;
         pool.m_machinesWanted = demand.m_executorsWanted;
+        pool.m_machinesForLongRunning = demand.m_executorsForLongRunning;
+        pool.m_waitOfLongRunning = measureWaitOfLongRunning(state.m_fleet, pool, now);
     }
     for (const auto& machine : state.m_fleet.m_machines) {
         view.m_machines.push_back(viewMachine(state, machine, now));
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -86,13 +86,20 @@
 
 auto carryOut(CoordinatorState& state, FleetAction action) -> void
 {
-    if (action.m_kind != FleetActionKind::Reserve) {
+    if (action.m_kind == FleetActionKind::Move || action.m_kind == FleetActionKind::Maintain) {
+        state.m_fleet.m_drainedFor.erase(action.m_machine);
         placeMachineOrder(state, std::move(action));
         return;
     }
-    logOf("fleet").info(
-        "event=reserve machine={} wave={} reason=\"{}\"", action.m_machine, action.m_wave, action.m_reason);
-    setReserved(state, action.m_machine, true);
+    const auto isRelease = action.m_kind == FleetActionKind::Release;
+    logOf("fleet").info("event={} machine={} wave={} pool={} reason=\"{}\"", isRelease ? "release" : "reserve",
+        action.m_machine, action.m_wave, action.m_pool, action.m_reason);
+    setReserved(state, action.m_machine, !isRelease);
+    if (action.m_kind == FleetActionKind::Drain)
+        state.m_fleet.m_drainedFor[action.m_machine] = action.m_pool;
+    else
+        state.m_fleet.m_drainedFor.erase(action.m_machine);
+    state.m_planSignal.notify();
 }
 
 auto reportWave(const std::shared_ptr<CoordinatorState>& state, const fleet::WaveState& wave) -> asio::awaitable<void>
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -63,7 +63,8 @@
         for (const auto& machine : view.m_machines) {
             if (isFree(machine) && !machine.m_mayHaveUnknownRuns)
                 m_free.push_back(&machine);
-            if (machine.m_machine.m_state == MachineState::Up && machine.m_destinationPool.empty())
+            if (machine.m_machine.m_state == MachineState::Up && machine.m_destinationPool.empty()
+                && machine.m_drainedFor.empty())
                 ++m_machines[machine.m_machine.m_pool];
         }
         // First machines that would be returned to the spare pool now, which saves their way back; then spare machines,
@@ -111,6 +112,38 @@
         }
     }
 
+    // Machines that were drained are used once they are empty, or given back if they are not wanted any more.
+    auto useDrainedMachines() -> void
+    {
+        for (const auto& machine : m_view.m_machines) {
+            const auto& pool = machine.m_drainedFor;
+            if (pool.empty() || machine.m_hasPendingOrder || machine.m_machine.m_state != MachineState::Up)
+                continue;
+            const auto isReady = machine.m_runs == 0 && machine.m_hasExecutor;
+            const auto isWanted = !m_pools[pool].m_machinesForLongRunning.empty();
+            if (isWanted && isReady && machine.m_machine.m_pool != pool)
+                move(machine, pool, "drained for a long-running task");
+            else if (isReady || !isWanted)
+                release(machine);
+        }
+    }
+
+    // Drains machines for long-running tasks that nothing else makes room for.
+    auto drainForLongRunning(const std::string& name, const FleetTiming& timing) -> void
+    {
+        const auto& pool = m_pools[name];
+        if (pool.m_waitOfLongRunning < timing.m_patienceForLongRunning)
+            return;
+        for (const auto& [label, wanted] : pool.m_machinesForLongRunning) {
+            auto coming = availableOrComing(name, label) + drainedFor(name, label);
+            for (const auto* machine = cheapestToDrain(name, label); coming < wanted && machine != nullptr;
+                 machine = cheapestToDrain(name, label)) {
+                drain(*machine, name);
+                ++coming;
+            }
+        }
+    }
+
     auto returnIdleMachines(const FleetTiming& timing, Instant now, const std::string& spare) -> void
     {
         for (const auto* machine : m_free) {
@@ -147,6 +180,50 @@
         });
     }
 
+    auto drainedFor(const std::string& pool, const std::string& label) const -> std::int64_t
+    {
+        return std::count_if(m_view.m_machines.begin(), m_view.m_machines.end(), [&](const MachineView& machine) {
+            return machine.m_drainedFor == pool && !m_moved.contains(machine.m_machine.m_id)
+                && scheduling::hasLabel(machine.m_machine.m_labels, label);
+        });
+    }
+
+    auto mayDrain(const MachineView& machine, const std::string& to) -> bool
+    {
+        const auto& from = machine.m_machine.m_pool;
+        return machine.m_machine.m_state == MachineState::Up && machine.m_hasExecutor && !machine.m_isReserved
+            && !machine.m_hasPendingOrder && !machine.m_isSpare && machine.m_activeLongRunningRuns == 0
+            && !machine.m_mayHaveUnknownRuns && !m_moved.contains(machine.m_machine.m_id)
+            && (from == to || m_machines[from] > minMachines);
+    }
+
+    // Null if there is none.
+    auto cheapestToDrain(const std::string& pool, const std::string& label) -> const MachineView*
+    {
+        const auto rank = [&](const MachineView& machine) {
+            return std::tuple(machine.m_machine.m_pool != pool, machine.m_usedCpuMilliCores, machine.m_machine.m_id);
+        };
+        const MachineView* best = nullptr;
+        for (const auto& machine : m_view.m_machines) {
+            if (mayDrain(machine, pool) && scheduling::hasLabel(machine.m_machine.m_labels, label)
+                && (best == nullptr || rank(machine) < rank(*best)))
+                best = &machine;
+        }
+        return best;
+    }
+
+    auto drain(const MachineView& machine, const std::string& to) -> void
+    {
+        --m_machines[machine.m_machine.m_pool];
+        m_moved[machine.m_machine.m_id] = to;
+        m_actions.push_back({ FleetActionKind::Drain, machine.m_machine.m_id, 0, to, "long-running task waits" });
+    }
+
+    auto release(const MachineView& machine) -> void
+    {
+        m_actions.push_back({ FleetActionKind::Release, machine.m_machine.m_id, 0, {}, "drained or not wanted" });
+    }
+
     auto mayGiveUp(const MachineView& machine, const std::string& to) -> bool
     {
         const auto& from = machine.m_machine.m_pool;
@@ -163,8 +240,10 @@
     auto move(const MachineView& machine, const std::string& to, const char* reason) -> void
     {
         const auto& from = machine.m_machine.m_pool;
-        m_pools[from].m_capacityMilliCores -= machine.m_isSpare ? 0 : machine.m_machine.m_capacity.m_cpuMilliCores;
-        --m_machines[from];
+        if (machine.m_drainedFor.empty()) {
+            m_pools[from].m_capacityMilliCores -= machine.m_isSpare ? 0 : machine.m_machine.m_capacity.m_cpuMilliCores;
+            --m_machines[from];
+        }
         m_moved[machine.m_machine.m_id] = to;
         m_actions.push_back({ FleetActionKind::Move, machine.m_machine.m_id, 0, to, reason });
     }
@@ -183,6 +262,7 @@
     -> void
 {
     MovePlan plan(view, timing, now, actions);
+    plan.useDrainedMachines();
     plan.fillShortPools();
     std::string spare;
     for (const auto& [name, pool] : view.m_pools) {
@@ -190,8 +270,10 @@
             spare = name;
     }
     for (const auto& [name, pool] : view.m_pools) {
-        if (!pool.m_isSpare)
-            plan.addWantedMachines(name);
+        if (pool.m_isSpare)
+            continue;
+        plan.addWantedMachines(name);
+        plan.drainForLongRunning(name, timing);
     }
     if (!spare.empty())
         plan.returnIdleMachines(timing, now, spare);
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -84,8 +84,13 @@
         return;
     demand.m_waitingMilliCores += need * waitingTasks;
     // Steps can share the executors, so the step with the most waiting tasks decides.
+    const auto executors = executorsWanted(spec, waitingTasks);
     auto& wanted = demand.m_executorsWanted[spec.m_requiredLabel];
-    wanted = std::max(wanted, executorsWanted(spec, waitingTasks));
+    wanted = std::max(wanted, executors);
+    if (!spec.m_isLongRunning)
+        return;
+    auto& forLongRunning = demand.m_executorsForLongRunning[spec.m_requiredLabel];
+    forLongRunning = std::max(forLongRunning, executors);
 }
 
 // Work of a number of arrivals, with the variance of this sum if jobs arrive independently of one another.
--- a/tests/core/fleetplan/MachinePlansTest.cpp
+++ b/tests/core/fleetplan/MachinePlansTest.cpp
@@ -30,6 +30,16 @@
     CPPUNIT_TEST(moves_machinesAlreadyLeaving_twoAreKept);
     CPPUNIT_TEST(moves_waitingTaskThatFitsNowhere_bringsOneMachine);
     CPPUNIT_TEST(moves_waitingTasksWantSeveralMachines_bringsThemAtOnce);
+    CPPUNIT_TEST(drains_longRunningTaskWaitsInFullFleet_drainsTheLeastBusyMachine);
+    CPPUNIT_TEST(drains_machineOfItsOwnPool_comesFirst);
+    CPPUNIT_TEST(drains_longRunningTaskWaitsShortly_drainsNothing);
+    CPPUNIT_TEST(drains_machineIsComing_drainsNoOther);
+    CPPUNIT_TEST(drains_machinesWithLongRunningTasks_areLeftAlone);
+    CPPUNIT_TEST(drains_poolsOfTwoMachines_keepThem);
+    CPPUNIT_TEST(drains_drainedMachineIsBusy_staysReserved);
+    CPPUNIT_TEST(drains_drainedMachineIsEmpty_moves);
+    CPPUNIT_TEST(drains_drainedMachineOfItsOwnPoolIsEmpty_isReleased);
+    CPPUNIT_TEST(drains_drainedMachineNotWanted_isReleased);
     CPPUNIT_TEST(moves_machineInTransit_orderedOnlyOnce);
     CPPUNIT_TEST(moves_waitingTaskWithLabel_bringsMachineThatHasIt);
     CPPUNIT_TEST(moves_arrivalsGrow_bringsWhatIsNeededWhenTheMoveIsDone);
@@ -212,6 +222,95 @@
             CPPUNIT_ASSERT_EQUAL(std::string("a"), action.m_pool);
     }
 
+    // Guards against a long-running task that waits as long as all other pools are busy.
+    auto drains_longRunningTaskWaitsInFullFleet_drainsTheLeastBusyMachine() -> void
+    {
+        wantMachineInFullFleet();
+        machine("b2").m_usedCpuMilliCores = machineMilliCores / 2;
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == FleetActionKind::Drain);
+        CPPUNIT_ASSERT_EQUAL(std::string("b2"), actions[0].m_machine);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), actions[0].m_pool);
+    }
+
+    auto drains_machineOfItsOwnPool_comesFirst() -> void
+    {
+        wantMachineInFullFleet();
+        machine("a3").m_activeLongRunningRuns = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string("a3"), moves().at(0).m_machine);
+    }
+
+    auto drains_longRunningTaskWaitsShortly_drainsNothing() -> void
+    {
+        wantMachineInFullFleet();
+        m_view.m_pools["a"].m_waitOfLongRunning = m_timing.m_patienceForLongRunning - Duration(1);
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    auto drains_machineIsComing_drainsNoOther() -> void
+    {
+        wantMachineInFullFleet();
+        machine("b1").m_machine.m_state = MachineState::Moving;
+        machine("b1").m_destinationPool = "a";
+        CPPUNIT_ASSERT(moves().empty());
+        machine("b1").m_machine.m_state = MachineState::Up;
+        machine("b1").m_destinationPool.clear();
+        machine("b1").m_isReserved = true;
+        machine("b1").m_drainedFor = "a";
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    auto drains_machinesWithLongRunningTasks_areLeftAlone() -> void
+    {
+        wantMachineInFullFleet();
+        for (auto& machine : m_view.m_machines)
+            machine.m_activeLongRunningRuns = 1;
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    auto drains_poolsOfTwoMachines_keepThem() -> void
+    {
+        wantMachineInFullFleet();
+        for (const auto* gone : { "b0", "b1" })
+            machine(gone).m_machine.m_state = MachineState::Down;
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    auto drains_drainedMachineIsBusy_staysReserved() -> void
+    {
+        drainForA("b1");
+        CPPUNIT_ASSERT(moves().empty());
+    }
+
+    auto drains_drainedMachineIsEmpty_moves() -> void
+    {
+        drainForA("b1");
+        machine("b1").m_runs = 0;
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == FleetActionKind::Move);
+        CPPUNIT_ASSERT_EQUAL(std::string("b1"), actions[0].m_machine);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), actions[0].m_pool);
+    }
+
+    auto drains_drainedMachineOfItsOwnPoolIsEmpty_isReleased() -> void
+    {
+        drainForA("a3");
+        machine("a3").m_runs = 0;
+        CPPUNIT_ASSERT(moves().at(0).m_kind == FleetActionKind::Release);
+    }
+
+    auto drains_drainedMachineNotWanted_isReleased() -> void
+    {
+        drainForA("b1");
+        m_view.m_pools["a"].m_machinesForLongRunning.clear();
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT(actions[0].m_kind == FleetActionKind::Release);
+        CPPUNIT_ASSERT_EQUAL(std::string("b1"), actions[0].m_machine);
+    }
+
     auto moves_machineInTransit_orderedOnlyOnce() -> void
     {
         addWaitingTask({});
@@ -270,6 +369,27 @@
             machine(id).m_runs = 1;
     }
 
+    // All machines are busy, and a long-running task has waited for one more in pool a, whose machines run such tasks.
+    auto wantMachineInFullFleet() -> void
+    {
+        addWaitingTask("");
+        m_view.m_pools["a"].m_machinesForLongRunning = { { "", 1 } };
+        m_view.m_pools["a"].m_waitOfLongRunning = m_timing.m_patienceForLongRunning;
+        std::erase_if(m_view.m_machines, [](const MachineView& item) { return item.m_isSpare; });
+        for (auto& item : m_view.m_machines) {
+            item.m_runs = 1;
+            item.m_usedCpuMilliCores = machineMilliCores;
+            item.m_activeLongRunningRuns = item.m_machine.m_pool == "a" ? 1 : 0;
+        }
+    }
+
+    auto drainForA(const std::string& id) -> void
+    {
+        wantMachineInFullFleet();
+        machine(id).m_isReserved = true;
+        machine(id).m_drainedFor = "a";
+    }
+
     static constexpr std::int64_t machineMilliCores = 32000;
 
     auto addMachine(const std::string& id, const std::string& pool) -> MachineView&
@@ -312,6 +432,7 @@
     }
 
     FleetView m_view;
+    FleetTiming m_timing;
     WaveState m_wave;
     Instant m_now { Duration(100000) };
 };
