--- a/src/fleet/PlanMachineWave.cpp
+++ b/src/fleet/PlanMachineWave.cpp
@@ -68,12 +68,12 @@
     return isLate ? lateMaxAway : busyMaxAway;
 }
 
+// Also of a late wave: what a machine runs ends with its order, and ends that no answer has listed yet are lost.
 auto maintainEmpty(const std::vector<const MachineView*>& pending, const WaveState& wave, std::size_t& slots,
-    bool isLate, std::vector<FleetAction>& actions) -> void
+    std::vector<FleetAction>& actions) -> void
 {
     for (const auto* machine : pending) {
-        const auto isEmpty = !machine->m_mayHaveUnknownRuns
-            && (machine->m_runs == 0 || (isLate && machine->m_activeLongRunningRuns == 0));
+        const auto isEmpty = !machine->m_mayHaveUnknownRuns && machine->m_runs == 0;
         const auto mayGo = machine->m_isReserved || machine->m_isSpare;
         if (slots == 0 || !mayGo || !isEmpty || machine->m_hasPendingOrder
             || machine->m_machine.m_state != MachineState::Up)
@@ -107,8 +107,10 @@
     // are reserved at a time than the time limit requires; the others keep serving or move to pools that need them.
     const auto pace = std::ceil(static_cast<double>(pending.size()) / std::max(rounds * plannedTimeFraction, 1.0));
     const auto maxConcurrent = std::min<std::size_t>(wave.m_order.m_maxConcurrent, static_cast<std::size_t>(pace));
-    maintainEmpty(pending, wave, slots, rounds < 1, actions);
-    auto mayReserve = maxConcurrent > down + reserved ? maxConcurrent - down - reserved : 0;
+    maintainEmpty(pending, wave, slots, actions);
+    // A late wave drains the next machines while the ones before are down.
+    const auto taken = isLate ? reserved : down + reserved;
+    auto mayReserve = maxConcurrent > taken ? maxConcurrent - taken : 0;
     auto counts = countPools(view);
     const auto isBusy = [&](const MachineView& machine) { return counts[machine.m_machine.m_pool].m_load >= busyLoad; };
     // Machines with long-running tasks come first: draining them takes longest, as few of them may be away at a time.
--- a/tests/core/fleetplan/MachinePlansTest.cpp
+++ b/tests/core/fleetplan/MachinePlansTest.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(wave_emptyReservedMachine_isMaintained);
     CPPUNIT_TEST(wave_machineWithLongRunningTask_isNotMaintainedEvenLate);
     CPPUNIT_TEST(wave_machineWithUnknownRuns_isNotMaintainedEvenLate);
+    CPPUNIT_TEST(wave_machineWithShortTasks_isNotMaintainedEvenLate);
+    CPPUNIT_TEST(wave_late_drainsNextMachinesWhileOthersAreDown);
     CPPUNIT_TEST(wave_maxConcurrentDown_startsNoOther);
     CPPUNIT_TEST(wave_busyPool_keepsMostMachines);
     CPPUNIT_TEST(wave_machineWithLongRunningTasks_isDrainedFirst);
@@ -87,6 +89,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(wave(), FleetActionKind::Maintain));
     }
 
+    // Guards against an upkeep that ends tasks, whose ends are then not read, so that they run again.
+    auto wave_machineWithShortTasks_isNotMaintainedEvenLate() -> void
+    {
+        machine("a0").m_isReserved = true;
+        machine("a0").m_runs = 1;
+        m_now += Duration(19500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(wave(), FleetActionKind::Maintain));
+    }
+
+    auto wave_late_drainsNextMachinesWhileOthersAreDown() -> void
+    {
+        m_wave.m_downSince = { { "x", m_now }, { "y", m_now } };
+        CPPUNIT_ASSERT(wave().empty());
+        m_now += Duration(17000);
+        const auto actions = wave();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, count(actions, FleetActionKind::Reserve));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(actions, FleetActionKind::Maintain));
+    }
+
     auto wave_maxConcurrentDown_startsNoOther() -> void
     {
         machine("a0").m_isReserved = true;
