--- a/src/scheduling/BlameCrashes.cpp
+++ b/src/scheduling/BlameCrashes.cpp
@@ -129,6 +129,7 @@
             countCertainEnd(scheduler, counted);
         else
             suspectSilence(executor, task, counted);
+        task.m_failedOn.push_back(index);
         task.m_needsTrial = wereStartedLast || task.m_crashes >= crashesOfOnlySuspect;
         markDirty(scheduler, *findJob(scheduler, suspect.m_task.m_job));
     }
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace hemlockvane::scheduling {
@@ -86,15 +87,18 @@
     return pool.m_trials < std::max<std::size_t>(pool.m_openExecutors, 1);
 }
 
-// Chooses the executor on which a crash would end the least other work.
+// Chooses the executor on which a crash would end the least other work, one of those that have not crashed under the
+// task if there is one: a second crash of the same executor would not tell whether it or the task is to blame.
 auto chooseForTrial(Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task, Instant now)
     -> std::optional<ExecutorIndex>
 {
     std::optional<ExecutorIndex> best;
-    auto leastWork = std::pair<std::uint32_t, std::size_t> {};
+    std::tuple<bool, std::uint32_t, std::size_t> leastWork;
     for (const auto index : openExecutors(scheduler, candidate.m_pool)) {
         const auto& executor = *scheduler.m_executors[index];
-        const auto work = std::pair(executor.m_activeLongRunningRuns, executor.m_runs.size());
+        const auto hasFailed
+            = std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end();
+        const std::tuple work(hasFailed, executor.m_activeLongRunningRuns, executor.m_runs.size());
         if ((best && work >= leastWork) || hasRunOn(task, index) || !canHold(candidate, executor, index, {})
             || hasRecentStart(scheduler, index, now))
             continue;
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(crash_severalSuspects_areTriedAloneAndGoOn);
     CPPUNIT_TEST(trial_executor_takesNoOtherStartUntilItIsOver);
     CPPUNIT_TEST(trial_startedBesideOtherFreshStart_isNot);
+    CPPUNIT_TEST(trial_otherExecutorIsOpen_avoidsTheOneThatCrashed);
     CPPUNIT_TEST(trial_outlived_endsSuspicion);
     CPPUNIT_TEST(trials_severalSuspects_leaveHalfOfThePool);
     CPPUNIT_TEST(crash_executorDrainsOrLeaves_isNotCounted);
@@ -203,6 +204,21 @@
         CPPUNIT_ASSERT(plan().empty());
     }
 
+    // Guards against a sound task that is given up for two crashes of one faulty executor.
+    auto trial_otherExecutorIsOpen_avoidsTheOneThatCrashed() -> void
+    {
+        submit({ step(1, 1000) });
+        const auto first = startAll().at(0);
+        m_now += crashAfter;
+        restart(first.m_executor);
+        m_scheduler.m_executors[1 - first.m_executor]->m_activeLongRunningRuns = 1;
+        const auto starts = startAll();
+        const auto trial = std::find_if(
+            starts.begin(), starts.end(), [&](const Action& start) { return start.m_task == first.m_task; });
+        CPPUNIT_ASSERT(trial != starts.end());
+        CPPUNIT_ASSERT_EQUAL(1 - first.m_executor, trial->m_executor);
+    }
+
     auto trial_outlived_endsSuspicion() -> void
     {
         suspectOne();
--- a/tests/core/scheduling/FullScan.cpp
+++ b/tests/core/scheduling/FullScan.cpp
@@ -226,12 +226,14 @@
     Instant now) -> std::optional<ExecutorIndex>
 {
     std::optional<ExecutorIndex> best;
-    auto leastWork = std::pair<std::uint32_t, std::size_t> {};
+    std::tuple<bool, std::uint32_t, std::size_t> leastWork;
     for (const auto index : pool.m_schedulable) {
         const auto& executor = *scheduler.m_executors[index];
         const auto hasRun = std::any_of(
             task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) { return run.m_executor == index; });
-        const auto work = std::pair(executor.m_activeLongRunningRuns, executor.m_runs.size());
+        const auto hasFailed
+            = std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end();
+        const std::tuple work(hasFailed, executor.m_activeLongRunningRuns, executor.m_runs.size());
         if ((best && work >= leastWork) || hasRun || !canHold(candidate, executor, index, {})
             || hasRecentStart(scheduler, index, now))
             continue;
