Give no turn to an order for a machine that would be sent too late, and place no more than can be sent

Cause: orders wait for their turn at the service's rate, and are dropped if the renewal that they were stored with is older than 0.9 s by then. A dropped order had used its turn, and its machine was ordered again at once. After a restart some 300 machines are ordered in one plan, whose last turn is 1.6 s ahead. From then on nearly every order came too late, as long as so many were wanted: the more orders, the fewer moves. Change: an order whose turn is more than 0.4 s ahead is refused at once and takes none, and the owner places no more orders than are sent in 0.3 s. Both decisions have tests; orders_beyondWhatCanBeSentInTime_holdUpNoLaterOrder plays 100 orders at 20 a second.

--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -31,6 +31,7 @@
     std::function<std::string(std::uint64_t number, bool isCompleted)>
         m_waveStatus; ///< Encodes a record for that topic.
     fleet::FleetTiming m_fleetTiming;
+    double m_machineOrdersPerSecond = 0; ///< Rate beyond which the machines' service refuses orders; 0: unknown.
     Duration m_orderSpacing { 3000 }; ///< Minimum time between the orders of two owners for one machine.
     std::function<std::uint64_t()> m_newestRenewal; ///< Offset in the owner's topic, see OwnerElection.
     std::function<Instant(std::uint64_t)>
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -14,6 +14,7 @@
 #include "hemlockvane/fleet/EndedExecutors.h"
 #include "hemlockvane/fleet/FleetAction.h"
 #include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/fleet/LimitOrders.h"
 #include "hemlockvane/fleet/PlanMachineWave.h"
 #include "hemlockvane/fleet/PlanPoolMoves.h"
 #include "hemlockvane/placement/ResourceSize.h"
@@ -84,9 +85,20 @@
     state->m_fleet.m_listedAt = askedAt;
 }
 
+auto isOrder(const FleetAction& action) -> bool
+{
+    return action.m_kind == FleetActionKind::Move || action.m_kind == FleetActionKind::Maintain;
+}
+
+auto countWaitingOrders(const FleetControlState& fleetState) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(fleetState.m_outstandingOrders.begin(),
+        fleetState.m_outstandingOrders.end(), [](const auto& item) { return item.second.m_isInFlight; }));
+}
+
 auto carryOut(CoordinatorState& state, FleetAction action) -> void
 {
-    if (action.m_kind == FleetActionKind::Move || action.m_kind == FleetActionKind::Maintain) {
+    if (isOrder(action)) {
         state.m_fleet.m_drainedFor.erase(action.m_machine);
         placeMachineOrder(state, std::move(action));
         return;
@@ -171,9 +183,12 @@
     }
     fleet::planPoolMoves(view, fleetState.m_timing, now, actions);
     std::set<std::string> machinesUsed;
+    auto orders = fleet::furtherOrders(countWaitingOrders(fleetState), state->m_ports.m_machineOrdersPerSecond);
     for (auto& action : actions) {
-        if (machinesUsed.insert(action.m_machine).second)
-            carryOut(*state, std::move(action));
+        if (!machinesUsed.insert(action.m_machine).second || (isOrder(action) && orders == 0))
+            continue;
+        orders -= isOrder(action) ? 1 : 0;
+        carryOut(*state, std::move(action));
     }
     evacuateReserved(*state);
 }
--- a/tests/shell/coordinator/HeldMachineOrderTest.cpp
+++ b/tests/shell/coordinator/HeldMachineOrderTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(order_ownershipNotRenewedMeanwhile_isNotWritten);
     CPPUNIT_TEST(order_recordedRenewalOldWhenSent_isNotWritten);
     CPPUNIT_TEST(orders_beyondTheServicesRate_areSpaced);
+    CPPUNIT_TEST(orders_beyondWhatCanBeSentInTime_holdUpNoLaterOrder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,26 @@
         CPPUNIT_ASSERT_EQUAL(orders, m_orders);
     }
 
+    // Guards against orders that are never sent, since all turns go to orders that have waited for too long.
+    auto orders_beyondWhatCanBeSentInTime_holdUpNoLaterOrder() -> void
+    {
+        constexpr double ordersPerSecond = 20;
+        constexpr int orders = 100;
+        m_machines = std::make_unique<platform::HttpMachines>(*m_pool, *m_pool, m_address, "holder", ordersPerSecond);
+        auto areWanted = true;
+        for (int order = 0; order < orders; ++order)
+            asio::co_spawn(*m_context,
+                m_machines->move("m" + std::to_string(order), "counter", 1, [&areWanted] { return areWanted; }),
+                asio::detached);
+        runFor(Duration { 200 });
+        areWanted = false;
+        runFor(longWait / 2);
+        const auto before = m_orders;
+        asio::co_spawn(*m_context, m_machines->move("later", "counter", 1, [] { return true; }), asio::detached);
+        runFor(Duration { 200 });
+        CPPUNIT_ASSERT_EQUAL(before + 1, m_orders);
+    }
+
 private:
     auto answer(HttpRequest request) -> asio::awaitable<HttpResponse>
     {
