--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace hemlockvane::detail {
@@ -54,7 +55,7 @@
     std::vector<fleet::FleetAction> m_pendingMachineOrders; ///< Orders for machines, to be sent once they are stored.
     FleetControlState m_fleet;
     OwnerLoad m_load;
-    std::set<scheduling::TaskKey> m_waitingSteps; ///< Steps with long-running tasks that waited a second ago.
+    std::unordered_set<scheduling::TaskKey> m_waitingSteps; ///< Steps with long-running tasks that waited a second ago.
     Duration m_loopDelay { 0 }; ///< How late timers are resumed at present.
 };
 
--- a/src/detail/coordinator/ReportWaiting.cpp
+++ b/src/detail/coordinator/ReportWaiting.cpp
@@ -8,6 +8,7 @@
 #include "hemlockvane/scheduling/FindWaitingSteps.h"
 
 #include <string>
+#include <unordered_set>
 #include <utility>
 
 namespace hemlockvane::detail {
@@ -28,7 +29,7 @@
 
 auto reportWaiting(CoordinatorState& state) -> void
 {
-    std::set<scheduling::TaskKey> waiting;
+    std::unordered_set<scheduling::TaskKey> waiting;
     std::size_t tasks = 0;
     std::size_t lines = 0;
     for (const auto& step : scheduling::findWaitingSteps(state.m_scheduler, monotonicNow())) {
