Evacuate availability zones that the operators take out

The operators' record of an evacuation was read and dropped, so that tasks were started in a zone that was to get nothing more.

Every instance follows the records beside the configuration and hands the set of evacuated zones to the scheduler with it; a zone that is restored while the store has lost its history is noticed by its absence. No task is started in such a zone, also none that was decided before; short tasks run to their end, long-running ones move within their step's limit while there is room elsewhere. Its machines do not count as capacity of their pools and are maintained first. Tasks that end by themselves avoid executors that are cold.

FleetRun plays evacuations with real processes and checks that none is started in the zone later than the users' bound.

--- a/include/hemlockvane/detail/coordinator/CoordinatorState.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorState.h
@@ -56,6 +56,7 @@
     FleetControlState m_fleet;
     OwnerLoad m_load;
     std::unordered_set<scheduling::TaskKey> m_waitingSteps; ///< Steps with long-running tasks that waited a second ago.
+    std::set<std::string> m_reportedZones; ///< Evacuated zones at the last report.
     Duration m_loopDelay { 0 }; ///< How late timers are resumed at present.
 };
 
--- a/include/hemlockvane/detail/rules/RulesFollower.h
+++ b/include/hemlockvane/detail/rules/RulesFollower.h
@@ -14,10 +14,11 @@
 
 class RecordStore;
 
-/// @brief Follows the operators' configuration and records when it was last confirmed to be current.
+/// @brief Follows the operators' configuration and evacuations, and records when they were last confirmed to be
+/// current.
 class RulesFollower {
 public:
-    /// @param onChange called with each newer configuration
+    /// @param onChange called with each newer configuration, and when the set of evacuated zones has changed
     RulesFollower(boost::asio::io_context& context, RecordStore& store, RulesSource source,
         std::function<void(const OperatorRules&)> onChange);
     ~RulesFollower();
--- a/include/hemlockvane/fleet/MachineView.h
+++ b/include/hemlockvane/fleet/MachineView.h
@@ -15,6 +15,7 @@
     bool m_mayHaveUnknownRuns = false; ///< True while runs of an earlier owner may be on it that are not known yet.
     bool m_isReserved = false; ///< True while no new tasks are placed on it.
     bool m_hasPendingOrder = false; ///< True while an order for it is in flight or not yet visible in the machine list.
+    bool m_isZoneEvacuated = false; ///< True while no task is started in its availability zone.
     bool m_isSpare = false; ///< True when it is in a spare pool.
     std::string m_destinationPool; ///< Pool that it is moving to; empty when it is not moving.
     std::string m_drainedFor; ///< Pool for whose long-running tasks it is drained; empty: none.
--- a/include/hemlockvane/scheduling/AttemptLimits.h
+++ b/include/hemlockvane/scheduling/AttemptLimits.h
@@ -29,8 +29,9 @@
 /// @result the jobs that failed
 auto failExhaustedJobs(Scheduler& scheduler, WallMillis wall) -> std::vector<JobId>;
 
-/// @brief Replaces the configuration and applies it to the failures that no limit was applied to. A lower limit fails
-/// a job with its next failure only, since the operators may withdraw it before.
+/// @brief Replaces the configuration, closes the executors of evacuated zones, and applies limits to the failures that
+/// no limit was applied to. A lower limit fails a job with its next failure only, since the operators may withdraw it
+/// before.
 /// @result the jobs that failed
 auto applyRules(Scheduler& scheduler, const FleetRules& rules, WallMillis wall) -> std::vector<JobId>;
 
--- a/include/hemlockvane/scheduling/Evacuate.h
+++ b/include/hemlockvane/scheduling/Evacuate.h
@@ -16,6 +16,13 @@
 /// @result number of runs that are now being stopped
 auto evacuate(Scheduler& scheduler, ExecutorIndex index) -> std::size_t;
 
+/// @brief Stops long-running tasks in evacuated availability zones, within the same limit, so that they are restarted
+/// elsewhere.
+///
+/// A task goes on where it is while no executor elsewhere has room for it, since a stop would only lose its service.
+/// @result number of runs that are now being stopped
+auto evacuateZones(Scheduler& scheduler) -> std::size_t;
+
 /// @brief Checks a planned stop against the present state, right before it is sent.
 ///
 /// A stop by `evacuate` is withdrawn, and its run goes on, if so many other tasks of the step have become unavailable
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -35,6 +35,8 @@
     std::optional<EndedLife> m_endedLife; ///< Set while it is not known whether some runs ended with an earlier life.
     std::optional<ExecutorRun> m_trial; ///< The run that was started on trial last.
     bool m_isReserved = false; ///< Reserved for a move or maintenance of its machine: no task is started there.
+    bool m_isZoneEvacuated = false; ///< Its availability zone is evacuated: no task is started there.
+    Instant m_coldUntil; ///< It is slow until then, having started recently.
     bool m_isLeaving = false; ///< Its machine accepted an order that ends the executor: no task is started there.
     bool m_isMaintenanceDue
         = false; ///< Its machine is due for maintenance soon: long-running tasks are placed elsewhere if possible.
--- a/include/hemlockvane/scheduling/FleetRules.h
+++ b/include/hemlockvane/scheduling/FleetRules.h
@@ -18,6 +18,7 @@
     std::set<std::string> m_services; ///< All services, including spare pools.
     std::set<std::string> m_unguardedServices; ///< Their executors do not check their capacity.
     std::set<std::string> m_spareServices; ///< Spare pools: their machines are switched off.
+    std::set<std::string> m_evacuatedZones; ///< No task is started in these availability zones.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/RankPlacement.h
+++ b/include/hemlockvane/scheduling/RankPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/scheduling/TaskRun.h"
+#include "hemlockvane/time/Time.h"
 
 #include <cstdint>
 #include <tuple>
@@ -17,10 +18,11 @@
 /// @brief Ranks an executor that can hold a task. Executors where the task has not failed before come first, then those
 /// on the rack of its data.
 ///
-/// Tasks that end by themselves go to the fullest executor. Long-running tasks keep their machines in the pool all day,
-/// so they are packed on few machines: at most as many tasks of a step on one machine as two rounds of evacuation
-/// remove, and about half of a step on one rack. Tasks that serve users slow each other down and are spread.
+/// Tasks that end by themselves go to the fullest executor that is not cold. Long-running tasks keep their machines in
+/// the pool all day, so they are packed on few machines: at most as many tasks of a step on one machine as two rounds
+/// of evacuation remove, and about half of a step on one rack. Tasks that serve users slow each other down and are
+/// spread.
 [[nodiscard]] auto rankPlacement(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
-    ExecutorIndex index) -> PlacementRank;
+    ExecutorIndex index, Instant now) -> PlacementRank;
 
 } // namespace hemlockvane::scheduling
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -8,6 +8,7 @@
 #include "hemlockvane/detail/coordinator/LoadState.h"
 #include "hemlockvane/detail/coordinator/ManageFleet.h"
 #include "hemlockvane/detail/coordinator/ReportWaiting.h"
+#include "hemlockvane/detail/coordinator/ReportZones.h"
 #include "hemlockvane/detail/coordinator/RulesVersion.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/SendActions.h"
@@ -17,6 +18,7 @@
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -140,6 +142,7 @@
     logFoundRuns(state);
     dropExecutorRecords(state);
     scheduling::retireJobs(scheduler);
+    scheduling::evacuateZones(scheduler);
     scheduling::planStops(scheduler, now, actions);
     scheduling::paceFillers(scheduler, now, actions);
 }
@@ -203,6 +206,7 @@
             load.m_planTime.count(), load.m_longestPlan.count(), load.m_batches, load.m_longestBatch.count(),
             load.m_longestDelay.count(), scheduler.m_active.size(), busy);
         reportWaiting(*state);
+        reportZones(*state);
     }
 }
 
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -41,6 +41,7 @@
     const auto drained = fleetState.m_drainedFor.find(machine.m_id);
     if (drained != fleetState.m_drainedFor.end() && view.m_isReserved)
         view.m_drainedFor = drained->second;
+    view.m_isZoneEvacuated = state.m_scheduler.m_rules.m_evacuatedZones.contains(machine.m_zone);
     view.m_isSpare = state.m_scheduler.m_rules.m_spareServices.contains(machine.m_pool);
     auto* executor = findExecutor(state, machine.m_executorId);
     if (executor != nullptr) {
@@ -107,7 +108,7 @@
         const auto& added = view.m_machines.back();
         const auto isServing = machine.m_state == fleet::MachineState::Up && added.m_hasExecutor;
         const auto isAvailable = (isServing || added.m_isSpare) && !added.m_isReserved;
-        if (!added.m_destinationPool.empty() || isAvailable)
+        if (!added.m_isZoneEvacuated && (!added.m_destinationPool.empty() || isAvailable))
             view.m_pools[added.m_destinationPool.empty() ? machine.m_pool : added.m_destinationPool]
                 .m_capacityMilliCores
                 += added.m_machine.m_capacity.m_cpuMilliCores;
--- a/src/detail/rules/RulesFollower.cpp
+++ b/src/detail/rules/RulesFollower.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <set>
+#include <string>
 #include <utility>
 
 namespace hemlockvane::detail {
@@ -32,7 +34,10 @@
     auto run() -> asio::awaitable<void>;
     auto load() -> asio::awaitable<bool>;
     auto readChanges() -> asio::awaitable<bool>;
+    auto evacuatedZone(std::string_view key) const -> std::optional<std::string>;
     auto apply(const KeyedRecord& record) -> void;
+    auto applyConfiguration(const KeyedRecord& record) -> void;
+    auto applyEvacuation(const std::string& zone, const KeyedRecord& record) -> void;
     auto applyPending() -> void;
     auto confirm(Instant at) -> void;
 
@@ -42,18 +47,39 @@
     std::function<void(const OperatorRules&)> m_onChange;
     std::shared_ptr<const OperatorRules> m_rules;
     std::shared_ptr<const OperatorRules> m_pending; // Newest of the records that are being read; null: none.
+    std::set<std::string> m_evacuatedZones; // Also of the records that are being read.
     std::uint64_t m_end = 0;
     bool m_isLoaded = false;
     bool m_isStoreReachable = true; // Whether the last read was answered.
     Instant m_confirmedAt;
 };
 
+auto RulesFollower::Impl::evacuatedZone(std::string_view key) const -> std::optional<std::string>
+{
+    return m_source.m_evacuatedZone ? m_source.m_evacuatedZone(key) : std::nullopt;
+}
+
 auto RulesFollower::Impl::apply(const KeyedRecord& record) -> void
 {
-    if (record.m_key != m_source.m_rulesKey) {
+    if (record.m_key == m_source.m_rulesKey)
+        applyConfiguration(record);
+    else if (const auto zone = evacuatedZone(record.m_key))
+        applyEvacuation(*zone, record);
+    else
         m_source.m_onOtherRecord(record.m_key, record.m_value);
-        return;
-    }
+}
+
+auto RulesFollower::Impl::applyEvacuation(const std::string& zone, const KeyedRecord& record) -> void
+{
+    const auto isEvacuated = !record.m_value.empty();
+    const auto hasChanged = isEvacuated ? m_evacuatedZones.insert(zone).second : m_evacuatedZones.erase(zone) > 0;
+    if (hasChanged)
+        logOf("rules").info(
+            "event={} zone={} offset={}", isEvacuated ? "zone_evacuated" : "zone_restored", zone, record.m_offset);
+}
+
+auto RulesFollower::Impl::applyConfiguration(const KeyedRecord& record) -> void
+{
     auto decoded = m_source.m_decode(record.m_value);
     if (!decoded) {
         logOf("rules").error(
@@ -69,12 +95,16 @@
     m_pending = std::make_shared<const OperatorRules>(std::move(*decoded));
 }
 
-// Only the newest configuration takes effect: those before it had been replaced when they were read.
+// Only the newest configuration takes effect: those before it had been replaced when they were read. Evacuations are
+// kept beside it, since they may be read before the first configuration.
 auto RulesFollower::Impl::applyPending() -> void
 {
-    if (!m_pending)
+    const auto newest = m_pending ? std::exchange(m_pending, nullptr) : m_rules;
+    if (!newest || (newest == m_rules && newest->m_fleet.m_evacuatedZones == m_evacuatedZones))
         return;
-    m_rules = std::exchange(m_pending, nullptr);
+    auto rules = std::make_shared<OperatorRules>(*newest);
+    rules->m_fleet.m_evacuatedZones = m_evacuatedZones;
+    m_rules = std::move(rules);
     m_onChange(*m_rules);
 }
 
@@ -83,8 +113,19 @@
     const auto newest = co_await m_store.newest(m_source.m_topic);
     if (!newest)
         co_return false;
-    for (const auto& record : newest->first)
-        apply(record);
+    // A zone that was taken back in the meantime is missing from the newest records.
+    const auto before = std::exchange(m_evacuatedZones, {});
+    for (const auto& record : newest->first) {
+        const auto zone = evacuatedZone(record.m_key);
+        if (zone && !record.m_value.empty() && before.contains(*zone))
+            m_evacuatedZones.insert(*zone);
+        else
+            apply(record);
+    }
+    for (const auto& zone : before) {
+        if (!m_evacuatedZones.contains(zone))
+            logOf("rules").info("event=zone_restored zone={} offset={}", zone, newest->second);
+    }
     applyPending();
     m_end = newest->second;
     m_isLoaded = true;
--- a/src/fleet/PlanMachineWave.cpp
+++ b/src/fleet/PlanMachineWave.cpp
@@ -44,6 +44,8 @@
 {
     std::map<std::string, PoolCount> counts;
     for (const auto& machine : view.m_machines) {
+        if (machine.m_isZoneEvacuated)
+            continue; // No pool counts on it.
         auto& count = counts[machine.m_machine.m_pool];
         ++count.m_machines;
         if (machine.m_machine.m_state != MachineState::Up || machine.m_isReserved || machine.m_hasPendingOrder)
@@ -113,10 +115,13 @@
     auto mayReserve = maxConcurrent > taken ? maxConcurrent - taken : 0;
     auto counts = countPools(view);
     const auto isBusy = [&](const MachineView& machine) { return counts[machine.m_machine.m_pool].m_load >= busyLoad; };
-    // Machines with long-running tasks come first: draining them takes longest, as few of them may be away at a time.
+    // Machines in evacuated zones serve nobody, so their upkeep costs nothing.
+    // Machines with long-running tasks come next: draining them takes longest, as few of them may be away at a time.
     std::sort(pending.begin(), pending.end(), [&](const MachineView* left, const MachineView* right) {
-        return std::tuple(isBusy(*left), right->m_activeLongRunningRuns, left->m_usedCpuMilliCores)
-            < std::tuple(isBusy(*right), left->m_activeLongRunningRuns, right->m_usedCpuMilliCores);
+        return std::tuple(
+                   right->m_isZoneEvacuated, isBusy(*left), right->m_activeLongRunningRuns, left->m_usedCpuMilliCores)
+            < std::tuple(
+                left->m_isZoneEvacuated, isBusy(*right), left->m_activeLongRunningRuns, right->m_usedCpuMilliCores);
     });
     for (const auto* machine : pending) {
         if (mayReserve == 0)
@@ -125,10 +130,11 @@
         const auto fractionAway = maxFractionAway(count.m_load, isLate);
         const auto maxAwayOfPool = std::max(1.0, fractionAway * static_cast<double>(count.m_machines));
         if (machine->m_isReserved || machine->m_isSpare || machine->m_hasPendingOrder
-            || machine->m_machine.m_state != MachineState::Up || static_cast<double>(count.m_away) + 1 > maxAwayOfPool)
+            || machine->m_machine.m_state != MachineState::Up
+            || (!machine->m_isZoneEvacuated && static_cast<double>(count.m_away) + 1 > maxAwayOfPool))
             continue;
         actions.push_back({ FleetActionKind::Reserve, machine->m_machine.m_id, wave.m_order.m_number, {}, "wave" });
-        ++count.m_away;
+        count.m_away += machine->m_isZoneEvacuated ? 0 : 1;
         --mayReserve;
     }
 }
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -62,9 +62,9 @@
             pool.m_arrivingMilliCores = arrivingAfterMove(pool, timing);
         for (const auto& machine : view.m_machines) {
             if (isFree(machine) && !machine.m_mayHaveUnknownRuns)
-                m_free.push_back(&machine);
-            if (machine.m_machine.m_state == MachineState::Up && machine.m_destinationPool.empty()
-                && machine.m_drainedFor.empty())
+                (machine.m_isZoneEvacuated ? m_freeInEvacuatedZones : m_free).push_back(&machine);
+            if (!machine.m_isZoneEvacuated && machine.m_machine.m_state == MachineState::Up
+                && machine.m_destinationPool.empty() && machine.m_drainedFor.empty())
                 ++m_machines[machine.m_machine.m_pool];
         }
         // First machines that would be returned to the spare pool now, which saves their way back; then spare machines,
@@ -120,7 +120,7 @@
             if (pool.empty() || machine.m_hasPendingOrder || machine.m_machine.m_state != MachineState::Up)
                 continue;
             const auto isReady = machine.m_runs == 0 && machine.m_hasExecutor;
-            const auto isWanted = !m_pools[pool].m_machinesForLongRunning.empty();
+            const auto isWanted = !m_pools[pool].m_machinesForLongRunning.empty() && !machine.m_isZoneEvacuated;
             if (isWanted && isReady && machine.m_machine.m_pool != pool)
                 move(machine, pool, "drained for a long-running task");
             else if (isReady || !isWanted)
@@ -152,6 +152,11 @@
                 continue;
             move(*machine, spare, "idle");
         }
+        // Their pools do not count on them.
+        for (const auto* machine : m_freeInEvacuatedZones) {
+            if (isLongIdle(*machine, timing, now))
+                move(*machine, spare, "idle in an evacuated zone");
+        }
     }
 
 private:
@@ -175,7 +180,7 @@
             const auto moved = m_moved.find(machine.m_machine.m_id);
             const auto isMovedThere = moved != m_moved.end() && moved->second == pool;
             const auto isIdleThere = isFree(machine) && !machine.m_isSpare && machine.m_machine.m_pool == pool;
-            return (isMovedThere || machine.m_destinationPool == pool || isIdleThere)
+            return !machine.m_isZoneEvacuated && (isMovedThere || machine.m_destinationPool == pool || isIdleThere)
                 && scheduling::hasLabel(machine.m_machine.m_labels, label);
         });
     }
@@ -183,8 +188,8 @@
     auto drainedFor(const std::string& pool, const std::string& label) const -> std::int64_t
     {
         return std::count_if(m_view.m_machines.begin(), m_view.m_machines.end(), [&](const MachineView& machine) {
-            return machine.m_drainedFor == pool && !m_moved.contains(machine.m_machine.m_id)
-                && scheduling::hasLabel(machine.m_machine.m_labels, label);
+            return machine.m_drainedFor == pool && !machine.m_isZoneEvacuated
+                && !m_moved.contains(machine.m_machine.m_id) && scheduling::hasLabel(machine.m_machine.m_labels, label);
         });
     }
 
@@ -192,9 +197,9 @@
     {
         const auto& from = machine.m_machine.m_pool;
         return machine.m_machine.m_state == MachineState::Up && machine.m_hasExecutor && !machine.m_isReserved
-            && !machine.m_hasPendingOrder && !machine.m_isSpare && machine.m_activeLongRunningRuns == 0
-            && !machine.m_mayHaveUnknownRuns && !m_moved.contains(machine.m_machine.m_id)
-            && (from == to || m_machines[from] > minMachines);
+            && !machine.m_hasPendingOrder && !machine.m_isSpare && !machine.m_isZoneEvacuated
+            && machine.m_activeLongRunningRuns == 0 && !machine.m_mayHaveUnknownRuns
+            && !m_moved.contains(machine.m_machine.m_id) && (from == to || m_machines[from] > minMachines);
     }
 
     // Null if there is none.
@@ -240,7 +245,7 @@
     auto move(const MachineView& machine, const std::string& to, const char* reason) -> void
     {
         const auto& from = machine.m_machine.m_pool;
-        if (machine.m_drainedFor.empty()) {
+        if (machine.m_drainedFor.empty() && !machine.m_isZoneEvacuated) {
             m_pools[from].m_capacityMilliCores -= machine.m_isSpare ? 0 : machine.m_machine.m_capacity.m_cpuMilliCores;
             --m_machines[from];
         }
@@ -253,7 +258,8 @@
     std::map<std::string, PoolView> m_pools;
     std::map<std::string, std::int64_t> m_machines;
     std::map<std::string, std::string> m_moved; // Destination pool by machine moved in this plan.
-    std::vector<const MachineView*> m_free;
+    std::vector<const MachineView*> m_free; // Without those in evacuated zones.
+    std::vector<const MachineView*> m_freeInEvacuatedZones;
 };
 
 } // namespace
--- a/src/scheduling/AttemptLimits.cpp
+++ b/src/scheduling/AttemptLimits.cpp
@@ -73,6 +73,10 @@
 auto applyRules(Scheduler& scheduler, const FleetRules& rules, WallMillis wall) -> std::vector<JobId>
 {
     scheduler.m_rules = rules;
+    for (const auto index : scheduler.m_activeExecutors) {
+        auto& executor = *scheduler.m_executors[index];
+        executor.m_isZoneEvacuated = rules.m_evacuatedZones.contains(executor.m_entry.m_zone);
+    }
     return failExhaustedJobs(scheduler, wall);
 }
 
--- a/src/scheduling/CheckStart.cpp
+++ b/src/scheduling/CheckStart.cpp
@@ -14,6 +14,8 @@
     const auto& executor = *scheduler.m_executors[start.m_executor];
     if (executor.m_entry.m_startedAtMs != startedAtMs || executor.m_isTerminated || !executor.m_isRegistered)
         return "executor gone";
+    if (executor.m_isZoneEvacuated)
+        return "zone evacuated";
     if (executor.m_isLeaving || executor.m_isReserved || executor.m_entry.m_isDraining)
         return "executor leaving";
     // The run of a task or job that has ended is being stopped.
--- a/src/scheduling/Evacuate.cpp
+++ b/src/scheduling/Evacuate.cpp
@@ -1,11 +1,16 @@
 #include "hemlockvane/scheduling/Evacuate.h"
 
 #include "hemlockvane/scheduling/Action.h"
+#include "hemlockvane/scheduling/CheckFit.h"
+#include "hemlockvane/scheduling/IndexRoom.h"
 #include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/StartCandidate.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
 
 namespace hemlockvane::scheduling {
 
@@ -40,6 +45,77 @@
     return countOthersUnavailable(scheduler, step, index) < std::max<std::size_t>(spec.m_maxUnavailable, 1);
 }
 
+// What tasks that are moved in the same pass will take on an executor.
+struct PlannedRoom {
+    Resources m_resources;
+    std::map<const StepState*, std::uint32_t> m_tasks;
+};
+
+using PlannedRooms = std::map<ExecutorIndex, PlannedRoom>;
+
+auto hasRoomBeside(
+    const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const PlannedRoom& planned) -> bool
+{
+    if (!obstacleToRoom(candidate, executor, index, planned.m_resources).empty())
+        return false;
+    const auto& step = *candidate.m_state;
+    const auto moved = planned.m_tasks.find(&step);
+    const auto runs = step.m_runsByExecutor.find(index);
+    const auto tasks = (moved == planned.m_tasks.end() ? 0 : moved->second)
+        + (runs == step.m_runsByExecutor.end() ? 0 : runs->second);
+    return candidate.m_spec->m_perExecutorLimit == 0 || tasks < candidate.m_spec->m_perExecutorLimit;
+}
+
+auto findRoom(const Scheduler& scheduler, const Job& job, const StepSpec& spec, StepState& step, PlannedRooms& planned)
+    -> std::optional<ExecutorIndex>
+{
+    const auto queue = scheduler.m_rules.m_queues.find(job.m_spec.m_queue);
+    if (queue == scheduler.m_rules.m_queues.end())
+        return std::nullopt;
+    StartCandidate candidate;
+    candidate.m_spec = &spec;
+    candidate.m_state = &step;
+    candidate.m_need = requiredResources(spec);
+    const auto& pools = scheduler.m_starts.m_pools;
+    for (std::size_t pool = 0; pool < pools.size(); ++pool) {
+        if (pools[pool].m_service != queue->second.m_service)
+            continue;
+        for (const auto index : openExecutors(scheduler, pool)) {
+            if (hasRoomBeside(candidate, *scheduler.m_executors[index], index, planned[index]))
+                return index;
+        }
+    }
+    return std::nullopt;
+}
+
+auto isMovable(const StepSpec& spec, const TaskRun* run) -> bool
+{
+    return spec.m_isLongRunning && run != nullptr && run->m_phase == RunPhase::Running;
+}
+
+auto moveLongRunning(Scheduler& scheduler, ExecutorIndex index, PlannedRooms& planned) -> std::size_t
+{
+    std::size_t stopped = 0;
+    for (const auto& item : scheduler.m_executors[index]->m_runs) {
+        const auto& job = *findJob(scheduler, item.m_task.m_job);
+        const auto& spec = job.m_spec.m_steps[item.m_task.m_step];
+        auto* run = findRun(scheduler, item.m_task, item.m_run, index);
+        if (!isMovable(spec, run))
+            continue;
+        auto& step = *findStep(scheduler, item.m_task);
+        if (!mayBecomeUnavailable(scheduler, spec, step, item.m_task.m_index))
+            continue;
+        const auto room = findRoom(scheduler, job, spec, step, planned);
+        if (!room)
+            continue;
+        addTo(planned[*room].m_resources, requiredResources(spec));
+        ++planned[*room].m_tasks[&step];
+        stopRun(scheduler, *run);
+        ++stopped;
+    }
+    return stopped;
+}
+
 // Whether a stop ends the only run of a long-running task that is still wanted: it is to be started elsewhere.
 auto isEvacuation(const Job& job, const StepSpec& spec, const TaskState& task) -> bool
 {
@@ -55,7 +131,7 @@
         const auto& job = *findJob(scheduler, item.m_task.m_job);
         const auto& spec = job.m_spec.m_steps[item.m_task.m_step];
         auto* run = findRun(scheduler, item.m_task, item.m_run, index);
-        if (!spec.m_isLongRunning || run == nullptr || run->m_phase != RunPhase::Running)
+        if (!isMovable(spec, run))
             continue;
         const auto& step = *findStep(scheduler, item.m_task);
         if (!mayBecomeUnavailable(scheduler, spec, step, item.m_task.m_index))
@@ -66,6 +142,20 @@
     return stopped;
 }
 
+auto evacuateZones(Scheduler& scheduler) -> std::size_t
+{
+    if (scheduler.m_rules.m_evacuatedZones.empty())
+        return 0;
+    std::size_t stopped = 0;
+    PlannedRooms planned;
+    for (const auto index : scheduler.m_activeExecutors) {
+        const auto& executor = *scheduler.m_executors[index];
+        if (executor.m_isZoneEvacuated && executor.m_activeLongRunningRuns > 0)
+            stopped += moveLongRunning(scheduler, index, planned);
+    }
+    return stopped;
+}
+
 auto confirmStop(Scheduler& scheduler, const Action& stop, bool wasSent) -> bool
 {
     auto* run = findRun(scheduler, stop.m_task, stop.m_run, stop.m_executor);
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -35,6 +35,18 @@
     return (waitingTasks + spec.m_perExecutorLimit - 1) / spec.m_perExecutorLimit;
 }
 
+// Long-running tasks that are to leave an evacuated zone. With a limit for each executor they may need further ones,
+// however much processor is free.
+auto tasksToMove(const Scheduler& scheduler, const StepSpec& spec, const StepState& state) -> std::uint32_t
+{
+    if (!spec.m_isLongRunning || spec.m_perExecutorLimit == 0 || scheduler.m_rules.m_evacuatedZones.empty())
+        return 0;
+    std::uint32_t tasks = 0;
+    for (const auto& [index, runs] : state.m_runsByExecutor)
+        tasks += scheduler.m_executors[index]->m_isZoneEvacuated ? runs : 0;
+    return tasks;
+}
+
 // What demand is added to and limited by; looked up once for each queue and workspace in use.
 struct DemandContext {
     const Scheduler& m_scheduler;
@@ -63,6 +75,18 @@
     return known->second;
 }
 
+// Steps can share the executors, so the step with the most waiting tasks decides.
+auto wantExecutors(PoolDemand& demand, const StepSpec& spec, std::uint32_t waitingTasks) -> void
+{
+    const auto executors = executorsWanted(spec, waitingTasks);
+    auto& wanted = demand.m_executorsWanted[spec.m_requiredLabel];
+    wanted = std::max(wanted, executors);
+    if (!spec.m_isLongRunning)
+        return;
+    auto& forLongRunning = demand.m_executorsForLongRunning[spec.m_requiredLabel];
+    forLongRunning = std::max(forLongRunning, executors);
+}
+
 // Tasks beyond a workspace's limit are not counted: more machines would not start them.
 auto addStep(DemandContext& context, PoolDemand& demand, const Job& job, const Occurrence& occurrence, std::size_t step)
     -> void
@@ -73,6 +97,8 @@
     const auto tasks = static_cast<std::uint32_t>(state.m_tasks.size());
     auto waitingTasks = tasks - state.m_doneCount - state.m_runningTasks;
     demand.m_runningMilliCores += need * state.m_runningTasks;
+    if (const auto moving = tasksToMove(context.m_scheduler, spec, state); moving > 0)
+        wantExecutors(demand, spec, moving);
     if (waitingTasks == 0)
         return;
     if (!isStepReady(spec, occurrence)) {
@@ -83,14 +109,7 @@
     if (waitingTasks == 0)
         return;
     demand.m_waitingMilliCores += need * waitingTasks;
-    // Steps can share the executors, so the step with the most waiting tasks decides.
-    const auto executors = executorsWanted(spec, waitingTasks);
-    auto& wanted = demand.m_executorsWanted[spec.m_requiredLabel];
-    wanted = std::max(wanted, executors);
-    if (!spec.m_isLongRunning)
-        return;
-    auto& forLongRunning = demand.m_executorsForLongRunning[spec.m_requiredLabel];
-    forLongRunning = std::max(forLongRunning, executors);
+    wantExecutors(demand, spec, waitingTasks);
 }
 
 // Work of a number of arrivals, with the variance of this sum if jobs arrive independently of one another.
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -55,12 +55,12 @@
 // A task that ends by itself prefers the fullest of the executors that differ in nothing else.
 auto isBestOfRest(const StartCandidate& candidate, const PlacementRank& rank) -> bool
 {
-    const auto& [hasFailed, isFar, isMaintenanceDue, isCrowded, isFirst, load] = rank;
-    return !candidate.m_spec->m_isLongRunning && !hasFailed && !isFar;
+    const auto& [hasFailed, isFar, isCold, isCrowded, isFirst, load] = rank;
+    return !candidate.m_spec->m_isLongRunning && !hasFailed && !isFar && !isCold;
 }
 
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
-    const StartPool& pool) -> std::optional<ExecutorIndex>
+    const StartPool& pool, Instant now) -> std::optional<ExecutorIndex>
 {
     std::optional<ExecutorIndex> best;
     std::pair<PlacementRank, std::uint64_t> bestRank;
@@ -69,7 +69,7 @@
             const auto& executor = *scheduler.m_executors[room.m_index];
             if (hasRunOn(task, room.m_index) || !canHold(candidate, executor, room.m_index, {}))
                 continue;
-            const std::pair rank(rankPlacement(scheduler, candidate, task, room.m_index), room.m_activation);
+            const std::pair rank(rankPlacement(scheduler, candidate, task, room.m_index, now), room.m_activation);
             if (!best || rank < bestRank) {
                 best = room.m_index;
                 bestRank = rank;
@@ -271,7 +271,7 @@
             startOnTrial(scheduler, candidate, index, pool, now, actions);
             continue;
         }
-        const auto executor = chooseExecutor(scheduler, candidate, task, pool);
+        const auto executor = chooseExecutor(scheduler, candidate, task, pool, now);
         if (!executor) {
             // No other task of the step can be held either, since a task without runs may start on any executor.
             if (task.m_runs.empty())
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -127,6 +127,20 @@
     executor.m_backoffUntil = {};
 }
 
+// The remaining time changes with each heartbeat, so it is kept apart from the entry, whose changes cost an update of
+// the index.
+auto adoptEntry(const Scheduler& scheduler, Executor& executor, const ExecutorEntry& entry, Instant now) -> void
+{
+    executor.m_coldUntil = now + Duration(entry.m_coldRemainingMs);
+    auto kept = entry;
+    kept.m_coldRemainingMs = 0;
+    if (executor.m_entry != kept)
+        ++executor.m_entryVersion;
+    executor.m_entry = std::move(kept);
+    executor.m_rack = rackOf(entry);
+    executor.m_isZoneEvacuated = scheduler.m_rules.m_evacuatedZones.contains(entry.m_zone);
+}
+
 // Adds a reported run that the scheduler does not know. It continues if its task still needs a run, otherwise it is
 // stopped.
 auto adoptRun(Scheduler& scheduler, ExecutorIndex index, const ReportedRun& reported, Instant now,
@@ -268,6 +282,8 @@
         return "silent";
     if (!executor.m_isReconciled)
         return "not_listed_runs";
+    if (executor.m_isZoneEvacuated)
+        return "zone_evacuated";
     if (executor.m_isReserved)
         return "reserved";
     if (executor.m_isLeaving)
@@ -296,8 +312,7 @@
     const auto found = scheduler.m_executorById.find(entry.m_id);
     if (found == scheduler.m_executorById.end()) {
         auto executor = std::make_unique<Executor>();
-        executor->m_entry = entry;
-        executor->m_rack = rackOf(entry);
+        adoptEntry(scheduler, *executor, entry, now);
         executor->m_earlierLeasesExpireBy = earlierLeasesExpireBy;
         executor->m_clockReadAt = now;
         const auto index = static_cast<ExecutorIndex>(scheduler.m_executors.size());
@@ -313,12 +328,9 @@
         return found->second;
     if (entry.m_startedAtMs > executor.m_entry.m_startedAtMs)
         resetIncarnation(scheduler, found->second, now);
-    if (executor.m_entry != entry)
-        ++executor.m_entryVersion;
     const auto isOfOtherKind
         = executor.m_entry.m_service != entry.m_service || executor.m_entry.m_labels != entry.m_labels;
-    executor.m_entry = entry;
-    executor.m_rack = rackOf(entry);
+    adoptEntry(scheduler, executor, entry, now);
     executor.m_isRegistered = true;
     if (isOfOtherKind)
         stopMisplacedRuns(scheduler, found->second);
@@ -332,6 +344,7 @@
     if (executor.m_isActive)
         return;
     executor.m_isActive = true;
+    executor.m_isZoneEvacuated = scheduler.m_rules.m_evacuatedZones.contains(executor.m_entry.m_zone);
     executor.m_activation = ++scheduler.m_starts.m_activations;
     scheduler.m_activeExecutors.push_back(index);
 }
--- a/tests/core/fleetplan/MachinePlansTest.cpp
+++ b/tests/core/fleetplan/MachinePlansTest.cpp
@@ -47,6 +47,11 @@
     CPPUNIT_TEST(moves_arrivalsGrow_bringsWhatIsNeededWhenTheMoveIsDone);
     CPPUNIT_TEST(moves_arrivalsGrowFast_expectsAtMostTwiceAsMany);
     CPPUNIT_TEST(moves_arrivalsGrow_poolKeepsItsMachines);
+    CPPUNIT_TEST(moves_machineInEvacuatedZone_isNotMovedToShortPool);
+    CPPUNIT_TEST(moves_idleMachineInEvacuatedZone_returnsToSparePool);
+    CPPUNIT_TEST(moves_machineInEvacuatedZone_doesNotCountAsIdleInItsPool);
+    CPPUNIT_TEST(drains_machineInEvacuatedZone_isLeftAlone);
+    CPPUNIT_TEST(wave_machineInEvacuatedZone_isReservedFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -379,6 +384,61 @@
             CPPUNIT_ASSERT_EQUAL('b', action.m_machine.front());
     }
 
+    // Guards against capacity that is ordered where no task may be started.
+    auto moves_machineInEvacuatedZone_isNotMovedToShortPool() -> void
+    {
+        m_view.m_pools["a"].m_waitingMilliCores = 8 * machineMilliCores;
+        machine("s0").m_isZoneEvacuated = true;
+        for (const auto& action : moves())
+            CPPUNIT_ASSERT(action.m_machine != "s0");
+    }
+
+    auto moves_idleMachineInEvacuatedZone_returnsToSparePool() -> void
+    {
+        machine("b0").m_isZoneEvacuated = true;
+        m_now += m_timing.m_idleTimeout;
+        for (auto& item : m_view.m_machines) {
+            if (item.m_machine.m_id != "b0")
+                item.m_runs = 1;
+        }
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b0"), actions.front().m_machine);
+        CPPUNIT_ASSERT_EQUAL(std::string("spare"), actions.front().m_pool);
+    }
+
+    auto moves_machineInEvacuatedZone_doesNotCountAsIdleInItsPool() -> void
+    {
+        for (auto& item : m_view.m_machines) {
+            item.m_isZoneEvacuated = item.m_machine.m_pool == "a";
+            item.m_runs = item.m_machine.m_pool == "b" ? 1 : 0;
+        }
+        m_view.m_pools["a"].m_machinesWanted[""] = 1;
+        const auto actions = moves();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("s0"), actions.front().m_machine);
+    }
+
+    auto drains_machineInEvacuatedZone_isLeftAlone() -> void
+    {
+        for (auto& item : m_view.m_machines) {
+            item.m_isZoneEvacuated = true;
+            item.m_runs = 1;
+        }
+        m_view.m_pools["a"].m_machinesForLongRunning[""] = 1;
+        m_view.m_pools["a"].m_waitOfLongRunning = Duration(5000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, count(moves(), FleetActionKind::Drain));
+    }
+
+    auto wave_machineInEvacuatedZone_isReservedFirst() -> void
+    {
+        machine("a3").m_isZoneEvacuated = true;
+        machine("a3").m_usedCpuMilliCores = machineMilliCores;
+        const auto actions = wave();
+        CPPUNIT_ASSERT(!actions.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("a3"), actions.front().m_machine);
+    }
+
 private:
     // Small tasks wait in a pool with most of its cores free, but without a machine that may run them.
     auto addWaitingTask(const std::string& label, std::uint32_t wanted = 1) -> void
--- a/tests/core/scheduling/FullScan.cpp
+++ b/tests/core/scheduling/FullScan.cpp
@@ -196,7 +196,7 @@
 }
 
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
-    const Pool& pool) -> std::optional<ExecutorIndex>
+    const Pool& pool, Instant now) -> std::optional<ExecutorIndex>
 {
     std::optional<ExecutorIndex> best;
     PlacementRank bestRank;
@@ -206,7 +206,7 @@
             task.m_runs.begin(), task.m_runs.end(), [&](const TaskRun& run) { return run.m_executor == index; });
         if (hasRun || !canHold(candidate, executor, index, {}))
             continue;
-        const auto rank = rankPlacement(scheduler, candidate, task, index);
+        const auto rank = rankPlacement(scheduler, candidate, task, index, now);
         if (!best || rank < bestRank) {
             best = index;
             bestRank = rank;
@@ -412,7 +412,7 @@
             startOnTrial(scheduler, candidate, index, pool, now, actions);
             continue;
         }
-        const auto executor = chooseExecutor(scheduler, candidate, task, pool);
+        const auto executor = chooseExecutor(scheduler, candidate, task, pool, now);
         if (!executor) {
             if (dependsOnNeedOnly)
                 pool.m_unmetNeeds.push_back({ spec.m_requiredLabel, need });
--- a/tests/fleet/FleetPlay.cpp
+++ b/tests/fleet/FleetPlay.cpp
@@ -1,5 +1,6 @@
 #include "FleetPlay.h"
 
+#include "CheckEvacuations.h"
 #include "CheckRuns.h"
 
 #include "hemlockvane/detail/async/Signal.h"
@@ -186,6 +187,8 @@
     auto violations = findLost();
     for (const auto& line : findTwice(runs, completedAt, m_record.now()))
         violations.push_back("TWICE: " + line);
+    for (const auto& line : findInEvacuatedZones(runs, m_record.m_evacuations))
+        violations.push_back("EVAC: " + line);
     for (const auto& violation : violations) {
         m_record.write("check", violation);
         std::printf("%s\n", violation.c_str());
--- a/tests/fleet/FleetRecord.h
+++ b/tests/fleet/FleetRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Evacuation.h"
 #include "StartedRun.h"
 #include "TimeSpan.h"
 
@@ -53,6 +54,7 @@
 
     std::deque<StartedRun> m_runs; ///< In the order of their starts; references stay valid.
     std::map<std::int64_t, std::string> m_starterByFence;
+    std::vector<Evacuation> m_evacuations; ///< In the order of their requests.
 
 private:
     std::map<std::string, std::int64_t, std::less<>> m_disturbedUntil;
--- a/tests/fleet/FleetRun.cpp
+++ b/tests/fleet/FleetRun.cpp
@@ -1,4 +1,4 @@
-// Plays a deployment with real processes of the product and checks TWICE and LOST as the users' pages word them.
+// Plays a deployment with real processes of the product and checks TWICE, LOST and EVAC as the users' pages word them.
 // Exit codes: 0 the rules held, 1 a rule was broken, 2 the play could not be run.
 #include "FleetPlay.h"
 
@@ -16,7 +16,7 @@
 auto parse(int count, char** arguments) -> FleetOptions
 {
     std::vector<std::string> siteNames { "roata", "maraval" };
-    TCLAP::CmdLine command("Plays a deployment with real processes, and checks TWICE and LOST");
+    TCLAP::CmdLine command("Plays a deployment with real processes, and checks TWICE, LOST and EVAC");
     const TCLAP::ValueArg<std::string> program("", "program", "path of hemlockvane", true, "", "path", command);
     const TCLAP::ValueArg<std::string> folder("", "folder", "for records and logs", true, "", "path", command);
     const TCLAP::ValueArg<std::uint64_t> seed("", "seed", "", false, 1, "number", command);
--- a/tests/fleet/PlannedTroubles.cpp
+++ b/tests/fleet/PlannedTroubles.cpp
@@ -47,6 +47,7 @@
         { "configurations", &PlannedTroubles::configurations },
         { "waves", &PlannedTroubles::waves },
         { "leaving", &PlannedTroubles::leaving },
+        { "evacuations", &PlannedTroubles::evacuations },
         { "lost-orders", &PlannedTroubles::lostOrders },
     };
     std::istringstream list(names);
@@ -170,6 +171,23 @@
     co_await m_machines.crashAndReturn(machine, down);
 }
 
+// One zone at a time is evacuated, for long enough that starts in it would be seen, and restored.
+auto PlannedTroubles::evacuations(std::int64_t until) -> asio::awaitable<void>
+{
+    while (m_record.now() < until) {
+        co_await pause(500, 3000);
+        const auto& machines = m_machines.machines();
+        const auto zone = machines[m_random() % machines.size()].m_zone;
+        m_store.put("keyed.op", "evacuate/" + zone, "{}");
+        m_record.write("operator", "evacuates " + zone);
+        m_record.m_evacuations.push_back({ zone, m_record.now(), never });
+        co_await pause(9000, 14000);
+        m_record.write("operator", "restores " + zone);
+        m_record.m_evacuations.back().m_restoredAt = m_record.now();
+        m_store.put("keyed.op", "evacuate/" + zone, {});
+    }
+}
+
 auto PlannedTroubles::lostOrders(std::int64_t until) -> asio::awaitable<void>
 {
     while (m_record.now() < until) {
--- a/tests/fleet/PlannedTroubles.h
+++ b/tests/fleet/PlannedTroubles.h
@@ -39,6 +39,7 @@
     auto waves(std::int64_t until) -> boost::asio::awaitable<void>;
     auto leaving(std::int64_t until) -> boost::asio::awaitable<void>;
     auto leave(std::size_t machine) -> boost::asio::awaitable<void>;
+    auto evacuations(std::int64_t until) -> boost::asio::awaitable<void>;
     auto lostOrders(std::int64_t until) -> boost::asio::awaitable<void>;
 
     auto between(std::int64_t least, std::int64_t most) -> std::int64_t;
--- a/tests/shell/platform/DecodeTest.cpp
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -1,4 +1,5 @@
 #include "DecodeConfiguration.h"
+#include "DecodeEvacuation.h"
 #include "DecodeExecutorEntry.h"
 #include "DecodeJob.h"
 #include "DecodeMachinePage.h"
@@ -34,6 +35,8 @@
     CPPUNIT_TEST(configuration_unreadable_isEmpty);
     CPPUNIT_TEST(waveOrder_otherKey_isEmpty);
     CPPUNIT_TEST(waveOrder_absurdNumber_isEmpty);
+    CPPUNIT_TEST(evacuation_key_namesItsZone);
+    CPPUNIT_TEST(executorEntry_cold_remainingTimeIsDecoded);
     CPPUNIT_TEST(taskName_invalid_isEmpty);
     CPPUNIT_TEST(settings_missingFields_areNamed);
     CPPUNIT_TEST_SUITE_END();
@@ -216,6 +219,22 @@
         CPPUNIT_ASSERT(reason.m_text.find("bounds.moveS is no number") != std::string::npos);
         CPPUNIT_ASSERT(reason.m_text.find("node is missing") == std::string::npos);
     }
+
+    // Guards against an evacuation that is missed, and against other records that are taken for one.
+    auto evacuation_key_namesItsZone() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("north-a"), decodeEvacuation("evacuate/north-a").value());
+        CPPUNIT_ASSERT(!decodeEvacuation("evacuate/"));
+        CPPUNIT_ASSERT(!decodeEvacuation("wave/1"));
+        CPPUNIT_ASSERT(!decodeEvacuation("config"));
+    }
+
+    auto executorEntry_cold_remainingTimeIsDecoded() -> void
+    {
+        const auto* text = R"({"service":"s","address":"127.0.0.1:80","zone":"z","born":1,"state":"ready",)"
+                           R"("coldRemainingMs":2500,"labels":["a","r"],"capacity":{"cpu":1,"memMb":1,"gpu":0}})";
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2500 }, decodeExecutorEntry("id", text).value().m_coldRemainingMs);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DecodeTest);
