Plan pools by memory too, and keep machines that are due for maintenance empty

Pools were sized by processor alone. Where memory is the scarcer resource, machines with long-running tasks have processors left that no short task can use, so that too few machines were ordered when a queue's demand rose. Demand and capacity are now measured for both, and the scarcer one decides.

Short tasks now avoid machines that are due while there is room elsewhere, idle machines of the pools take the slots that are left, machines that are due are moved into a pool last, and drains are begun by the time that they take at present. event=wave_pace and its gauges show a wave's progress.

--- a/include/hemlockvane/fleet/MachineView.h
+++ b/include/hemlockvane/fleet/MachineView.h
@@ -22,6 +22,8 @@
     std::uint32_t m_runs = 0; ///< Number of runs on its executor.
     std::uint32_t m_activeLongRunningRuns = 0; ///< Number of these that belong to long-running tasks.
     std::int64_t m_usedCpuMilliCores = 0;
+    bool m_isMaintenanceDue = false; ///< True while a wave that is not completed includes it.
+    Instant m_reservedSince; ///< Valid only while it is reserved.
     Instant m_idleSince; ///< When its last run ended; valid only while it has none.
 };
 
--- a/include/hemlockvane/fleet/PlanMachineWave.h
+++ b/include/hemlockvane/fleet/PlanMachineWave.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/fleet/FleetAction.h"
+#include "hemlockvane/fleet/WavePace.h"
 #include "hemlockvane/time/Time.h"
 
 #include <vector>
@@ -13,11 +14,13 @@
 
 /// @brief Plans the upkeeps of a wave within its time limit, starting with machines of the pools with the lowest load.
 ///
-/// A machine is first reserved and then maintained once it runs no tasks, so that no work is lost. Close to the wave's
-/// time limit it is maintained with short tasks running too, but never with long-running ones.
+/// A machine is maintained only while it runs no tasks, so that no work is lost: one of a spare pool at once, an idle
+/// one as soon as its pool can spare it, any other after it has been reserved and its tasks have ended or moved. So
+/// many are reserved at a time as the time that drains take and the time left require.
 /// @param actions receives reservations and upkeeps
+/// @result the wave's progress
 auto planMachineWave(const FleetView& view, const WaveState& wave, const FleetTiming& timing, Instant now,
-    std::vector<FleetAction>& actions) -> void;
+    std::vector<FleetAction>& actions) -> WavePace;
 
 /// @brief True when a machine belongs to the wave and its upkeep has not started.
 auto isUpkeepPending(const WaveState& wave, const std::string& machine) -> bool;
--- a/include/hemlockvane/fleet/PoolView.h
+++ b/include/hemlockvane/fleet/PoolView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/fleet/PoolMemory.h"
 #include "hemlockvane/time/Time.h"
 
 #include <cstdint>
@@ -8,7 +9,7 @@
 
 namespace hemlockvane::fleet {
 
-/// @brief Capacity and demand of a pool, in millicores.
+/// @brief Capacity and demand of a pool; processor in millicores.
 struct PoolView {
     std::string m_name;
     bool m_isSpare = false;
@@ -23,6 +24,7 @@
     std::map<std::string, std::uint32_t> m_machinesForLongRunning {};
     Duration m_waitOfLongRunning { 0 }; ///< For how long long-running tasks have wanted machines without a break.
     std::int64_t m_arrivingGrowth = 0; ///< Growth of `m_arrivingMilliCores`, in millicores a second; not negative.
+    PoolMemory m_memory {};
 };
 
 } // namespace hemlockvane::fleet
--- a/include/hemlockvane/scheduling/Arrival.h
+++ b/include/hemlockvane/scheduling/Arrival.h
@@ -10,6 +10,7 @@
 struct Arrival {
     Instant m_at;
     std::int64_t m_milliCoreSeconds = 0; ///< Work in millicore-seconds.
+    std::int64_t m_mbSeconds = 0; ///< Memory that it occupies, in MB-seconds.
 };
 
 } // namespace hemlockvane::scheduling
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -39,7 +39,7 @@
     Instant m_coldUntil; ///< It is slow until then, having started recently.
     bool m_isLeaving = false; ///< Its machine accepted an order that ends the executor: no task is started there.
     bool m_isMaintenanceDue
-        = false; ///< Its machine is due for maintenance soon: long-running tasks are placed elsewhere if possible.
+        = false; ///< Its machine is due for maintenance soon: tasks are placed elsewhere if possible.
     Instant m_backoffUntil; ///< No task is started there before this time, after failures or refusals.
     std::uint32_t m_consecutiveFailures = 0; ///< Failed runs of different jobs since the last successful run.
     JobId m_lastFailedJob = 0;
--- a/include/hemlockvane/scheduling/RankPlacement.h
+++ b/include/hemlockvane/scheduling/RankPlacement.h
@@ -18,7 +18,8 @@
 /// @brief Ranks an executor that can hold a task. Executors where the task has not failed before come first, then those
 /// on the rack of its data.
 ///
-/// Tasks that end by themselves go to the fullest executor that is not cold. Long-running tasks keep their machines in
+/// Tasks that end by themselves go to the fullest executor that is neither cold nor due for maintenance, so that the
+/// latter become empty where there is room elsewhere. Long-running tasks keep their machines in
 /// the pool all day, so they are packed on few machines: at most as many tasks of a step on one machine as two rounds
 /// of evacuation remove, and about half of a step on one rack. Tasks that serve users slow each other down and are
 /// spread.
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/MachineOrders.h"
+#include "hemlockvane/fleet/MeasurePools.h"
 #include "hemlockvane/fleet/PlanMachineWave.h"
 #include "hemlockvane/scheduling/MeasureDemand.h"
 
@@ -43,12 +44,16 @@
         view.m_drainedFor = drained->second;
     view.m_isZoneEvacuated = state.m_scheduler.m_rules.m_evacuatedZones.contains(machine.m_zone);
     view.m_isSpare = state.m_scheduler.m_rules.m_spareServices.contains(machine.m_pool);
+    view.m_isMaintenanceDue = isMaintenanceDue(fleetState, machine.m_id);
+    if (const auto reserved = fleetState.m_reservedSince.find(machine.m_id);
+        reserved != fleetState.m_reservedSince.end())
+        view.m_reservedSince = reserved->second;
     auto* executor = findExecutor(state, machine.m_executorId);
     if (executor != nullptr) {
         executor->m_isReserved = view.m_isReserved;
         if (executor->m_isRegistered)
             view.m_machine.m_capacity = executor->m_entry.m_capacity; // It may shrink and grow while the executor runs.
-        executor->m_isMaintenanceDue = isMaintenanceDue(fleetState, machine.m_id);
+        executor->m_isMaintenanceDue = view.m_isMaintenanceDue;
         view.m_hasExecutor = executor->m_isRegistered && !executor->m_isUnresponsive && !executor->m_entry.m_isDraining;
         view.m_mayHaveUnknownRuns = !executor->m_isReconciled && now < executor->m_earlierLeasesExpireBy;
         view.m_runs = static_cast<std::uint32_t>(executor->m_runs.size());
@@ -99,6 +104,11 @@
         pool.m_arrivingMilliCores = demand.m_arrivingMilliCores;
         pool.m_arrivingGrowth = demand.m_arrivingGrowth;
         pool.m_blockedMilliCores = demand.m_blockedMilliCores;
+        pool.m_memory.m_usedMb = demand.m_runningMb;
+        pool.m_memory.m_waitingMb = demand.m_waitingMb;
+        pool.m_memory.m_arrivingMb = demand.m_arrivingMb;
+        pool.m_memory.m_arrivingGrowthMb = demand.m_arrivingGrowthMb;
+        pool.m_memory.m_blockedMb = demand.m_blockedMb;
         pool.m_machinesWanted = demand.m_executorsWanted;
         pool.m_machinesForLongRunning = demand.m_executorsForLongRunning;
         pool.m_waitOfLongRunning = measureWaitOfLongRunning(state.m_fleet, pool, now);
@@ -108,11 +118,13 @@
         const auto& added = view.m_machines.back();
         const auto isServing = machine.m_state == fleet::MachineState::Up && added.m_hasExecutor;
         const auto isAvailable = (isServing || added.m_isSpare) && !added.m_isReserved;
-        if (!added.m_isZoneEvacuated && (!added.m_destinationPool.empty() || isAvailable))
-            view.m_pools[added.m_destinationPool.empty() ? machine.m_pool : added.m_destinationPool]
-                .m_capacityMilliCores
-                += added.m_machine.m_capacity.m_cpuMilliCores;
+        if (!added.m_isZoneEvacuated && (!added.m_destinationPool.empty() || isAvailable)) {
+            auto& pool = view.m_pools[added.m_destinationPool.empty() ? machine.m_pool : added.m_destinationPool];
+            pool.m_capacityMilliCores += added.m_machine.m_capacity.m_cpuMilliCores;
+            pool.m_memory.m_capacityMb += added.m_machine.m_capacity.m_memoryMb;
+        }
     }
+    fleet::relateMemory(view);
     return view;
 }
 
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -124,10 +124,13 @@
 
 auto setReserved(CoordinatorState& state, const std::string& machine, bool isReserved) -> void
 {
-    if (isReserved)
+    if (isReserved) {
         state.m_fleet.m_reserved.insert(machine);
-    else
+        state.m_fleet.m_reservedSince.try_emplace(machine, monotonicNow());
+    } else {
         state.m_fleet.m_reserved.erase(machine);
+        state.m_fleet.m_reservedSince.erase(machine);
+    }
     if (auto* executor = executorOf(state, machine))
         executor->m_isReserved = isReserved;
 }
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -167,6 +167,22 @@
     }
 }
 
+// Reports the progress of a wave once a second.
+auto reportPace(CoordinatorState& state, std::uint64_t wave, const fleet::WavePace& pace, Instant now) -> void
+{
+    auto [reported, isNew] = state.m_fleet.m_paceReportedAt.try_emplace(wave, now);
+    if (!isNew && now - reported->second < capacityReportInterval)
+        return;
+    reported->second = now;
+    logOf("fleet").info(
+        "event=wave_pace wave={} due={} needed={} reserved={} down={} unused_slots={} drain_ms={} late={}", wave,
+        pace.m_due, pace.m_needed, pace.m_reserved, pace.m_down, pace.m_unusedSlots, pace.m_drainTime.count(),
+        pace.m_isLate);
+    state.m_ports.m_metrics->gauge("wave_machines_due", static_cast<double>(pace.m_due));
+    state.m_ports.m_metrics->gauge("wave_machines_reserved", static_cast<double>(pace.m_reserved));
+    state.m_ports.m_metrics->gauge("wave_unused_slots", static_cast<double>(pace.m_unusedSlots));
+}
+
 auto planOnce(const std::shared_ptr<CoordinatorState>& state, Instant now) -> void
 {
     auto& fleetState = state->m_fleet;
@@ -176,7 +192,7 @@
     for (auto& [number, wave] : fleetState.m_waves) {
         if (wave.m_isCompleted || !hasOrder(wave))
             continue;
-        fleet::planMachineWave(view, wave, fleetState.m_timing, now, actions);
+        reportPace(*state, number, fleet::planMachineWave(view, wave, fleetState.m_timing, now, actions), now);
         wave.m_isCompleted = fleet::isWaveCompleted(view, wave);
         if (wave.m_isCompleted)
             storeWave(*state, wave);
--- a/src/fleet/PlanPoolMoves.cpp
+++ b/src/fleet/PlanPoolMoves.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/fleet/MeasurePools.h"
 #include "hemlockvane/scheduling/Labels.h"
 
 #include <algorithm>
@@ -11,32 +12,15 @@
 
 namespace {
 
-// Target capacity for each core of demand, since tasks do not fill machines exactly.
-constexpr double capacityPerDemand = 1.1;
-constexpr double maxDonorLoad = 0.8; // Maximum load of a pool after it has given up a machine.
-// One in this many tasks that wait for other tasks needs additional capacity; most use that of their predecessors.
-constexpr std::int64_t blockedDivisor = 4;
 constexpr std::int64_t millisPerSecond = 1000;
 constexpr std::int64_t minMachines = 2; // A pool keeps this many, since one of them may fail.
 
-auto runningAndBlocked(const PoolView& pool) -> std::int64_t
-{
-    return pool.m_usedMilliCores + pool.m_blockedMilliCores / blockedDivisor;
-}
-
 // Capacity needed to sustain the arrivals when a machine that is ordered now is ready. Growth is short-lived, so at
 // most a doubling is expected.
-auto arrivingAfterMove(const PoolView& pool, const FleetTiming& timing) -> std::int64_t
+auto arrivingAfterMove(std::int64_t arriving, std::int64_t growthPerSecond, const FleetTiming& timing) -> std::int64_t
 {
-    const auto growth = pool.m_arrivingGrowth * timing.m_moveTime.count() / millisPerSecond;
-    return pool.m_arrivingMilliCores + std::min(growth, pool.m_arrivingMilliCores);
-}
-
-// Capacity that a pool lacks, in millicores; negative when it has a surplus.
-auto shortfallOf(const PoolView& pool) -> double
-{
-    const auto demand = std::max(runningAndBlocked(pool) + pool.m_waitingMilliCores, pool.m_arrivingMilliCores);
-    return static_cast<double>(demand) * capacityPerDemand - static_cast<double>(pool.m_capacityMilliCores);
+    const auto growth = growthPerSecond * timing.m_moveTime.count() / millisPerSecond;
+    return arriving + std::min(growth, arriving);
 }
 
 auto isFree(const MachineView& machine) -> bool
@@ -58,8 +42,11 @@
         , m_actions(actions)
         , m_pools(view.m_pools)
     {
-        for (auto& [name, pool] : m_pools)
-            pool.m_arrivingMilliCores = arrivingAfterMove(pool, timing);
+        for (auto& [name, pool] : m_pools) {
+            auto& memory = pool.m_memory;
+            pool.m_arrivingMilliCores = arrivingAfterMove(pool.m_arrivingMilliCores, pool.m_arrivingGrowth, timing);
+            memory.m_arrivingMb = arrivingAfterMove(memory.m_arrivingMb, memory.m_arrivingGrowthMb, timing);
+        }
         for (const auto& machine : view.m_machines) {
             if (isFree(machine) && !machine.m_mayHaveUnknownRuns)
                 (machine.m_isZoneEvacuated ? m_freeInEvacuatedZones : m_free).push_back(&machine);
@@ -68,15 +55,18 @@
                 ++m_machines[machine.m_machine.m_pool];
         }
         // First machines that would be returned to the spare pool now, which saves their way back; then spare machines,
-        // then those of the pools with the largest surplus.
+        // then those of the pools with the largest surplus. Machines that are due for maintenance come after their
+        // like, since a machine in the spare pool is maintained at once and one in use has to be emptied first.
         const auto rank = [&](const MachineView& machine) {
             if (isLongIdle(machine, timing, now))
                 return 0;
             return machine.m_isSpare ? 1 : 2;
         };
         std::sort(m_free.begin(), m_free.end(), [&](const MachineView* left, const MachineView* right) {
-            return std::tuple(rank(*left), shortfallOf(m_pools[left->m_machine.m_pool]), left->m_machine.m_id)
-                < std::tuple(rank(*right), shortfallOf(m_pools[right->m_machine.m_pool]), right->m_machine.m_id);
+            return std::tuple(rank(*left), left->m_isMaintenanceDue, shortfallOf(m_pools[left->m_machine.m_pool]),
+                       left->m_machine.m_id)
+                < std::tuple(rank(*right), right->m_isMaintenanceDue, shortfallOf(m_pools[right->m_machine.m_pool]),
+                    right->m_machine.m_id);
         });
     }
 
@@ -171,6 +161,7 @@
                 continue;
             move(*machine, name, "demand");
             pool.m_capacityMilliCores += capacity;
+            pool.m_memory.m_capacityMb += machine->m_machine.m_capacity.m_memoryMb;
         }
     }
 
@@ -237,16 +228,18 @@
         if (machine.m_isSpare)
             return true;
         const auto& pool = m_pools[from];
-        const auto after = pool.m_capacityMilliCores - machine.m_machine.m_capacity.m_cpuMilliCores;
-        return pool.m_waitingMilliCores == 0 && pool.m_arrivingMilliCores <= after && m_machines[from] > minMachines
-            && static_cast<double>(runningAndBlocked(pool)) <= maxDonorLoad * static_cast<double>(after);
+        const auto& capacity = machine.m_machine.m_capacity;
+        return pool.m_waitingMilliCores == 0 && m_machines[from] > minMachines
+            && canGiveUp(pool, capacity.m_cpuMilliCores, capacity.m_memoryMb);
     }
 
     auto move(const MachineView& machine, const std::string& to, const char* reason) -> void
     {
         const auto& from = machine.m_machine.m_pool;
         if (machine.m_drainedFor.empty() && !machine.m_isZoneEvacuated) {
-            m_pools[from].m_capacityMilliCores -= machine.m_isSpare ? 0 : machine.m_machine.m_capacity.m_cpuMilliCores;
+            const auto& capacity = machine.m_machine.m_capacity;
+            m_pools[from].m_capacityMilliCores -= machine.m_isSpare ? 0 : capacity.m_cpuMilliCores;
+            m_pools[from].m_memory.m_capacityMb -= machine.m_isSpare ? 0 : capacity.m_memoryMb;
             --m_machines[from];
         }
         m_moved[machine.m_machine.m_id] = to;
--- a/src/scheduling/MeasureDemand.cpp
+++ b/src/scheduling/MeasureDemand.cpp
@@ -96,32 +96,39 @@
     const auto need = requiredResources(spec).m_cpuMilliCores;
     const auto tasks = static_cast<std::uint32_t>(state.m_tasks.size());
     auto waitingTasks = tasks - state.m_doneCount - state.m_runningTasks;
+    const auto memory = spec.m_perTask.m_memoryMb;
     demand.m_runningMilliCores += need * state.m_runningTasks;
+    demand.m_runningMb += memory * state.m_runningTasks;
     if (const auto moving = tasksToMove(context.m_scheduler, spec, state); moving > 0)
         wantExecutors(demand, spec, moving);
     if (waitingTasks == 0)
         return;
     if (!isStepReady(spec, occurrence)) {
         demand.m_blockedMilliCores += need * waitingTasks;
+        demand.m_blockedMb += memory * waitingTasks;
         return;
     }
     waitingTasks = tasksWithin(freeOf(context, job.m_spec.m_workspace), spec.m_perTask, waitingTasks);
     if (waitingTasks == 0)
         return;
     demand.m_waitingMilliCores += need * waitingTasks;
+    demand.m_waitingMb += memory * waitingTasks;
     wantExecutors(demand, spec, waitingTasks);
 }
 
+// One of the measures of an arrival's work: processor or memory over time.
+using Work = std::int64_t Arrival::*;
+
 // Work of a number of arrivals, with the variance of this sum if jobs arrive independently of one another.
 struct ArrivedWork {
-    double m_work = 0; // In millicore-seconds.
+    double m_work = 0; // In millicore-seconds or MB-seconds.
     double m_variance = 0;
     std::size_t m_jobs = 0;
 };
 
-auto add(ArrivedWork& sum, const Arrival& arrival) -> void
+auto add(ArrivedWork& sum, const Arrival& arrival, Work measure) -> void
 {
-    const auto work = static_cast<double>(arrival.m_milliCoreSeconds);
+    const auto work = static_cast<double>(arrival.*measure);
     sum.m_work += work;
     sum.m_variance += work * work;
     ++sum.m_jobs;
@@ -129,19 +136,19 @@
 
 auto seconds(Duration span) -> double { return static_cast<double>(span.count()) / millisPerSecond; }
 
-// Millicores that the arrivals keep busy, reduced by a number of standard errors of such a small sample.
+// Millicores, or MB, that the arrivals keep busy, reduced by a number of standard errors of such a small sample.
 auto conservativeRate(const ArrivedWork& sum, Duration span, double errors) -> double
 {
     return (sum.m_work - errors * std::sqrt(sum.m_variance)) / seconds(std::max(span, minimumSpan));
 }
 
-// Millicores that arrivals at the current rate keep busy; 0 if too few jobs have arrived to compute a rate.
-auto arrivingMillis(const std::deque<Arrival>& arrivals, Instant now) -> std::int64_t
+// Millicores, or MB, that arrivals at the current rate keep busy; 0 if too few jobs have arrived to compute a rate.
+auto arrivingRate(const std::deque<Arrival>& arrivals, Work measure, Instant now) -> std::int64_t
 {
     ArrivedWork sum;
     auto highestRate = 0.0;
     for (auto arrival = arrivals.rbegin(); arrival != arrivals.rend() && now - arrival->m_at <= rateWindow; ++arrival) {
-        add(sum, *arrival);
+        add(sum, *arrival, measure);
         if (sum.m_jobs >= minimumJobsForRate)
             highestRate = std::max(highestRate, conservativeRate(sum, now - arrival->m_at, errorsOfHighestRate));
     }
@@ -150,9 +157,9 @@
     return static_cast<std::int64_t>(highestRate);
 }
 
-// Growth of the arrivals from the window before to the newest one, in millicores a second, reduced by its standard
-// error. The window before may be shorter, since a new owner does not know the arrivals before it took over.
-auto arrivingGrowth(const std::deque<Arrival>& arrivals, Instant now) -> std::int64_t
+// Growth of the arrivals from the window before to the newest one, in millicores or MB a second, reduced by its
+// standard error. The window before may be shorter, since a new owner does not know the arrivals before it took over.
+auto arrivingGrowth(const std::deque<Arrival>& arrivals, Work measure, Instant now) -> std::int64_t
 {
     ArrivedWork newest;
     ArrivedWork before;
@@ -161,7 +168,7 @@
         const auto age = now - arrival->m_at;
         spanBefore = std::clamp(age - rateWindow, Duration(0), rateWindow);
         if (age <= 2 * rateWindow)
-            add(age <= rateWindow ? newest : before, *arrival);
+            add(age <= rateWindow ? newest : before, *arrival, measure);
     }
     if (newest.m_jobs < minimumJobsForRate || spanBefore < minimumSpan)
         return 0;
@@ -197,8 +204,10 @@
         if (queue == scheduler.m_rules.m_queues.end())
             continue;
         auto& demand = demands[queue->second.m_service];
-        demand.m_arrivingMilliCores += arrivingMillis(arrivals, now);
-        demand.m_arrivingGrowth += arrivingGrowth(arrivals, now);
+        demand.m_arrivingMilliCores += arrivingRate(arrivals, &Arrival::m_milliCoreSeconds, now);
+        demand.m_arrivingGrowth += arrivingGrowth(arrivals, &Arrival::m_milliCoreSeconds, now);
+        demand.m_arrivingMb += arrivingRate(arrivals, &Arrival::m_mbSeconds, now);
+        demand.m_arrivingGrowthMb += arrivingGrowth(arrivals, &Arrival::m_mbSeconds, now);
     }
     return demands;
 }
--- a/src/scheduling/RankPlacement.cpp
+++ b/src/scheduling/RankPlacement.cpp
@@ -51,7 +51,7 @@
     const auto isFar = !spec.m_dataRack.empty() && spec.m_dataRack != executor.m_rack;
     const auto load = executor.m_used.m_cpuMilliCores;
     if (!spec.m_isLongRunning)
-        return { hasFailed, isFar, now < executor.m_coldUntil, false, false, -load };
+        return { hasFailed, isFar, now < executor.m_coldUntil || executor.m_isMaintenanceDue, false, false, -load };
     if (prefersSpreading(spec))
         return { hasFailed, isFar, executor.m_isMaintenanceDue, false, false, load };
     const auto isFirst = executor.m_activeLongRunningRuns == 0;
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -42,22 +42,24 @@
     return occurrence;
 }
 
-// Millicore-seconds that a job adds at once. Long-running tasks and scheduled occurrences are not part of a burst.
-auto immediateWork(const JobSpec& spec) -> std::int64_t
+// What a job adds at once. Long-running tasks and scheduled occurrences are not part of a burst.
+auto arrivalOf(const JobSpec& spec, Instant now) -> Arrival
 {
-    std::int64_t work = 0;
+    Arrival arrival { now };
     for (const auto& step : spec.m_steps) {
-        if (!step.m_isLongRunning && spec.m_occurrences == 0)
-            work += static_cast<std::int64_t>(step.m_taskCount) * step.m_perTask.m_cpuMilliCores * step.m_estimateMs
-                / millisPerSecond;
+        if (step.m_isLongRunning || spec.m_occurrences != 0)
+            continue;
+        const auto taskMillis = static_cast<std::int64_t>(step.m_taskCount) * step.m_estimateMs;
+        arrival.m_milliCoreSeconds += taskMillis * step.m_perTask.m_cpuMilliCores / millisPerSecond;
+        arrival.m_mbSeconds += taskMillis * step.m_perTask.m_memoryMb / millisPerSecond;
     }
-    return work;
+    return arrival;
 }
 
 auto recordArrival(Scheduler& scheduler, const JobSpec& spec, Instant now) -> void
 {
     auto& arrivals = scheduler.m_arrivals[spec.m_queue];
-    arrivals.push_back({ now, immediateWork(spec) });
+    arrivals.push_back(arrivalOf(spec, now));
     while (arrivals.front().m_at + arrivalRetention < now)
         arrivals.pop_front();
 }
