Share pools that cannot hold all tasks by the workspaces' weights

Starts were ordered by priority, class and deadline only, so a workspace that sends many times its usual took the place of all others. A pool whose free capacity cannot hold what waits is now divided by weighted max-min fairness, by the scarcer of processor and memory. Of each priority, steps that are not too late and whose workspace is within its share come first. Pools that hold everything are planned as before. event=share_used names the workspaces that have used up their share.

--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/scheduling/Arrival.h"
+#include "hemlockvane/scheduling/ContendedPool.h"
 #include "hemlockvane/scheduling/DroppedRun.h"
 #include "hemlockvane/scheduling/Executor.h"
 #include "hemlockvane/scheduling/FleetRules.h"
@@ -36,6 +37,10 @@
     std::vector<ExecutorIndex> m_activeExecutors; ///< Those that plans look at: all but the retired ones.
     std::unordered_map<std::string, ExecutorIndex> m_executorById;
     std::map<std::string, Resources> m_usedByWorkspace;
+    /// By queue and workspace: what running tasks use that are not long-running.
+    std::map<std::string, std::map<std::string, Resources>> m_usedByQueue;
+    bool m_sharesPools = false; ///< Whether pools that cannot hold all tasks are shared by the workspaces' weights.
+    std::vector<ContendedPool> m_contendedPools; ///< At the last plan of starts.
     std::map<std::string, std::deque<Arrival>> m_arrivals; ///< Recent arrivals, by queue.
     std::vector<JobId> m_dirtyJobs; ///< Jobs with progress that is not in the journal yet.
     std::uint64_t m_openBatch = 1; ///< Number of the journal batch that will contain the next changes.
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -7,6 +7,7 @@
 #include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/LoadState.h"
 #include "hemlockvane/detail/coordinator/ManageFleet.h"
+#include "hemlockvane/detail/coordinator/ReportShares.h"
 #include "hemlockvane/detail/coordinator/ReportWaiting.h"
 #include "hemlockvane/detail/coordinator/ReportZones.h"
 #include "hemlockvane/detail/coordinator/RulesVersion.h"
@@ -206,6 +207,7 @@
             load.m_planTime.count(), load.m_longestPlan.count(), load.m_batches, load.m_longestBatch.count(),
             load.m_longestDelay.count(), scheduler.m_active.size(), busy);
         reportWaiting(*state);
+        reportShares(*state);
         reportZones(*state);
     }
 }
@@ -244,6 +246,7 @@
 {
     m_state->m_scheduler.m_rules = rules;
     m_state->m_scheduler.m_mayFailJobs = false; // Until the state is loaded.
+    m_state->m_scheduler.m_sharesPools = true;
     asio::co_spawn(m_state->m_context, run(), asio::detached);
 }
 
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -9,6 +9,7 @@
 #include "hemlockvane/scheduling/RankPlacement.h"
 #include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
+#include "hemlockvane/scheduling/ShareRoom.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
 #include "hemlockvane/scheduling/WorkspaceLimits.h"
@@ -26,6 +27,18 @@
 
 namespace {
 
+// Whether steps of workspaces beyond their share of a contended pool may be started.
+enum class ShareUse : std::uint8_t {
+    WithinShare,
+    Any,
+};
+
+auto mayUseRoom(Scheduler& scheduler, const StartCandidate& candidate, ShareUse use) -> bool
+{
+    return use == ShareUse::Any || candidate.m_class == CandidateClass::LongRunning
+        || hasShareLeft(findShare(scheduler, candidate));
+}
+
 auto hasRoom(const StartCandidate& candidate, const Executor& executor, ExecutorIndex index, const Resources& planned)
     -> bool
 {
@@ -121,6 +134,7 @@
     const TaskKey key { candidate.m_job->m_spec.m_id, candidate.m_occurrence, candidate.m_step, index };
     noteStartDecided(scheduler, addRun(scheduler, key, run, executor, RunPhase::Starting, now));
     refreshExecutor(scheduler, executor, now);
+    useShare(scheduler, candidate);
     Action action;
     action.m_executor = executor;
     action.m_task = key;
@@ -256,7 +270,7 @@
     beginTrial(scheduler, *executor, { actions.back().m_task, actions.back().m_run }, now);
 }
 
-auto startTasks(Scheduler& scheduler, StartCandidate& candidate, const StartPool& pool, Instant now,
+auto startTasks(Scheduler& scheduler, StartCandidate& candidate, const StartPool& pool, ShareUse use, Instant now,
     std::vector<Action>& actions) -> void
 {
     for (std::uint32_t index = 0; index < candidate.m_state->m_tasks.size(); ++index) {
@@ -264,7 +278,7 @@
         if (!needsRun(scheduler, *candidate.m_spec, task, now) || isHeldBack(scheduler, task)
             || awaitsLimit(scheduler, *candidate.m_job, *candidate.m_state, task))
             continue;
-        if (!mayDecideStart(scheduler, candidate.m_queue->m_service)
+        if (!mayDecideStart(scheduler, candidate.m_queue->m_service) || !mayUseRoom(scheduler, candidate, use)
             || !isWithinLimit(scheduler, candidate.m_job->m_spec.m_workspace, candidate.m_spec->m_perTask, 1))
             return;
         if (needsTrial(scheduler, task)) {
@@ -296,8 +310,11 @@
            });
 }
 
-auto startStep(Scheduler& scheduler, StartCandidate& candidate, Instant now, std::vector<Action>& actions) -> void
+auto startStep(Scheduler& scheduler, StartCandidate& candidate, ShareUse use, Instant now, std::vector<Action>& actions)
+    -> void
 {
+    if (!mayUseRoom(scheduler, candidate, use))
+        return;
     auto& pool = scheduler.m_starts.m_pools[candidate.m_pool];
     const auto needsAdvice = candidate.m_queue->m_needsAdvice;
     if (needsAdvice && expireTickets(candidate.m_state->m_advice, now))
@@ -311,22 +328,56 @@
     if (candidate.m_blockedAt != pool.m_version && candidate.m_spec->m_isGang)
         startGang(scheduler, candidate, pool, now, actions);
     else if (candidate.m_blockedAt != pool.m_version)
-        startTasks(scheduler, candidate, pool, now, actions);
+        startTasks(scheduler, candidate, pool, use, now, actions);
     if (needsAdvice && awaitsExecutor(scheduler, candidate, now))
         requestAdvice(scheduler, candidate, now, actions);
 }
 
+auto startSteps(Scheduler& scheduler, std::span<StartCandidate> candidates, ShareUse use, Instant now,
+    std::vector<Action>& actions) -> void
+{
+    for (auto& candidate : candidates) {
+        if (mayDecideStart(scheduler, candidate.m_queue->m_service))
+            startStep(scheduler, candidate, use, now, actions);
+    }
+}
+
+// The candidates at the begin that have one priority, and of these the ones that come before late jobs.
+auto countOfPriority(std::span<const StartCandidate> candidates, CandidateClass last) -> std::size_t
+{
+    const auto end = std::find_if(candidates.begin(), candidates.end(), [&](const StartCandidate& candidate) {
+        return candidate.m_priority != candidates.front().m_priority || candidate.m_class > last;
+    });
+    return static_cast<std::size_t>(end - candidates.begin());
+}
+
+// Of each priority, steps that can still be done in time or have begun come first if their workspace is within its
+// share, then the rest in the usual order: a share is no reason to serve what is too late before what is not.
+auto startByShares(Scheduler& scheduler, Instant now, std::vector<Action>& actions) -> void
+{
+    std::span<StartCandidate> rest(scheduler.m_starts.m_candidates);
+    while (!rest.empty()) {
+        const auto ofPriority = rest.first(countOfPriority(rest, CandidateClass::Lapsed));
+        const auto timely = ofPriority.first(countOfPriority(ofPriority, CandidateClass::LateBegun));
+        startSteps(scheduler, timely, ShareUse::WithinShare, now, actions);
+        startSteps(scheduler, ofPriority, ShareUse::Any, now, actions);
+        rest = rest.subspan(ofPriority.size());
+    }
+}
+
 } // namespace
 
 auto planStarts(Scheduler& scheduler, Instant now, WallMillis wall, std::vector<Action>& actions) -> void
 {
     refreshPools(scheduler, now);
     refreshCandidates(scheduler, now, wall);
-    for (auto& candidate : scheduler.m_starts.m_candidates) {
-        if (!mayDecideStart(scheduler, candidate.m_queue->m_service))
-            continue;
-        startStep(scheduler, candidate, now, actions);
-    }
+    scheduler.m_contendedPools.clear();
+    if (scheduler.m_sharesPools)
+        scheduler.m_contendedPools = findContendedPools(scheduler);
+    if (scheduler.m_contendedPools.empty())
+        startSteps(scheduler, scheduler.m_starts.m_candidates, ShareUse::Any, now, actions);
+    else
+        startByShares(scheduler, now, actions);
 }
 
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -159,6 +159,8 @@
     target.m_hasStoppingRuns = target.m_hasStoppingRuns || phase == RunPhase::Stopping;
     addTo(target.m_used, requiredResources(spec));
     addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
+    if (!spec.m_isLongRunning)
+        addTo(scheduler.m_usedByQueue[job.m_spec.m_queue][job.m_spec.m_workspace], spec.m_perTask);
     // An executor may report a run after its job was retired.
     if (isFinal(job.m_phase) && scheduler.m_active.insert(key.m_job).second)
         scheduler.m_endedJobs.push_back(key.m_job);
@@ -189,6 +191,8 @@
     target.m_fillerRuns -= spec.m_isFiller ? 1 : 0;
     subtractFrom(target.m_used, requiredResources(spec));
     subtractFrom(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
+    if (!spec.m_isLongRunning)
+        subtractFrom(scheduler.m_usedByQueue[job.m_spec.m_queue][job.m_spec.m_workspace], spec.m_perTask);
     markChanged(scheduler, job);
 }
 
