--- a/demo/fleet.bash
+++ b/demo/fleet.bash
@@ -43,7 +43,7 @@
 }
 
 # writeSettings NAME ZONE: writes the settings of an entry to LOGS/NAME.yaml. TIMING, if set,
-# replaces the lines of the timing section.
+# replaces the lines of the timing section; ENTRY_LIMITS, if set, has the lines of the limits section.
 writeSettings() {
     cat >"$LOGS/$1.yaml" <<YAML
 instance: $1
@@ -64,6 +64,8 @@
 ${TIMING:-  vouch_ms: 3000
   list_lag_ms: 500
   beat_ms: 200}
+${ENTRY_LIMITS:+limits:
+$ENTRY_LIMITS}
 YAML
 }
 
