Bound the memory of all connections of a process

A request holds its body and, until it can be parsed, at most the limit of its header, whether that is a header, a trailer or the size line of a chunk. A table counts what all connections of a thread's servers hold. Beyond its limit, or that of connections, the connection whose incomplete request is oldest is closed, then the one that has been idle longest; complete requests are kept.

--- a/include/hemlockvane/detail/http/HttpServer.h
+++ b/include/hemlockvane/detail/http/HttpServer.h
@@ -20,13 +20,20 @@
 /// @brief Answers one request; runs on the server's io_context.
 using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
+class ConnectionTable;
+
 /// @brief An HTTP/1.1 server with limits, on one listening socket.
 ///
 /// Malformed, oversized and slow requests are answered with one of the errors in ErrorKind, and the connection is
-/// closed.
+/// closed. When memory or connections run out, the connection whose incomplete request is oldest is closed without an
+/// answer, then the one that has been idle longest.
 class HttpServer {
 public:
     HttpServer(boost::asio::io_context& context, HttpLimits limits, HttpHandler handler);
+
+    /// @param table shared with other servers of the same thread; its limit of memory replaces that of `limits`
+    HttpServer(boost::asio::io_context& context, HttpLimits limits, std::shared_ptr<ConnectionTable> table,
+        HttpHandler handler);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     auto operator=(const HttpServer&) -> HttpServer& = delete;
--- a/src/detail/http/HttpConnection.cpp
+++ b/src/detail/http/HttpConnection.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::size_t firstReadBytes = 4096; // Enough for nearly all answers of executors.
 constexpr std::size_t furtherReadBytes = 65536;
+constexpr std::size_t maximumUnparsedBytes = 16384; // A header, a trailer or the size line of a chunk.
 constexpr std::size_t keptBytes = 16384; // Larger buffers are not kept for the next exchange.
 
 auto contextOf(const asio::any_io_executor& executor) -> asio::execution_context&
@@ -188,6 +189,8 @@
         if (received == room)
             room = furtherReadBytes;
         parse(parser, impl.m_buffer, error);
+        if (!error && !parser.is_done() && impl.m_buffer.size() > maximumUnparsedBytes)
+            error = http::error::header_limit;
     }
     impl.m_hasResponseBegun = parser.got_some();
     if (error) {
--- a/src/detail/http/HttpPool.cpp
+++ b/src/detail/http/HttpPool.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t maximumResponseBytes = 64UL * 1024 * 1024; // Well above the longest page of a store.
 constexpr std::chrono::milliseconds connectTimeout { 400 }; // Connecting within a region takes a few milliseconds.
 
 struct ServerConnections;
@@ -206,7 +205,7 @@
     if (!isWanted)
         fail(reason, ErrorKind::Cancelled, "the request is not wanted any more");
     else if (isConnected)
-        response = co_await connection.exchange(request, timeout, maximumResponseBytes, reason);
+        response = co_await connection.exchange(request, timeout, m_impl->m_limits.m_maximumResponseBytes, reason);
     m_impl->release(pooled);
     --server->m_calls;
     m_impl->forgetIfUnused(*server);
--- a/src/detail/http/HttpServer.cpp
+++ b/src/detail/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/detail/http/HttpServer.h"
 
+#include "hemlockvane/detail/http/ConnectionTable.h"
 #include "hemlockvane/detail/http/ErrorResponse.h"
 #include "hemlockvane/detail/net/Address.h"
 
@@ -36,11 +37,18 @@
 
     Stream m_stream;
     beast::flat_buffer m_buffer;
+    ConnectionTable::Place m_place;
     bool m_isBusy = false;
     bool m_isTimedOut = false; // The request did not arrive in time.
     std::uint64_t m_reads = 0; // Number of the current read; a late timer of an earlier read is ignored.
 };
 
+constexpr std::size_t firstReadBytes = 1024;
+constexpr std::size_t furtherReadBytes = 16384;
+constexpr std::size_t sessionBytes = 4096; // Held by a connection while it receives a request, beside its bytes.
+// Bytes on the wire for each byte of the body limit. A chunk of one byte takes six; the rest is for a client that also
+// sends short extensions.
+constexpr std::size_t maximumBytesPerBodyByte = 8;
 constexpr std::chrono::milliseconds lingerTime { 1000 }; // Lets a client that is still sending read the refusal.
 constexpr std::size_t maximumLingerBytes = 4UL * 1024 * 1024;
 constexpr std::size_t maximumRefusals = 256; // Concurrent refusals of connections over the limit.
@@ -80,6 +88,8 @@
         return { ErrorKind::TooLarge, "the body is larger than this entry accepts" };
     if (error == http::error::header_limit)
         return { ErrorKind::TooLarge, "the header is larger than this entry accepts" };
+    if (error == asio::error::no_buffer_space)
+        return { ErrorKind::NoCapacity, "this entry has no memory left for the request" };
     if (error == asio::error::operation_aborted)
         return { ErrorKind::DeadlinePassed, "the request did not arrive in time" };
     if (error == http::error::partial_message)
@@ -117,20 +127,33 @@
     session.m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
     session.m_stream.expires_after(lingerTime);
     std::size_t discarded = 0;
-    std::array<char, 16384> scratch {};
+    // Shared by all connections, as its content is not used.
+    static thread_local std::array<char, 16384> scratch;
     while (!error && discarded < maximumLingerBytes)
         discarded += co_await session.m_stream.async_read_some(
             asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
     session.m_stream.close();
 }
 
+// Parses received bytes. What is left in the buffer is an incomplete header, trailer or size of a chunk, or belongs to
+// the next request.
+auto parse(Parser& parser, beast::flat_buffer& buffer, beast::error_code& error) -> void
+{
+    // One call may stop before the end of the buffer, at the end of the header or of a chunk.
+    while (!error && !parser.is_done() && buffer.size() > 0)
+        buffer.consume(parser.put(buffer.data(), error));
+    if (error == http::error::need_more)
+        error = {};
+}
+
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(asio::io_context& context, HttpLimits limits, HttpHandler handler)
+    Impl(asio::io_context& context, HttpLimits limits, std::shared_ptr<ConnectionTable> table, HttpHandler handler)
         : m_context(context)
         , m_acceptor(context)
         , m_limits(limits)
+        , m_table(std::move(table))
         , m_handler(std::move(handler))
     {
     }
@@ -144,10 +167,12 @@
         -> asio::awaitable<bool>;
     auto readRequest(const std::shared_ptr<Session>& session, Parser& parser, beast::error_code& error)
         -> asio::awaitable<void>;
+    auto readFurther(Session& session, Parser& parser, beast::error_code& error) -> asio::awaitable<void>;
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
+    std::shared_ptr<ConnectionTable> m_table;
     HttpHandler m_handler;
     std::set<std::shared_ptr<Session>> m_sessions;
     std::size_t m_refusals = 0; // Connections over the limit that are being refused now.
@@ -168,7 +193,7 @@
         }
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         auto session = std::make_shared<Session>(std::move(socket));
-        if (m_sessions.size() >= m_limits.m_maximumConnections) {
+        if (m_sessions.size() >= m_limits.m_maximumConnections && !m_table->makePlace()) {
             if (m_refusals < maximumRefusals)
                 asio::co_spawn(m_context, refuse(session), asio::detached);
             continue;
@@ -191,8 +216,12 @@
 auto HttpServer::Impl::serve(std::shared_ptr<Session> session) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
+    session->m_place = m_table->add([&stream = session->m_stream] { stream.close(); });
     while (co_await serveOne(session)) { }
+    m_table->hold(session->m_place, 0);
+    session->m_buffer = {};
     co_await lingerAndClose(*session);
+    m_table->remove(session->m_place);
     m_sessions.erase(session);
 }
 
@@ -203,7 +232,7 @@
     if (session->m_buffer.size() == 0) {
         stream.expires_after(m_limits.m_idleTimeout);
         const auto read = co_await stream.async_read_some(
-            session->m_buffer.prepare(1024), asio::redirect_error(asio::use_awaitable, error));
+            session->m_buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, error));
         session->m_buffer.commit(read);
         if (error) {
             error = error == asio::error::eof ? http::error::end_of_stream : error;
@@ -212,13 +241,45 @@
         }
     }
     session->m_isBusy = true;
+    m_table->enter(session->m_place, ingress::ConnectionPhase::Receiving);
     stream.expires_never();
     asio::steady_timer timer(m_context);
     limitRead(session, timer, m_limits.m_readTimeout);
-    co_await http::async_read(stream, session->m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await readFurther(*session, parser, error);
     ++session->m_reads;
 }
 
+// Reads until the request is complete. Beside the body, a request holds at most the limit of its header: a trailer
+// field or a chunk extension without end is not parsed before it is complete.
+auto HttpServer::Impl::readFurther(Session& session, Parser& parser, beast::error_code& error) -> asio::awaitable<void>
+{
+    const auto maximumReceived
+        = 2 * m_limits.m_maximumHeaderBytes + maximumBytesPerBodyByte * m_limits.m_maximumBodyBytes;
+    auto received = session.m_buffer.size();
+    parse(parser, session.m_buffer, error);
+    while (!error && !parser.is_done()) {
+        if (session.m_buffer.size() > m_limits.m_maximumHeaderBytes)
+            error = http::error::header_limit;
+        else if (received > maximumReceived)
+            error = http::error::body_limit;
+        else if (!m_table->hold(session.m_place, sessionBytes + session.m_buffer.size() + parser.get().body().size()))
+            error = asio::error::no_buffer_space;
+        if (error)
+            co_return;
+        const auto bytes = session.m_buffer.prepare(furtherReadBytes);
+        const auto read
+            = co_await session.m_stream.async_read_some(bytes, asio::redirect_error(asio::use_awaitable, error));
+        session.m_buffer.commit(read);
+        received += read;
+        if (error == asio::error::eof) {
+            error = {};
+            parser.put_eof(error);
+        } else if (!error) {
+            parse(parser, session.m_buffer, error);
+        }
+    }
+}
+
 auto HttpServer::Impl::callHandler(HttpRequest request) -> asio::awaitable<HttpResponse>
 {
     try {
@@ -231,10 +292,15 @@
 auto HttpServer::Impl::serveOne(const std::shared_ptr<Session>& session) -> asio::awaitable<bool>
 {
     Parser parser;
+    parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(m_limits.m_maximumHeaderBytes));
     parser.body_limit(m_limits.m_maximumBodyBytes);
     beast::error_code error;
     session->m_isBusy = false;
+    m_table->hold(session->m_place, 0);
+    m_table->enter(session->m_place, ingress::ConnectionPhase::Idle);
+    if (session->m_buffer.size() == 0)
+        session->m_buffer.shrink_to_fit();
     co_await readRequest(session, parser, error);
     if (error && isDisconnect(*session, error))
         co_return false;
@@ -245,7 +311,9 @@
     const auto version = parser.get().version();
     const auto isHead = parser.get().method() == http::verb::head;
     const auto clientKeepsAlive = parser.get().keep_alive();
+    m_table->enter(session->m_place, ingress::ConnectionPhase::Answering);
     auto response = co_await callHandler(toRequest(parser.release()));
+    m_table->hold(session->m_place, sessionBytes + response.m_body.size());
     const auto keepAlive = clientKeepsAlive && !m_isDraining;
     co_return co_await write(*session, std::move(response), version, keepAlive, isHead) && keepAlive;
 }
@@ -267,7 +335,13 @@
 }
 
 HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler)
-    : m_impl(std::make_shared<Impl>(context, limits, std::move(handler)))
+    : HttpServer(context, limits, std::make_shared<ConnectionTable>(limits.m_maximumMemoryBytes), std::move(handler))
+{
+}
+
+HttpServer::HttpServer(
+    asio::io_context& context, HttpLimits limits, std::shared_ptr<ConnectionTable> table, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(context, limits, std::move(table), std::move(handler)))
 {
 }
 
--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -45,6 +45,15 @@
     return settings.m_instance + "-" + makeSecret().substr(0, instanceSuffixDigits);
 }
 
+// Operators get a part of their own, so that callers cannot keep them out.
+auto operatorsLimits(const ServeSettings& settings) -> HttpLimits
+{
+    constexpr std::size_t operatorsDivisor = 4;
+    HttpLimits limits;
+    limits.m_maximumMemoryBytes = settings.m_limits.m_maximumMemoryBytes / operatorsDivisor;
+    return limits;
+}
+
 auto withPort(std::string_view address, std::uint16_t port) -> std::string
 {
     return std::string(address.substr(0, address.rfind(':') + 1)) + std::to_string(port);
@@ -61,8 +70,8 @@
         , m_moves(m_core)
         , m_traffic(m_core, m_claims, m_metrics)
         , m_operators(m_core)
-        , m_operatorsServer(
-              m_core.m_context, {}, [this](HttpRequest request) { return m_operators.handle(std::move(request)); })
+        , m_operatorsServer(m_core.m_context, operatorsLimits(settings),
+              [this](HttpRequest request) { return m_operators.handle(std::move(request)); })
         , m_trafficServer(m_traffic.m_context, settings.m_limits,
               [this](HttpRequest request) { return handleCaller(m_traffic, std::move(request)); })
         , m_signals(m_core.m_context, SIGTERM, SIGINT, SIGHUP)
--- a/src/detail/settings/LoadServeSettings.cpp
+++ b/src/detail/settings/LoadServeSettings.cpp
@@ -162,6 +162,7 @@
         sizeField("limits.connections", "connections", 1, 100000, &HttpLimits::m_maximumConnections),
         sizeField("limits.header_bytes", "bytes", 1024, 1048576, &HttpLimits::m_maximumHeaderBytes),
         sizeField("limits.body_bytes", "bytes", 1024, 67108864, &HttpLimits::m_maximumBodyBytes),
+        sizeField("limits.memory_bytes", "bytes", 8388608, 17179869184, &HttpLimits::m_maximumMemoryBytes),
         timeoutField("limits.read_timeout_ms", &HttpLimits::m_readTimeout),
         timeoutField("limits.idle_timeout_ms", &HttpLimits::m_idleTimeout),
         timeoutField("limits.write_timeout_ms", &HttpLimits::m_writeTimeout),
@@ -262,6 +263,19 @@
         "at most a third of timing.vouch_ms, which is " + maximum });
 }
 
+// A single body within its limit must be served, whatever else arrives.
+auto checkMemory(const ServeSettings& settings, const Values& values, std::vector<SettingsProblem>& problems) -> void
+{
+    constexpr std::size_t bodies = 2;
+    const auto& limits = settings.m_limits;
+    if (limits.m_maximumMemoryBytes >= bodies * limits.m_maximumBodyBytes)
+        return;
+    const auto memory = values.find("limits.memory_bytes");
+    const auto line = memory == values.end() ? lineOfMissing(values, "limits") : memory->second.m_line;
+    problems.push_back({ line, "limits.memory_bytes", std::to_string(limits.m_maximumMemoryBytes),
+        "at least twice limits.body_bytes, which is " + std::to_string(limits.m_maximumBodyBytes) });
+}
+
 auto parseYaml(const std::string& text, std::vector<SettingsProblem>& problems) -> std::optional<YAML::Node>
 {
     try {
@@ -297,6 +311,7 @@
     collect(*root, "", values, problems);
     storeFields(values, settings, problems);
     checkTiming(settings, values, problems);
+    checkMemory(settings, values, problems);
     std::stable_sort(problems.begin(), problems.end(),
         [](const auto& left, const auto& right) { return left.m_line < right.m_line; });
     if (!problems.empty())
