Keep tasks apart that slow each other down

Tasks on one executor share more than processor and memory. The owner now compares the tail latencies of serving tasks, and the durations of short ones, with and without each other image beside them.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -49,6 +50,8 @@
     std::uint32_t m_activeLongRunningRuns = 0; ///< Number of runs in `m_runs` that belong to long-running tasks.
 
     std::uint32_t m_fillerRuns = 0; ///< Number of runs in `m_runs` that belong to fillers.
+    std::map<std::string, std::uint32_t> m_images; ///< Number of runs in `m_runs` by image, of tasks that name one.
+    Instant m_sampledAt; ///< When its tasks were last measured for interference.
     bool m_hasStoppingRuns = false; ///< A run in `m_runs` may have to be stopped.
     std::int64_t m_clockMs = 0; ///< Lower bound of the executor's clock at `m_clockReadAt`, in ms.
     Instant m_clockReadAt;
--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockvane/interference/InterferenceState.h"
 #include "hemlockvane/scheduling/Arrival.h"
 #include "hemlockvane/scheduling/ContendedPool.h"
 #include "hemlockvane/scheduling/DroppedRun.h"
@@ -51,6 +52,8 @@
     std::vector<LostRun> m_lostRuns; ///< Runs that were lost since the owner last logged them.
     std::vector<DroppedRun> m_droppedRuns; ///< Runs that were forgotten since the owner last logged them.
     std::vector<FoundRun> m_foundRuns; ///< Unknown runs that were reported since the owner last logged them.
+    interference::InterferenceState m_interference;
+    bool m_separatesInterference = true; ///< Whether placement keeps images apart that slow each other down.
     StartIndex m_starts;
 };
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -7,6 +7,7 @@
 #include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/LoadState.h"
 #include "hemlockvane/detail/coordinator/ManageFleet.h"
+#include "hemlockvane/detail/coordinator/ReportInterference.h"
 #include "hemlockvane/detail/coordinator/ReportShares.h"
 #include "hemlockvane/detail/coordinator/ReportWaiting.h"
 #include "hemlockvane/detail/coordinator/ReportZones.h"
@@ -20,6 +21,7 @@
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/Evacuate.h"
+#include "hemlockvane/scheduling/ObserveInterference.h"
 #include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -145,6 +147,7 @@
     scheduling::retireJobs(scheduler);
     scheduling::evacuateZones(scheduler);
     scheduling::planStops(scheduler, now, actions);
+    scheduling::observeLatencies(scheduler, now);
     scheduling::paceFillers(scheduler, now, actions);
 }
 
@@ -207,6 +210,7 @@
             load.m_planTime.count(), load.m_longestPlan.count(), load.m_batches, load.m_longestBatch.count(),
             load.m_longestDelay.count(), scheduler.m_active.size(), busy);
         reportWaiting(*state);
+        reportInterference(*state);
         reportShares(*state);
         reportZones(*state);
     }
@@ -247,6 +251,7 @@
     m_state->m_scheduler.m_rules = rules;
     m_state->m_scheduler.m_mayFailJobs = false; // Until the state is loaded.
     m_state->m_scheduler.m_sharesPools = true;
+    m_state->m_scheduler.m_separatesInterference = m_state->m_ports.m_separatesInterference;
     asio::co_spawn(m_state->m_context, run(), asio::detached);
 }
 
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -68,8 +68,8 @@
 // A task that ends by itself prefers the fullest of the executors that differ in nothing else.
 auto isBestOfRest(const StartCandidate& candidate, const PlacementRank& rank) -> bool
 {
-    const auto& [hasFailed, isFar, isAvoided, isCrowded, isFirst, load] = rank;
-    return !candidate.m_spec->m_isLongRunning && !hasFailed && !isFar && !isAvoided;
+    const auto& [hasFailed, isFar, isAvoided, isCrowded, isFirst, harm, load] = rank;
+    return !candidate.m_spec->m_isLongRunning && !hasFailed && !isFar && !isAvoided && harm == 0;
 }
 
 auto chooseExecutor(const Scheduler& scheduler, const StartCandidate& candidate, const TaskState& task,
--- a/src/scheduling/RankPlacement.cpp
+++ b/src/scheduling/RankPlacement.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/RankPlacement.h"
 
+#include "hemlockvane/scheduling/ObserveInterference.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/StartCandidate.h"
 
@@ -50,12 +51,15 @@
     const auto hasFailed = std::find(task.m_failedOn.begin(), task.m_failedOn.end(), index) != task.m_failedOn.end();
     const auto isFar = !spec.m_dataRack.empty() && spec.m_dataRack != executor.m_rack;
     const auto load = executor.m_used.m_cpuMilliCores;
+    const auto harm = expectedHarm(scheduler, spec, index);
     if (!spec.m_isLongRunning)
-        return { hasFailed, isFar, now < executor.m_coldUntil || executor.m_isMaintenanceDue, false, false, -load };
+        return { hasFailed, isFar, now < executor.m_coldUntil || executor.m_isMaintenanceDue, false, false, harm,
+            -load };
     if (prefersSpreading(spec))
-        return { hasFailed, isFar, executor.m_isMaintenanceDue, false, false, load };
+        return { hasFailed, isFar, executor.m_isMaintenanceDue, false, false, harm, load };
     const auto isFirst = executor.m_activeLongRunningRuns == 0;
-    return { hasFailed, isFar, executor.m_isMaintenanceDue, isCrowded(scheduler, candidate, index), isFirst, -load };
+    return { hasFailed, isFar, executor.m_isMaintenanceDue, isCrowded(scheduler, candidate, index), isFirst, harm,
+        -load };
 }
 
 } // namespace hemlockvane::scheduling
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
+#include "hemlockvane/scheduling/ObserveInterference.h"
 #include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -96,6 +97,12 @@
     markChanged(scheduler, job);
 }
 
+// 0 if it is not known when the run was started.
+auto timeSinceStart(const TaskRun* run, Instant now) -> Duration
+{
+    return run == nullptr || !run->m_startAnsweredAt ? Duration { 0 } : now - *run->m_startAnsweredAt;
+}
+
 // A start that may have been carried out is stopped, and the task is started anew. A long-running task may have become
 // available by then, and stopping it would make one more task of its step unavailable: the next poll decides.
 auto handleUnansweredStart(Scheduler& scheduler, const TaskKey& key, TaskRun& run, Instant now) -> void
@@ -156,6 +163,8 @@
     activateExecutor(scheduler, executor);
     target.m_activeLongRunningRuns += spec.m_isLongRunning ? 1 : 0;
     target.m_fillerRuns += spec.m_isFiller ? 1 : 0;
+    if (!spec.m_image.empty())
+        ++target.m_images[spec.m_image];
     target.m_hasStoppingRuns = target.m_hasStoppingRuns || phase == RunPhase::Stopping;
     addTo(target.m_used, requiredResources(spec));
     addTo(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
@@ -189,6 +198,8 @@
         target.m_trial.reset();
     target.m_activeLongRunningRuns -= spec.m_isLongRunning ? 1 : 0;
     target.m_fillerRuns -= spec.m_isFiller ? 1 : 0;
+    if (!spec.m_image.empty() && --target.m_images[spec.m_image] == 0)
+        target.m_images.erase(spec.m_image);
     subtractFrom(target.m_used, requiredResources(spec));
     subtractFrom(scheduler.m_usedByWorkspace[job.m_spec.m_workspace], spec.m_perTask);
     if (!spec.m_isLongRunning)
@@ -233,7 +244,9 @@
     -> void
 {
     updateFailureBackoff(scheduler, *scheduler.m_executors[executor], end, now);
-    const auto wasPresent = findRun(scheduler, end.m_task, end.m_run, executor) != nullptr;
+    const auto* present = findRun(scheduler, end.m_task, end.m_run, executor);
+    const auto wasPresent = present != nullptr;
+    const auto duration = timeSinceStart(present, now);
     removeRun(scheduler, end.m_task, end.m_run, executor);
     auto* task = findTask(scheduler, end.m_task);
     if (task == nullptr)
@@ -253,8 +266,10 @@
         noteFoundRun(scheduler, end.m_task, end.m_run, executor, true, false);
     if (spec.m_isLongRunning || isKnown || isFinal(job.m_phase))
         return;
-    if (end.m_kind == RunOutcome::Done)
+    if (end.m_kind == RunOutcome::Done) {
+        observeDuration(scheduler, executor, spec, duration, now);
         countDone(scheduler, job, end.m_task, spec.m_isGang, wall);
+    }
     if (end.m_kind == RunOutcome::Failed) {
         task->m_failedOn.push_back(executor);
         countFailure(scheduler, job, step, *task, spec.m_isGang, wall);
