Evacuate availability zones by an exception of the configuration

Operators of the product's own entries could not take a zone out. Placement gives no new attempts to the zone's workers, routing no new requests to its executors, and pool moves take none of its instances. ctl evacuate and ctl restore set and remove it.

--- a/app/CtlCommand.cpp
+++ b/app/CtlCommand.cpp
@@ -93,6 +93,19 @@
     return change("DELETE", exceptionTarget(arguments), options, {});
 }
 
+// An evacuation is an exception, so that it has a reason, an author and, if wanted, an end.
+auto evacuate(const CtlOptions& options, CtlArguments arguments) -> HttpRequest
+{
+    const std::string words[] = { "zone.evacuated", arguments[0], "1" };
+    return setException(options, words);
+}
+
+auto restore(const CtlOptions& options, CtlArguments arguments) -> HttpRequest
+{
+    const std::string words[] = { "zone.evacuated", arguments[0] };
+    return removeException(options, words);
+}
+
 auto preview(const CtlOptions& options, CtlArguments arguments) -> HttpRequest
 {
     const auto scope = arguments.size() > 2 ? arguments[2] : "";
@@ -158,6 +171,8 @@
     { "default", "SETTING VALUE|built-in", 2, 2, true, setDefault },
     { "exception", "SETTING SCOPE VALUE --reason TEXT [--expires-in SECONDS]", 3, 3, true, setException },
     { "remove-exception", "SETTING SCOPE", 2, 2, true, removeException },
+    { "evacuate", "ZONE --reason TEXT [--expires-in SECONDS]", 1, 1, true, evacuate },
+    { "restore", "ZONE", 1, 1, true, restore },
     { "history", "", 0, 0, false, history },
     { "preview", "SETTING VALUE [SCOPE]", 2, 3, false, preview },
     { "grant", "KEY-ID TEAM [--secret KEY]", 2, 2, false, grant },
--- a/include/hemlockvane/configuration/SettingSpec.h
+++ b/include/hemlockvane/configuration/SettingSpec.h
@@ -6,8 +6,9 @@
 
 namespace hemlockvane {
 
-/// @brief What an exception to a setting applies to; a setting of the fleet takes no exceptions.
-enum class ScopeKind : std::uint8_t { Fleet, Team, Queue, Pool, Service };
+/// @brief What an exception to a setting applies to; a setting of the fleet takes no exceptions, one of zones no
+/// default.
+enum class ScopeKind : std::uint8_t { Fleet, Team, Queue, Pool, Service, Zone };
 
 /// @brief A setting that operators may change, with its built-in value and its limits.
 struct SettingSpec {
--- a/include/hemlockvane/detail/traffic/TrafficState.h
+++ b/include/hemlockvane/detail/traffic/TrafficState.h
@@ -42,6 +42,7 @@
     std::set<std::string, std::less<>> m_knownTeams; ///< Teams that have had demand at this entry.
     std::map<std::string, std::uint32_t, std::less<>> m_jobDemand; ///< Jobs to be placed by this entry, by team.
     std::shared_ptr<const std::vector<ListedInstance>> m_appliedList; ///< Instance list last applied.
+    std::set<std::string, std::less<>> m_evacuatedZones; ///< Zones whose executors get no new requests.
     std::shared_ptr<const MembershipState> m_appliedMembership; ///< Membership last applied.
     Instant m_nextConfigurationUpdate; ///< When the configuration is applied next.
     std::atomic<std::size_t> m_requests = 0; ///< Requests being handled now.
--- a/src/configuration/SettingSpec.cpp
+++ b/src/configuration/SettingSpec.cpp
@@ -26,6 +26,7 @@
     SettingSpec { "wave.drain_s", ScopeKind::Fleet, 1800, 1, 86400, "s", "longest time of a drain and its reboot" },
     SettingSpec { "wave.harm_limit", ScopeKind::Fleet, 2, 1, 1000, "instances", "lost in a wave before it pauses" },
     SettingSpec { "wave.width", ScopeKind::Fleet, 4, 1, 10000, "instances", "instances drained at once" },
+    SettingSpec { "zone.evacuated", ScopeKind::Zone, 0, 0, 1, "flag", "1: nothing new is sent to the zone" },
 };
 
 } // namespace
--- a/src/configuration/ValidateChange.cpp
+++ b/src/configuration/ValidateChange.cpp
@@ -37,6 +37,8 @@
     const auto* spec = findSetting(setting);
     if (spec == nullptr)
         return reject(reason, "there is no setting " + std::string(setting));
+    if (spec->m_scope == ScopeKind::Zone && !value.empty())
+        return reject(reason, std::string(setting) + " is set for single zones, by exceptions");
     return value.empty() || validateValue(*spec, value, reason);
 }
 
--- a/src/detail/api/StateApi.cpp
+++ b/src/detail/api/StateApi.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/detail/api/StateApi.h"
 
+#include "hemlockvane/configuration/EvacuatedZones.h"
 #include "hemlockvane/detail/api/JsonResponse.h"
 #include "hemlockvane/detail/api/Router.h"
 #include "hemlockvane/detail/clock/Clock.h"
@@ -44,6 +45,14 @@
     return rows;
 }
 
+auto evacuatedZonesOf(const ControlCore& core) -> json::array
+{
+    json::array zones;
+    for (const auto& zone : evacuatedZones(core.m_state.m_configuration, wallNow()))
+        zones.push_back(json::value(zone));
+    return zones;
+}
+
 auto showState(ControlCore& core, ApiCall) -> asio::awaitable<HttpResponse>
 {
     const auto& state = core.m_state;
@@ -57,6 +66,7 @@
         { "configuration_version", state.m_configuration.m_version },
         { "jobs_queued", state.m_jobs.m_queued.size() },
         { "jobs_running", state.m_jobs.m_running.size() },
+        { "evacuated_zones", evacuatedZonesOf(core) },
         { "entries", entriesOf(core) },
         { "duties", dutiesOf(core) },
     };
--- a/src/detail/traffic/RequestDispatch.cpp
+++ b/src/detail/traffic/RequestDispatch.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/traffic/RequestDispatch.h"
 
 #include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/configuration/EvacuatedZones.h"
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/control/CapacityTracker.h"
 #include "hemlockvane/detail/control/ControlCore.h"
@@ -145,7 +146,7 @@
             continue;
         RoutedExecutor executor;
         executor.m_zone = instance.m_zone;
-        executor.m_leaving = instance.m_isLeaving;
+        executor.m_leaving = instance.m_isLeaving || traffic.m_evacuatedZones.contains(instance.m_zone);
         listed[instance.m_service][instance.m_id] = executor;
         addresses[instance.m_service][instance.m_id] = instance.m_address;
         traffic.m_services.try_emplace(instance.m_service, makeService(traffic, instance.m_service));
@@ -251,12 +252,15 @@
 auto applyView(TrafficState& traffic) -> void
 {
     const auto view = currentView(traffic);
-    if (view->m_listed && view->m_listed != traffic.m_appliedList) {
+    const auto now = monotonicNow();
+    const auto isConfigurationDue = now >= traffic.m_nextConfigurationUpdate;
+    auto evacuated = isConfigurationDue ? evacuatedZones(*view->m_configuration, wallNow()) : traffic.m_evacuatedZones;
+    if (view->m_listed && (view->m_listed != traffic.m_appliedList || evacuated != traffic.m_evacuatedZones)) {
         traffic.m_appliedList = view->m_listed;
+        traffic.m_evacuatedZones = std::move(evacuated);
         applyExecutors(traffic, *view);
     }
-    const auto now = monotonicNow();
-    if (now >= traffic.m_nextConfigurationUpdate) {
+    if (isConfigurationDue) {
         traffic.m_nextConfigurationUpdate = now + configurationInterval;
         applyConfiguration(traffic, *view);
     }
--- a/src/placement/FleetCapacity.cpp
+++ b/src/placement/FleetCapacity.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/placement/FleetCapacity.h"
 
 #include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/configuration/EvacuatedZones.h"
 #include "hemlockvane/placement/WorkerReliability.h"
 
 #include <algorithm>
@@ -64,6 +65,7 @@
 {
     FleetCapacity fleetCapacity;
     fleetCapacity.m_workers.reserve(fleet.m_pools.m_instances.size());
+    const auto evacuated = evacuatedZones(fleet.m_configuration, wallNow);
     std::map<std::string_view, bool> isSpare;
     for (const auto& [id, instance] : fleet.m_pools.m_instances) {
         const auto [spare, isNew] = isSpare.try_emplace(instance.m_pool, false);
@@ -77,8 +79,8 @@
         worker.m_suspect = isSuspect(state, id);
         worker.m_zone = fleetCapacity.m_zones.try_emplace(instance.m_zone, fleetCapacity.m_zones.size()).first->second;
         worker.m_rack = fleetCapacity.m_racks.try_emplace(instance.m_rack, fleetCapacity.m_racks.size()).first->second;
-        worker.m_acceptsJobs = !spare->second && !isUnavailable(instance) && hasRecentReport(state, id, now)
-            && !isQuarantined(state, id, now) && !isInRefusalBackoff(state, id, now);
+        worker.m_acceptsJobs = !spare->second && !isUnavailable(instance) && !evacuated.contains(instance.m_zone)
+            && hasRecentReport(state, id, now) && !isQuarantined(state, id, now) && !isInRefusalBackoff(state, id, now);
         fleetCapacity.m_indexById[id] = fleetCapacity.m_workers.size();
         fleetCapacity.m_byPool[instance.m_pool].push_back(fleetCapacity.m_workers.size());
         fleetCapacity.m_workers.push_back(std::move(worker));
--- a/src/pools/PlanMoves.cpp
+++ b/src/pools/PlanMoves.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/pools/PlanMoves.h"
 
 #include "hemlockvane/configuration/EffectiveValue.h"
+#include "hemlockvane/configuration/EvacuatedZones.h"
 #include "hemlockvane/maintenance/PoolBudget.h"
 #include "hemlockvane/pools/RequiredSpareInstances.h"
 
@@ -71,6 +72,7 @@
 
 auto collectPools(MovePlan& plan) -> void
 {
+    const auto evacuated = evacuatedZones(plan.m_fleet.m_configuration, plan.m_input.m_now);
     for (const auto& [id, instance] : plan.m_fleet.m_pools.m_instances) {
         auto& balance = plan.m_pools[instance.m_pool];
         const auto inFlight = plan.m_state.m_inFlight.find(id);
@@ -81,7 +83,8 @@
         ++balance.m_available;
         ++balance.m_byZone[instance.m_zone];
         ++balance.m_byRack[instance.m_rack];
-        if (isPastCooldown(plan, id))
+        // An instance in an evacuated zone would bring no capacity that may be used.
+        if (isPastCooldown(plan, id) && !evacuated.contains(instance.m_zone))
             balance.m_movable.push_back(id);
     }
     for (auto& [pool, balance] : plan.m_pools) {
