--- a/tests/fleet/FleetInstances.cpp
+++ b/tests/fleet/FleetInstances.cpp
@@ -9,7 +9,10 @@
 
 #include <array>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <system_error>
 #include <utility>
 
 namespace hemlockvane::fleetrun {
@@ -23,6 +26,28 @@
 constexpr int firstInheritedDescriptor = 3;
 constexpr int lastInheritedDescriptor = 4096;
 constexpr int notStarted = 127;
+constexpr int maximumDescriptors = 4100;
+constexpr int kilobytesPerMb = 1024;
+
+// Largest resident memory of a process since its start.
+auto peakMb(pid_t process) -> int
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::string word;
+    while (status >> word) {
+        int kilobytes = 0;
+        if (word == "VmHWM:" && status >> kilobytes)
+            return kilobytes / kilobytesPerMb;
+    }
+    return 0;
+}
+
+auto openDescriptors(pid_t process) -> std::ptrdiff_t
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(process) + "/fd", error);
+    return error ? 0 : std::distance(begin(entries), end(entries));
+}
 
 } // namespace
 
@@ -52,6 +77,32 @@
     return m_instances[index].m_ip + ":" + port(readinessPort);
 }
 
+auto FleetInstances::addresses(std::size_t index) const -> std::vector<std::string>
+{
+    std::vector<std::string> all;
+    for (const auto which : { frontPort, readinessPort, firstInternalPort, lastInternalPort })
+        all.push_back(m_instances[index].m_ip + ":" + port(which));
+    return all;
+}
+
+auto FleetInstances::findOverLimits() const -> std::vector<std::string>
+{
+    std::vector<std::string> violations;
+    for (const auto& instance : m_instances) {
+        if (instance.m_process <= 0 || kill(instance.m_process, 0) != 0) {
+            violations.push_back(instance.m_name + " has ended by itself");
+            continue;
+        }
+        const auto memory = peakMb(instance.m_process);
+        if (memory > m_memoryMb)
+            violations.push_back(instance.m_name + " took " + std::to_string(memory) + " MB");
+        const auto descriptors = openDescriptors(instance.m_process);
+        if (descriptors > maximumDescriptors)
+            violations.push_back(instance.m_name + " has " + std::to_string(descriptors) + " descriptors open");
+    }
+    return violations;
+}
+
 auto FleetInstances::add(const FleetSite& site) -> void
 {
     m_region = site.m_region;
@@ -74,7 +125,9 @@
         + "\nzone=" + instance.m_zone + "\nregion=" + m_region + "\nlisten.front=" + instance.m_ip + ":"
         + port(frontPort) + "\nlisten.ready=" + instance.m_ip + ":" + port(readinessPort)
         + "\ninternalPorts=" + port(firstInternalPort) + "," + port(lastInternalPort)
-        + "\nbootstrap=true\ncountsAsLoss=false\nlimits.cpuShare=0.25\nlimits.cores=1\nlimits.memoryMb=260\n"
+        + "\nbootstrap=true\ncountsAsLoss=false\nlimits.cpuShare=0.25\nlimits.cores=1\nlimits.memoryMb="
+        + std::to_string(m_memoryMb)
+        + "\n"
           "limits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform\nentry=virtual_ip\n"
           "heartbeatMs=1500\n"
           "contracts=base,drain,config,cost,recover,sched,tenants,quota,platform,upkeep,sharing\n"
--- a/tests/fleet/FleetInstances.h
+++ b/tests/fleet/FleetInstances.h
@@ -35,8 +35,16 @@
     [[nodiscard]] auto frontAddress(std::size_t index) const -> std::string;
     [[nodiscard]] auto readinessAddress(std::size_t index) const -> std::string;
 
+    /// @result addresses of all listening ports of an instance
+    [[nodiscard]] auto addresses(std::size_t index) const -> std::vector<std::string>;
+
+    /// @brief Checks that each process lives and has stayed within the memory and the descriptors of its machine.
+    /// @result a line for each violation
+    [[nodiscard]] auto findOverLimits() const -> std::vector<std::string>;
+
     std::string m_storeAddress;
     std::string m_machinesAddress;
+    int m_memoryMb = 260; ///< Of each machine.
 
 private:
     [[nodiscard]] auto settingsOf(const FleetInstance& instance) const -> std::string;
--- a/tests/fleet/FleetOptions.h
+++ b/tests/fleet/FleetOptions.h
@@ -18,6 +18,7 @@
     std::string m_site; ///< "roata" or "maraval".
     double m_work = 1;
     FleetLoad m_load;
+    int m_memoryMb = 0; ///< Of each machine.
     bool m_watchesRequests = false; ///< Also sends requests on connections that stay open.
 };
 
--- a/tests/fleet/FleetPlay.cpp
+++ b/tests/fleet/FleetPlay.cpp
@@ -73,6 +73,7 @@
     , m_planned(m_context, m_record, m_instances, m_machines, m_store, configurationOf(m_site), m_options.m_seed + 3)
 {
     m_instances.m_storeAddress = std::string(platformIp) + ":" + std::to_string(port(storePort));
+    m_instances.m_memoryMb = m_options.m_memoryMb;
     m_instances.m_machinesAddress = std::string(platformIp) + ":" + std::to_string(port(machinesPort));
     m_machines.m_isStoreAway = [this] { return m_storeFaults.isAway(); };
     m_machines.m_starterOf = [this](std::int64_t fence) { return starterOf(fence); };
@@ -189,6 +190,8 @@
         violations.push_back("TWICE: " + line);
     for (const auto& line : findInEvacuatedZones(runs, m_record.m_evacuations))
         violations.push_back("EVAC: " + line);
+    for (const auto& line : m_instances.findOverLimits())
+        violations.push_back("LIMITS: " + line);
     for (const auto& violation : violations) {
         m_record.write("check", violation);
         std::printf("%s\n", violation.c_str());
--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -25,7 +25,8 @@
 // Whether a kind notes each of its disruptions, or is none. The others count as one that lasts until the end.
 auto notesDisruptions(std::string_view kind) -> bool
 {
-    return kind == "store-away" || kind == "waves" || kind == "configurations" || kind == "evacuations";
+    return kind == "store-away" || kind == "waves" || kind == "configurations" || kind == "evacuations"
+        || kind == "hostile-clients";
 }
 
 } // namespace
--- a/tests/fleet/PlannedTroubles.cpp
+++ b/tests/fleet/PlannedTroubles.cpp
@@ -4,6 +4,8 @@
 #include "FleetMachines.h"
 #include "FleetRecord.h"
 
+#include "hostile/HostileClients.h"
+
 #include "hemlockvane/detail/async/Signal.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,6 +26,9 @@
 constexpr std::int64_t timeoutMs = 3000;
 constexpr std::int64_t firstWave = 1;
 constexpr int waveSize = 8;
+// Together these hold 100 MB at a time where nothing bounds it.
+constexpr std::size_t hostileClientsAtOnce = 100;
+constexpr std::size_t hostileBytes = 1000000;
 
 } // namespace
 
@@ -48,6 +53,7 @@
         { "waves", &PlannedTroubles::waves },
         { "leaving", &PlannedTroubles::leaving },
         { "evacuations", &PlannedTroubles::evacuations },
+        { "hostile-clients", &PlannedTroubles::hostileClients },
         { "lost-orders", &PlannedTroubles::lostOrders },
     };
     std::istringstream list(names);
@@ -188,6 +194,28 @@
     }
 }
 
+// Clients that ignore all limits come to each port of each instance, in every way.
+auto PlannedTroubles::hostileClients(std::int64_t until) -> asio::awaitable<void>
+{
+    for (std::size_t turn = 0; m_record.now() < until; ++turn) {
+        const auto instance = turn % m_instances.instances().size();
+        const auto addresses = m_instances.addresses(instance);
+        const auto kind = static_cast<std::size_t>(m_random() % hostile::hostileKinds.size());
+        asio::co_spawn(m_context, attack(addresses[m_random() % addresses.size()], kind), asio::detached);
+        co_await pause(500, 1500);
+    }
+}
+
+auto PlannedTroubles::attack(std::string address, std::size_t kind) -> asio::awaitable<void>
+{
+    const auto& [name, what] = hostile::hostileKinds.at(kind);
+    m_record.write("clients", std::string(name) + " to " + address);
+    hostile::HostileClients clients(m_context, what, address, "/", hostileBytes);
+    clients.start(hostileClientsAtOnce);
+    co_await pause(3000, 8000);
+    clients.close();
+}
+
 auto PlannedTroubles::lostOrders(std::int64_t until) -> asio::awaitable<void>
 {
     while (m_record.now() < until) {
--- a/tests/fleet/PlannedTroubles.h
+++ b/tests/fleet/PlannedTroubles.h
@@ -40,6 +40,8 @@
     auto leaving(std::int64_t until) -> boost::asio::awaitable<void>;
     auto leave(std::size_t machine) -> boost::asio::awaitable<void>;
     auto evacuations(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto hostileClients(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto attack(std::string address, std::size_t kind) -> boost::asio::awaitable<void>;
     auto lostOrders(std::int64_t until) -> boost::asio::awaitable<void>;
 
     auto between(std::int64_t least, std::int64_t most) -> std::int64_t;
