--- a/app/ServePlatform.cpp
+++ b/app/ServePlatform.cpp
@@ -6,8 +6,10 @@
 
 #include "hemlockvane/detail/logging/Log.h"
 
+#include <cstddef>
 #include <cstdio>
 #include <cstdlib>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,20 +17,26 @@
 {
     using namespace hemlockvane;
     constexpr int exitRefused = 1;
-    constexpr std::string_view ignoreInterference = "--ignore-interference";
-    const auto isIgnored = argc > 1 && argv[1] == ignoreInterference;
-    const auto* fromArguments = argc > (isIgnored ? 2 : 1) ? argv[argc - 1] : nullptr;
     const auto* fromEnvironment = std::getenv("HEMLOCKVANE_NODE_FILE");
-    const std::string path = fromArguments != nullptr ? fromArguments
-        : fromEnvironment != nullptr                  ? fromEnvironment
-                                                      : "/etc/hemlockvane/node.conf";
+    std::string path = fromEnvironment != nullptr ? fromEnvironment : "/etc/hemlockvane/node.conf";
+    auto sharesPools = false;
+    auto separatesInterference = true;
+    for (const std::string_view argument : std::span(argv, static_cast<std::size_t>(argc)).subspan(1)) {
+        if (argument == "--share-pools")
+            sharesPools = true;
+        else if (argument == "--ignore-interference")
+            separatesInterference = false;
+        else
+            path = argument;
+    }
     FailureReason reason;
     auto settings = platform::loadPlatformSettings(path, reason);
     if (!settings) {
         std::fprintf(stderr, "%s\n", reason.m_text.c_str());
         return exitRefused;
     }
-    settings->m_separatesInterference = !isIgnored;
+    settings->m_sharesPools = sharesPools;
+    settings->m_separatesInterference = separatesInterference;
     detail::startBoundedLogging(settings->m_instance, "info");
     return platform::servePlatform(*settings);
 }
--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -42,6 +42,7 @@
     Duration m_longestLease { 6500 }; ///< No lease ends later than this after the newest renewal of the ownership.
     Duration m_longestHold { 10000 }; ///< Executors shorten longer leases to this.
     Duration m_longestStop { 1000 }; ///< From the request to stop a run to its end.
+    bool m_sharesPools = false; ///< Whether pools that cannot hold all tasks are shared by the workspaces' weights.
     bool m_separatesInterference = true; ///< Whether placement keeps images apart that slow each other down.
     Duration m_statusRetention { 120000 }; ///< The final state of a job can be queried for at least this long.
 };
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -250,7 +250,7 @@
 {
     m_state->m_scheduler.m_rules = rules;
     m_state->m_scheduler.m_mayFailJobs = false; // Until the state is loaded.
-    m_state->m_scheduler.m_sharesPools = true;
+    m_state->m_scheduler.m_sharesPools = m_state->m_ports.m_sharesPools;
     m_state->m_scheduler.m_separatesInterference = m_state->m_ports.m_separatesInterference;
     asio::co_spawn(m_state->m_context, run(), asio::detached);
 }
--- a/tests/core/configuration/EvacuatedZonesTest.cpp
+++ b/tests/core/configuration/EvacuatedZonesTest.cpp
@@ -30,20 +30,24 @@
 
     auto zone_exceptionInForce_isEvacuated() -> void
     {
-        except({ .m_value = "1" });
+        except(evacuated());
         CPPUNIT_ASSERT(evacuatedZones(state().m_configuration, now) == Zones { m_zone });
     }
 
     // Guards against a zone that stays empty because nobody took the exception back.
     auto zone_exceptionExpired_isNotEvacuated() -> void
     {
-        except({ .m_value = "1", .m_expiresAt = now });
+        auto item = evacuated();
+        item.m_expiresAt = now;
+        except(item);
         CPPUNIT_ASSERT(evacuatedZones(state().m_configuration, now).empty());
     }
 
     auto zone_exceptionRemoved_isNotEvacuated() -> void
     {
-        except({ .m_value = "1", .m_removed = true });
+        auto item = evacuated();
+        item.m_removed = true;
+        except(item);
         CPPUNIT_ASSERT(evacuatedZones(state().m_configuration, now).empty());
     }
 
@@ -58,7 +62,7 @@
     auto worker_inEvacuatedZone_acceptsNoJobs() -> void
     {
         CPPUNIT_ASSERT(accepting(m_zone) > 0);
-        except({ .m_value = "1" });
+        except(evacuated());
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t { 0 }, accepting(m_zone));
         CPPUNIT_ASSERT(accepting({}) > 0);
     }
@@ -68,6 +72,13 @@
 
     auto state() -> FleetState& { return m_placement.m_fleet.m_state; }
 
+    static auto evacuated() -> ConfigurationItem
+    {
+        ConfigurationItem item;
+        item.m_value = "1";
+        return item;
+    }
+
     auto except(ConfigurationItem item) -> void
     {
         state().m_configuration.m_exceptions[{ "zone.evacuated", m_zone }] = std::move(item);
