--- a/src/scheduling/ShareRoom.cpp
+++ b/src/scheduling/ShareRoom.cpp
@@ -68,11 +68,21 @@
     return share->second;
 }
 
+// Long-running tasks are started before all others, so that their room is not divided.
+auto takeFree(Resources& free, const StartCandidate& candidate) -> void
+{
+    const auto tasks = waitingTasks(candidate);
+    free.m_cpuMilliCores = std::max<std::int64_t>(free.m_cpuMilliCores - tasks * candidate.m_need.m_cpuMilliCores, 0);
+    free.m_memoryMb = std::max<std::int64_t>(free.m_memoryMb - tasks * candidate.m_need.m_memoryMb, 0);
+}
+
 auto addWaiting(const Scheduler& scheduler, std::vector<PoolRoom>& pools) -> void
 {
     for (const auto& candidate : scheduler.m_starts.m_candidates) {
         auto& pool = pools[candidate.m_pool];
-        if (candidate.m_class != CandidateClass::LongRunning)
+        if (candidate.m_class == CandidateClass::LongRunning)
+            takeFree(pool.m_free, candidate);
+        else
             shareOf(scheduler, pool, candidate.m_job->m_spec.m_workspace).m_waiting
                 += scarcer(candidate.m_need, ratioOf(pool)) * waitingTasks(candidate);
     }
