--- a/include/hemlockvane/scheduling/ExecutorEntry.h
+++ b/include/hemlockvane/scheduling/ExecutorEntry.h
@@ -17,7 +17,7 @@
     std::string m_zone;
     bool m_isDraining = false;
     std::int64_t m_remainingMs = 0; ///< While draining: minimum time left until it stops.
-    std::int64_t m_coldRemainingMs = 0; ///< How much longer it is slow after its start.
+    std::int64_t m_remainingColdMs = 0; ///< How much longer it is slow after its start.
     Resources m_capacity;
     std::vector<std::string> m_labels; ///< The kind, then the rack.
 
--- a/src/detail/coordinator/ReportZones.cpp
+++ b/src/detail/coordinator/ReportZones.cpp
@@ -14,7 +14,7 @@
 
 struct ZoneRest {
     std::size_t m_runs = 0;
-    std::size_t m_longRunningRuns = 0;
+    std::size_t m_activeLongRunningRuns = 0;
     std::size_t m_machines = 0; // In pools that are not spare.
 };
 
@@ -27,7 +27,7 @@
         if (executor.m_entry.m_zone != zone)
             continue;
         rest.m_runs += executor.m_runs.size();
-        rest.m_longRunningRuns += executor.m_activeLongRunningRuns;
+        rest.m_activeLongRunningRuns += executor.m_activeLongRunningRuns;
     }
     const auto& machines = state.m_fleet.m_machines;
     rest.m_machines
@@ -52,7 +52,7 @@
     for (const auto& zone : evacuated) {
         const auto rest = measureRest(state, zone);
         logOf("fleet").info("event=zone zone={} runs={} long_running={} machines={}", zone, rest.m_runs,
-            rest.m_longRunningRuns, rest.m_machines);
+            rest.m_activeLongRunningRuns, rest.m_machines);
         setGauges(state, zone, true, rest.m_runs);
     }
     for (const auto& zone : state.m_reportedZones) {
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -131,9 +131,9 @@
 // the index.
 auto adoptEntry(const Scheduler& scheduler, Executor& executor, const ExecutorEntry& entry, Instant now) -> void
 {
-    executor.m_coldUntil = now + Duration(entry.m_coldRemainingMs);
+    executor.m_coldUntil = now + Duration(entry.m_remainingColdMs);
     auto kept = entry;
-    kept.m_coldRemainingMs = 0;
+    kept.m_remainingColdMs = 0;
     if (executor.m_entry != kept)
         ++executor.m_entryVersion;
     executor.m_entry = std::move(kept);
--- a/tests/core/scheduling/EvacuateZonesTest.cpp
+++ b/tests/core/scheduling/EvacuateZonesTest.cpp
@@ -168,7 +168,7 @@
     auto reportCold(ExecutorIndex index, std::int64_t remainingMs) -> void
     {
         auto entry = m_scheduler.m_executors[index]->m_entry;
-        entry.m_coldRemainingMs = remainingMs;
+        entry.m_remainingColdMs = remainingMs;
         registerExecutor(m_scheduler, entry, m_now, m_now);
     }
 
--- a/tests/shell/platform/DecodeTest.cpp
+++ b/tests/shell/platform/DecodeTest.cpp
@@ -233,7 +233,7 @@
     {
         const auto* text = R"({"service":"s","address":"127.0.0.1:80","zone":"z","born":1,"state":"ready",)"
                            R"("coldRemainingMs":2500,"labels":["a","r"],"capacity":{"cpu":1,"memMb":1,"gpu":0}})";
-        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2500 }, decodeExecutorEntry("id", text).value().m_coldRemainingMs);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2500 }, decodeExecutorEntry("id", text).value().m_remainingColdMs);
     }
 };
 
