Count nothing of a connection that has been closed for others

A connection that was closed for its memory could still handle bytes that had arrived before, and counted them again: each closing led to another one, until all 200 of a test's connections were closed instead of those beyond the limit.

--- a/include/hemlockvane/detail/http/ConnectionTable.h
+++ b/include/hemlockvane/detail/http/ConnectionTable.h
@@ -16,6 +16,7 @@
     struct Connection {
         ingress::ConnectionUse m_use;
         std::function<void()> m_close;
+        bool m_isClosed = false; // Its coroutine may still handle bytes that had arrived before.
     };
 
 public:
@@ -33,7 +34,7 @@
 
     /// @brief Sets the bytes that a connection holds. Others whose requests are incomplete are closed if that exceeds
     /// the maximum, the oldest request first.
-    /// @result false if the maximum is exceeded nevertheless
+    /// @result false if the maximum is exceeded nevertheless, or if the connection itself has been closed
     auto hold(Place connection, std::size_t bytes) -> bool;
 
     /// @brief Closes one connection with an incomplete request or without one, so that a new one can be served.
--- a/src/detail/http/ConnectionTable.cpp
+++ b/src/detail/http/ConnectionTable.cpp
@@ -46,12 +46,16 @@
 
 auto ConnectionTable::enter(Place connection, ingress::ConnectionPhase phase) -> void
 {
+    if (connection->m_isClosed)
+        return;
     connection->m_use.m_phase = phase;
     connection->m_use.m_since = monotonicNow();
 }
 
 auto ConnectionTable::hold(Place connection, std::size_t bytes) -> bool
 {
+    if (connection->m_isClosed)
+        return false;
     m_heldBytes = m_heldBytes - connection->m_use.m_bytes + bytes;
     connection->m_use.m_bytes = bytes;
     while (m_heldBytes > m_maximumBytes) {
@@ -84,6 +88,7 @@
     // It is being closed: neither its memory nor its place is counted any more.
     connection->m_use.m_bytes = 0;
     connection->m_use.m_phase = ingress::ConnectionPhase::Answering;
+    connection->m_isClosed = true;
     connection->m_close();
 }
 
--- a/tests/shell/http/HttpServerTest.cpp
+++ b/tests/shell/http/HttpServerTest.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr timeval receiveLimit { 10, 0 };
+const std::string chunkedRequest = "POST /echo HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 auto smallLimits() -> HttpLimits
 {
@@ -84,6 +85,10 @@
     CPPUNIT_TEST(oversizedDeclaredBody_isTooLarge);
     CPPUNIT_TEST(oversizedBody_clientStillSending_isTooLarge);
     CPPUNIT_TEST(oversizedChunkedBody_isTooLarge);
+    CPPUNIT_TEST(chunkedBodyAtTheLimit_inLargeChunks_isAnswered);
+    CPPUNIT_TEST(chunkedBodyAtTheLimit_inChunksOfOneByteWithTrailer_isAnswered);
+    CPPUNIT_TEST(endlessTrailer_isTooLarge);
+    CPPUNIT_TEST(endlessChunkExtension_isTooLarge);
     CPPUNIT_TEST(slowRequest_isDeadlinePassed);
     CPPUNIT_TEST(throwingHandler_isInternalAndServerKeepsServing);
     CPPUNIT_TEST(connectionOverLimit_isNoCapacity);
@@ -167,6 +172,36 @@
             exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk), "413", "too_large");
     }
 
+    // Guards against limits that refuse a single request within the documented ones.
+    auto chunkedBodyAtTheLimit_inLargeChunks_isAnswered() -> void
+    {
+        const std::string body(4096, 'x');
+        assertAnswer(exchange(chunkedRequest + "800\r\n" + body.substr(2048) + "\r\n800\r\n" + body.substr(2048)
+                         + "\r\n0\r\n\r\n"),
+            "200", body);
+    }
+
+    auto chunkedBodyAtTheLimit_inChunksOfOneByteWithTrailer_isAnswered() -> void
+    {
+        auto request = chunkedRequest;
+        for (int i = 0; i < 4096; ++i)
+            request += "1\r\nx\r\n";
+        assertAnswer(exchange(request + "0\r\nX-Trailer: " + std::string(1000, 'y') + "\r\n\r\n"), "200",
+            std::string(4096, 'x'));
+    }
+
+    // Guards against memory that grows with a trailer or an extension that is never complete.
+    auto endlessTrailer_isTooLarge() -> void
+    {
+        assertAnswer(
+            exchange(chunkedRequest + "1\r\nx\r\n0\r\nX-Trailer: " + std::string(100000, 'y')), "413", "too_large");
+    }
+
+    auto endlessChunkExtension_isTooLarge() -> void
+    {
+        assertAnswer(exchange(chunkedRequest + "1;x=" + std::string(100000, 'y')), "413", "too_large");
+    }
+
     auto slowRequest_isDeadlinePassed() -> void
     {
         RawClient client(m_port);
