--- a/include/hemlockvane/detail/http/ConnectionTable.h
+++ b/include/hemlockvane/detail/http/ConnectionTable.h
@@ -52,6 +52,7 @@
     std::size_t m_maximumBytes;
     std::size_t m_heldBytes = 0;
     std::uint64_t m_closed = 0;
+    Instant m_loggedAt; // When a closed connection was last logged.
     std::list<Connection> m_connections;
 };
 
--- a/include/hemlockvane/interference/ImagePair.h
+++ b/include/hemlockvane/interference/ImagePair.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace hemlockvane::interference {
 
@@ -10,7 +10,10 @@
     std::string m_affected;
     std::string m_other;
 
-    auto operator<=>(const ImagePair&) const = default;
+    auto operator<(const ImagePair& pair) const -> bool
+    {
+        return std::tie(m_affected, m_other) < std::tie(pair.m_affected, pair.m_other);
+    }
 };
 
 } // namespace hemlockvane::interference
--- a/src/detail/http/ConnectionTable.cpp
+++ b/src/detail/http/ConnectionTable.cpp
@@ -14,6 +14,7 @@
 
 // An ordinary client sends its request within this time, or reuses its connection.
 constexpr Duration stalledAfter { 1000 };
+constexpr Duration logInterval { 100 }; // Clients without limits would otherwise fill the logs.
 
 // The connections, and their uses in the same order.
 template <typename List> auto usesOf(const List& connections) -> std::vector<ingress::ConnectionUse>
@@ -80,10 +81,13 @@
 
 auto ConnectionTable::close(Place connection) -> void
 {
-    logOf("http").info("event=closed reason=limit phase={} held={} of={} all_held={}",
-        connection->m_use.m_phase == ingress::ConnectionPhase::Idle ? "idle" : "receiving", connection->m_use.m_bytes,
-        m_maximumBytes, m_heldBytes);
     ++m_closed;
+    if (const auto now = monotonicNow(); now - m_loggedAt >= logInterval) {
+        m_loggedAt = now;
+        logOf("http").info("event=closed reason=limit phase={} held={} of={} all_held={} closed={}",
+            connection->m_use.m_phase == ingress::ConnectionPhase::Idle ? "idle" : "receiving",
+            connection->m_use.m_bytes, m_maximumBytes, m_heldBytes, m_closed);
+    }
     m_heldBytes -= connection->m_use.m_bytes;
     // It is being closed: neither its memory nor its place is counted any more.
     connection->m_use.m_bytes = 0;
