--- a/src/scheduling/Evacuate.cpp
+++ b/src/scheduling/Evacuate.cpp
@@ -93,7 +93,9 @@
     return spec.m_isLongRunning && run != nullptr && run->m_phase == RunPhase::Running;
 }
 
-auto moveLongRunning(Scheduler& scheduler, ExecutorIndex index, PlannedRooms& planned) -> std::size_t
+// Stops the long-running tasks of an executor that may become unavailable and may go by the caller's condition.
+template <typename Condition>
+auto stopLongRunning(Scheduler& scheduler, ExecutorIndex index, Condition mayGo) -> std::size_t
 {
     std::size_t stopped = 0;
     for (const auto& item : scheduler.m_executors[index]->m_runs) {
@@ -103,19 +105,26 @@
         if (!isMovable(spec, run))
             continue;
         auto& step = *findStep(scheduler, item.m_task);
-        if (!mayBecomeUnavailable(scheduler, spec, step, item.m_task.m_index))
-            continue;
-        const auto room = findRoom(scheduler, job, spec, step, planned);
-        if (!room)
+        if (!mayBecomeUnavailable(scheduler, spec, step, item.m_task.m_index) || !mayGo(job, spec, step))
             continue;
-        addTo(planned[*room].m_resources, requiredResources(spec));
-        ++planned[*room].m_tasks[&step];
         stopRun(scheduler, *run);
         ++stopped;
     }
     return stopped;
 }
 
+auto moveLongRunning(Scheduler& scheduler, ExecutorIndex index, PlannedRooms& planned) -> std::size_t
+{
+    return stopLongRunning(scheduler, index, [&](const Job& job, const StepSpec& spec, StepState& step) {
+        const auto room = findRoom(scheduler, job, spec, step, planned);
+        if (!room)
+            return false;
+        addTo(planned[*room].m_resources, requiredResources(spec));
+        ++planned[*room].m_tasks[&step];
+        return true;
+    });
+}
+
 // Whether a stop ends the only run of a long-running task that is still wanted: it is to be started elsewhere.
 auto isEvacuation(const Job& job, const StepSpec& spec, const TaskState& task) -> bool
 {
@@ -126,20 +135,7 @@
 
 auto evacuate(Scheduler& scheduler, ExecutorIndex index) -> std::size_t
 {
-    std::size_t stopped = 0;
-    for (const auto& item : scheduler.m_executors[index]->m_runs) {
-        const auto& job = *findJob(scheduler, item.m_task.m_job);
-        const auto& spec = job.m_spec.m_steps[item.m_task.m_step];
-        auto* run = findRun(scheduler, item.m_task, item.m_run, index);
-        if (!isMovable(spec, run))
-            continue;
-        const auto& step = *findStep(scheduler, item.m_task);
-        if (!mayBecomeUnavailable(scheduler, spec, step, item.m_task.m_index))
-            continue;
-        stopRun(scheduler, *run);
-        ++stopped;
-    }
-    return stopped;
+    return stopLongRunning(scheduler, index, [](const Job&, const StepSpec&, const StepState&) { return true; });
 }
 
 auto evacuateZones(Scheduler& scheduler) -> std::size_t
