--- a/review/stage/Deployment.hh
+++ b/review/stage/Deployment.hh
@@ -225,6 +225,7 @@
 
     std::atomic<std::size_t> m_listed { SIZE_MAX }; // Machines that have joined.
     std::atomic<int> m_upkeeps { 0 }; // Begun.
+    std::atomic<int> m_listDelayMs { 0 }; // From the state that a list shows to its answer.
     std::atomic<bool> m_isCloudDown { false }; // All its calls are answered with 503.
 
 private:
@@ -269,6 +270,7 @@
                 { "capacity", json::object { { "cpu", place.m_cpu }, { "memMb", place.m_memoryMb }, { "gpu", 0 } } },
                 { "id", place.m_id } });
         }
+        pause(m_listDelayMs);
         return Response { 200,
             json::serialize(json::object { { "machines", std::move(machines) }, { "nextToken", nullptr } }) };
     }
