Grant leases by the earliest time that an executor's clock may show

Callers saw a task run twice at the same time for 0.9 s: the owner of the fleet's work was stopped with SIGTERM just after it had started the task on an executor that had been idle for 80 s and was then cut off.

Cause: a lease is a time on the executor's clock. The owner computed it from its last reading of that clock plus the time since, at full rate. An executor without runs is not polled, so the reading is as old as the idle time, and the clock may be 2 % slow: after 80 s the deadline was 1.6 s too far in the future. The next owner waits for the leases of the one before by their nominal length plus 2 % and 0.5 s, and then started the task elsewhere. The same holds after a kill (7.13 s) from a reading of about 150 s on, and for a third owner that follows soon after the second.

Change: deadlines are computed from a lower bound of the clock, as their expiry was already. Both use one function now, and so does the wait for earlier owners, which divides by the slowest rate in place of adding 2 %. With an old reading the lower bound would make leases short, so an executor whose clock was read more than 5 s ago is polled when a start is decided: the answer arrives while the run is being stored. Only if the reading would cost more than a quarter of the lease (50 s without one) does the start wait for that answer. Idle executors are still not polled. `event=start` tells the lease and the age of the reading.

--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -55,9 +55,6 @@
 /// @result executors of which all reported ends are stored now
 auto markBatchStored(Scheduler& scheduler, std::uint64_t batch) -> std::vector<ExecutorIndex>;
 
-/// @brief Lower bound of an executor's clock, in ms.
-auto clockLowerBound(const Executor& executor, Instant now) -> std::int64_t;
-
 /// @brief What keeps starts from the executor, whatever the task.
 /// @result a word for the logs; empty if tasks may be started there
 [[nodiscard]] auto obstacleToStarts(const Executor& executor, Instant now) -> std::string_view;
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -21,6 +21,7 @@
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/Evacuate.h"
+#include "hemlockvane/scheduling/ExecutorClock.h"
 #include "hemlockvane/scheduling/ObserveInterference.h"
 #include "hemlockvane/scheduling/PaceFillers.h"
 #include "hemlockvane/scheduling/PlanStarts.h"
@@ -167,8 +168,12 @@
         state->m_journalSignal.notify();
     // A start is sent only once its run is stored, so that a new owner knows on which executor each task may be.
     for (auto& action : actions) {
-        if (action.m_kind == scheduling::ActionKind::Start)
-            state->m_pendingStarts.push_back(std::move(action));
+        if (action.m_kind != scheduling::ActionKind::Start)
+            continue;
+        const auto& executor = *scheduler.m_executors[action.m_executor];
+        if (scheduling::isClockReadingDue(executor, now))
+            wakePolling(*state, executor.m_entry.m_id);
+        state->m_pendingStarts.push_back(std::move(action));
     }
     std::erase_if(actions, [](const auto& action) { return action.m_kind == scheduling::ActionKind::Start; });
     if (!state->m_pendingStarts.empty())
--- a/src/detail/coordinator/LeaseDeadline.cpp
+++ b/src/detail/coordinator/LeaseDeadline.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/coordinator/LeaseDeadline.h"
 
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
+#include "hemlockvane/scheduling/ExecutorClock.h"
 
 #include <algorithm>
 
@@ -15,7 +16,7 @@
     const auto lease = std::min(state.m_scheduler.m_timing.m_lease, remaining);
     if (lease <= Duration { 0 })
         return std::nullopt;
-    return executor.m_clockMs + (now - executor.m_clockReadAt).count() + lease.count();
+    return scheduling::clockLowerBound(executor, now) + lease.count();
 }
 
 } // namespace hemlockvane::detail
--- a/src/detail/coordinator/PredecessorLeases.cpp
+++ b/src/detail/coordinator/PredecessorLeases.cpp
@@ -1,13 +1,14 @@
 #include "hemlockvane/detail/coordinator/PredecessorLeases.h"
 
+#include "hemlockvane/scheduling/ExecutorClock.h"
+
 namespace hemlockvane::detail {
 
 namespace {
 
 constexpr Duration callMargin { 500 }; // For calls in transit and for tasks that take a moment to end.
-constexpr int clockDriftDivisor = 50; // Executors' clocks may run up to 1/50 (2 %) slow.
 
-auto withMargin(Duration lease) -> Duration { return lease + lease / clockDriftDivisor + callMargin; }
+auto withMargin(Duration lease) -> Duration { return scheduling::longestTimeOf(lease) + callMargin; }
 
 } // namespace
 
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -13,6 +13,7 @@
 #include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/CheckStart.h"
 #include "hemlockvane/scheduling/Evacuate.h"
+#include "hemlockvane/scheduling/ExecutorClock.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
@@ -38,6 +39,7 @@
 // A start may wait this long in the sender: after it, the executor has sent a newer report than the one that the start
 // was planned with.
 constexpr Duration longestStartWait { 1000 };
+constexpr Duration clockCheckInterval { 5 }; // While a start waits for a reading of its executor's clock.
 
 auto makeStartRequest(CoordinatorState& state, const scheduling::Action& action, std::int64_t deadlineMs)
     -> StartRequest
@@ -82,10 +84,30 @@
     return now - since > longestStartWait || clockMs >= deadlineMs ? "waited too long" : "";
 }
 
+// Waits for the answer to the poll that was sent when the start was decided, if the reading before it is too old.
+auto awaitClockReading(std::shared_ptr<CoordinatorState> state, const scheduling::Executor& executor)
+    -> asio::awaitable<void>
+{
+    const auto lease = state->m_scheduler.m_timing.m_lease;
+    const auto until = monotonicNow() + longestStartWait;
+    if (scheduling::isClockReadingNeeded(executor, lease, monotonicNow()))
+        wakePolling(*state, executor.m_entry.m_id);
+    for (auto now = monotonicNow(); now < until && !state->m_isStopped && !executor.m_isUnresponsive
+         && scheduling::isClockReadingNeeded(executor, lease, now);
+         now = monotonicNow())
+        co_await sleepFor(clockCheckInterval);
+}
+
 auto sendStart(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[action.m_executor];
+    const auto orderedAt = monotonicNow();
+    co_await awaitClockReading(state, executor);
+    // Meanwhile the run may have been given up.
+    if (scheduling::findRun(state->m_scheduler, action.m_task, action.m_run, action.m_executor) == nullptr)
+        co_return;
     const auto sentAt = monotonicNow();
+    const auto clockAge = sentAt - executor.m_clockReadAt;
     const auto deadlineMs = leaseDeadline(*state, executor, sentAt);
     if (!deadlineMs) {
         abandonStart(*state, action, sentAt);
@@ -121,9 +143,10 @@
         co_return;
     ++state->m_load.m_starts;
     logOf("orders").info("event=start task={} run={} executor={} born={} used_cpu={} reason=\"{}\" answer={} "
-                         "obstacle=\"{}\" took_ms={}",
+                         "obstacle=\"{}\" took_ms={} lease_until={} clock_age_ms={}",
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, startedAtMs, executor.m_used.m_cpuMilliCores,
-        action.m_reason, nameOf(answer), obstacle, (monotonicNow() - sentAt).count());
+        action.m_reason, nameOf(answer), obstacle, (monotonicNow() - orderedAt).count(), request.m_deadlineMs,
+        clockAge.count());
     state->m_ports.m_metrics->count("starts_total{answer=\"" + std::string(nameOf(answer)) + "\"}");
     // The executor whose life has ended is no other one: nothing was done.
     if (executor.m_entry.m_startedAtMs != startedAtMs && answer == scheduling::StartAnswer::OtherIncarnation)
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/ExecutorClock.h"
 #include "hemlockvane/scheduling/IndexRoom.h"
 #include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
@@ -16,9 +17,6 @@
 
 namespace {
 
-constexpr std::int64_t clockRatePercent = 100;
-constexpr std::int64_t minimumClockRatePercent = 98; // An executor's clock may run up to 2 % slow.
-
 // For executors that do not check their capacity: shorter than the time after which a smaller capacity binds.
 constexpr Duration capacityValidity { 2000 };
 
@@ -86,8 +84,7 @@
         repeatStop(scheduler, *findRun(scheduler, item.m_task, item.m_run, index));
     // Their deadlines are times on the clock of the earlier life.
     const auto& timing = scheduler.m_timing;
-    const auto holdEndsBy
-        = now + timing.m_longestHold * clockRatePercent / minimumClockRatePercent + timing.m_leaseSlack;
+    const auto holdEndsBy = now + longestTimeOf(timing.m_longestHold) + timing.m_leaseSlack;
     executor.m_earlierLeasesExpireBy = std::max(executor.m_earlierLeasesExpireBy, holdEndsBy);
 }
 
@@ -269,11 +266,6 @@
 
 } // namespace
 
-auto clockLowerBound(const Executor& executor, Instant now) -> std::int64_t
-{
-    return executor.m_clockMs + (now - executor.m_clockReadAt).count() * minimumClockRatePercent / clockRatePercent;
-}
-
 auto obstacleToStarts(const Executor& executor, Instant now) -> std::string_view
 {
     if (!executor.m_isRegistered)
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -1,6 +1,7 @@
 #include "core/scheduling/SchedulerFixture.h"
 
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/ExecutorClock.h"
 #include "hemlockvane/scheduling/JobProgress.h"
 #include "hemlockvane/scheduling/StoreProgress.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
