Open the occurrences of a scheduled job as they can be started

Callers lost every job: one client handed in a scheduled job of 200 tasks, 20,000 times, with its first time in the past. It was accepted; the owner passed its 260 MB within 0.2 s and was killed, and so was each owner after it, since it loads the stored job first. No accepted job got a state again.

Cause: each occurrence that was due got the state of all its tasks at once, 120 bytes a task, and kept it until the job ended. The number of tasks and that of occurrences were limited to 20,000 each, their product was not. The same growth without occurrences: a hundred jobs of 20,000 tasks, each a request of 100 bytes, need as much.

Change, without a limit on what is accepted:

- The states of tasks are kept in blocks that are made when a task of them is first started or restored (TaskTable).
A job that waits needs the same memory whatever its number of tasks.
- Occurrences that are due are opened in their order: at most 8 steps of those that have not begun and 20,000 tasks and steps of a job altogether, at least one occurrence.
As occurrences begin or end, the next plan opens more, at once.
- Occurrences that are done, and those of a job that has ended, are released once they have no runs.
Their numbers are stored as one bound and the exceptions; the list of an earlier version is read as before.
The record of a job no longer grows with its occurrences, and a takeover no longer makes the state of each one that is done.

An earlier version does not read the bound: after a return to it, occurrences that are done may run again.

--- a/include/hemlockvane/scheduling/Job.h
+++ b/include/hemlockvane/scheduling/Job.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace hemlockvane::scheduling {
@@ -20,9 +21,13 @@
     /// For each step: sum of the estimates along the longest path from its start to the end of the job.
     std::vector<std::int64_t> m_criticalPathMs;
     std::vector<std::uint32_t> m_criticalPathSteps; ///< Number of steps on each of these paths.
-    std::map<std::uint32_t, Occurrence> m_occurrences; ///< Due or started; kept until the job ends.
-    /// All occurrences below this number exist. Higher ones may exist too: a takeover restores those that were started.
+    std::map<std::uint32_t, Occurrence> m_occurrences; ///< Open ones, by number, and ended ones that still have runs.
+    /// All occurrences below this number are open or done. Higher ones may be open too: a takeover restores those that
+    /// were started.
     std::uint32_t m_nextOccurrence = 0;
+    bool m_hasDelayedOccurrences = false; ///< Occurrences are due that are opened once enough others have begun.
+    std::uint32_t m_doneBelow = 0; ///< All occurrences below this number are done.
+    std::set<std::uint32_t> m_doneOccurrences; ///< Done occurrences from that number on.
     WallMillis m_endedAt = 0;
     bool m_isDirty = false; ///< Progress has changed since it was last handed to the journal.
     std::uint32_t m_occurrencesDone = 0;
--- a/include/hemlockvane/scheduling/JobProgress.h
+++ b/include/hemlockvane/scheduling/JobProgress.h
@@ -15,7 +15,8 @@
     JobPhase m_phase = JobPhase::Queued;
     WallMillis m_endedAt = 0;
     std::uint32_t m_occurrencesDone = 0;
-    std::vector<std::uint32_t> m_doneOccurrences;
+    std::uint32_t m_doneBelow = 0; ///< All occurrences below this number are done.
+    std::vector<std::uint32_t> m_doneOccurrences; ///< Done occurrences from that number on.
     std::vector<TaskProgress> m_tasks; ///< Tasks that have run or are done.
     std::vector<RunProgress> m_runs; ///< Active runs; a job that has ended still has some while they are being stopped.
 };
--- a/include/hemlockvane/scheduling/StepState.h
+++ b/include/hemlockvane/scheduling/StepState.h
@@ -1,17 +1,16 @@
 #pragma once
 
 #include "hemlockvane/scheduling/StepAdvice.h"
-#include "hemlockvane/scheduling/TaskState.h"
+#include "hemlockvane/scheduling/TaskTable.h"
 
 #include <cstdint>
 #include <map>
-#include <vector>
 
 namespace hemlockvane::scheduling {
 
 /// @brief One step's progress within one occurrence.
 struct StepState {
-    std::vector<TaskState> m_tasks;
+    TaskTable m_tasks;
     std::uint32_t m_doneCount = 0;
     std::uint32_t m_runningTasks = 0; ///< Number of tasks that have runs and are not done.
     std::uint32_t m_gangFailures = 0;
--- a/include/hemlockvane/scheduling/TrackRuns.h
+++ b/include/hemlockvane/scheduling/TrackRuns.h
@@ -12,6 +12,7 @@
 namespace hemlockvane::scheduling {
 
 struct Scheduler;
+struct StepState;
 
 /// @brief Resources that one task of a step reserves on its executor; a filler reserves no processor.
 auto requiredResources(const StepSpec& step) -> Resources;
@@ -36,6 +37,9 @@
 /// @brief Lets `planStops` stop a run.
 auto stopRun(Scheduler& scheduler, TaskRun& run) -> void;
 
+/// @brief Lets `planStops` stop all runs of a step.
+auto stopRuns(Scheduler& scheduler, StepState& step) -> void;
+
 /// @brief Finds a run of a task on an executor; null when there is none.
 auto findRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor) -> TaskRun*;
 
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -170,6 +170,9 @@
     for (auto& action : actions) {
         if (action.m_kind != scheduling::ActionKind::Start)
             continue;
+        // Occurrences that were delayed until this one began are opened by the next plan.
+        if (scheduling::findJob(scheduler, action.m_task.m_job)->m_hasDelayedOccurrences)
+            state->m_planSignal.notify();
         const auto& executor = *scheduler.m_executors[action.m_executor];
         if (scheduling::isClockReadingDue(executor, now))
             wakePolling(*state, executor.m_entry.m_id);
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -90,6 +90,7 @@
     record.set_phase(static_cast<std::uint32_t>(progress.m_phase));
     record.set_ended_at_ms(progress.m_endedAt);
     record.set_occurrences_done(progress.m_occurrencesDone);
+    record.set_done_below(progress.m_doneBelow);
     for (const auto number : progress.m_doneOccurrences)
         record.add_done_occurrences(number);
     for (const auto& task : progress.m_tasks)
@@ -108,6 +109,7 @@
     progress.m_phase = static_cast<scheduling::JobPhase>(record.phase());
     progress.m_endedAt = record.ended_at_ms();
     progress.m_occurrencesDone = record.occurrences_done();
+    progress.m_doneBelow = record.done_below();
     progress.m_doneOccurrences.assign(record.done_occurrences().begin(), record.done_occurrences().end());
     for (const auto& task : record.tasks())
         progress.m_tasks.push_back(decodeTask(task));
--- a/src/scheduling/OrderCandidates.cpp
+++ b/src/scheduling/OrderCandidates.cpp
@@ -84,7 +84,9 @@
 {
     if (!spec.m_allowsDuplicates || spec.m_isGang)
         return;
-    for (const auto& task : step.m_tasks) {
+    const auto& tasks = step.m_tasks;
+    for (auto index = tasks.nextOwnState(0); index < tasks.size(); index = tasks.nextOwnState(index + 1)) {
+        const auto& task = tasks[index];
         if (!mayNeedDuplicate(spec, task))
             continue;
         const auto overdueAt = task.m_runs.front().m_orderedAt + overdueAfter(scheduler, spec);
@@ -100,7 +102,7 @@
 auto openOccurrences(Scheduler& scheduler, Job& job, WallMillis wall) -> void
 {
     openDueOccurrences(job, wall);
-    if (job.m_nextOccurrence < job.m_spec.m_occurrences)
+    if (!job.m_hasDelayedOccurrences && job.m_nextOccurrence < job.m_spec.m_occurrences)
         scheduler.m_starts.m_dueOccurrences.emplace(
             job.m_spec.m_firstDue + static_cast<std::int64_t>(job.m_nextOccurrence) * job.m_spec.m_intervalMs,
             job.m_spec.m_id);
@@ -109,6 +111,7 @@
 auto collectFromJob(Scheduler& scheduler, Job& job, Instant now, WallMillis wall) -> void
 {
     auto& candidates = scheduler.m_starts.m_candidates;
+    releaseEndedOccurrences(job);
     const auto queue = scheduler.m_starts.m_queues.find(job.m_spec.m_queue);
     if (isFinal(job.m_phase) || queue == scheduler.m_starts.m_queues.end())
         return;
--- a/src/scheduling/PlanStarts.cpp
+++ b/src/scheduling/PlanStarts.cpp
@@ -250,7 +250,7 @@
         checkpoint = std::max(checkpoint, task.m_checkpoint);
     }
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        tasks[index].m_checkpoint = checkpoint;
+        tasks.edit(index).m_checkpoint = checkpoint;
         emitStart(scheduler, candidate, index, run + 1, chosen[index], now, actions);
         if (isOnTrial && !scheduler.m_executors[chosen[index]]->m_trial)
             beginTrial(scheduler, chosen[index], { actions.back().m_task, actions.back().m_run }, now);
@@ -260,7 +260,7 @@
 auto startOnTrial(Scheduler& scheduler, const StartCandidate& candidate, std::uint32_t index, const StartPool& pool,
     Instant now, std::vector<Action>& actions) -> void
 {
-    auto& task = candidate.m_state->m_tasks[index];
+    const auto& task = candidate.m_state->m_tasks[index];
     if (!mayBeginTrial(pool))
         return;
     const auto executor = chooseForTrial(scheduler, candidate, task, now);
@@ -274,7 +274,7 @@
     std::vector<Action>& actions) -> void
 {
     for (std::uint32_t index = 0; index < candidate.m_state->m_tasks.size(); ++index) {
-        auto& task = candidate.m_state->m_tasks[index];
+        const auto& task = candidate.m_state->m_tasks[index];
         if (!needsRun(scheduler, *candidate.m_spec, task, now) || isHeldBack(scheduler, task)
             || awaitsLimit(scheduler, *candidate.m_job, *candidate.m_state, task))
             continue;
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -34,10 +34,10 @@
 {
     for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
         const auto& tasks = occurrence.m_steps[step].m_tasks;
-        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        for (auto index = tasks.nextOwnState(0); index < tasks.size(); index = tasks.nextOwnState(index + 1)) {
+            const TaskKey key { id, number, step, static_cast<std::uint32_t>(index) };
             for (const auto& run : tasks[index].m_runs)
-                progress.m_runs.push_back(
-                    { { id, number, step, index }, run.m_run, scheduler.m_executors[run.m_executor]->m_entry.m_id });
+                progress.m_runs.push_back({ key, run.m_run, scheduler.m_executors[run.m_executor]->m_entry.m_id });
         }
     }
 }
@@ -57,6 +57,14 @@
     run.m_mayBeStopping = true;
 }
 
+// An earlier owner may have stored the number of each occurrence that was done.
+auto restoreDoneOccurrences(Job& job, const JobProgress& progress) -> void
+{
+    job.m_doneBelow = std::max(job.m_doneBelow, progress.m_doneBelow);
+    for (const auto number : progress.m_doneOccurrences)
+        markOccurrenceDone(job, number);
+}
+
 auto restoreIsDone(StepState& step, TaskState& task, bool isDone) -> void
 {
     if (task.m_isDone == isDone)
@@ -100,15 +108,16 @@
         appendRuns(progress, scheduler, job.m_spec.m_id, number, occurrence);
     if (isFinal(job.m_phase))
         return progress;
+    progress.m_doneBelow = job.m_doneBelow;
+    progress.m_doneOccurrences.assign(job.m_doneOccurrences.begin(), job.m_doneOccurrences.end());
     for (const auto& [number, occurrence] : job.m_occurrences) {
-        if (occurrence.m_isDone) {
-            progress.m_doneOccurrences.push_back(number);
-            continue;
-        }
-        for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        for (std::uint32_t step = 0; !occurrence.m_isDone && step < occurrence.m_steps.size(); ++step) {
             const auto& state = occurrence.m_steps[step];
-            for (std::uint32_t index = 0; index < state.m_tasks.size(); ++index)
-                appendTask(progress, { job.m_spec.m_id, number, step, index }, state, state.m_tasks[index]);
+            const auto& tasks = state.m_tasks;
+            for (auto index = tasks.nextOwnState(0); index < tasks.size(); index = tasks.nextOwnState(index + 1)) {
+                const TaskKey key { job.m_spec.m_id, number, step, static_cast<std::uint32_t>(index) };
+                appendTask(progress, key, state, tasks[index]);
+            }
         }
     }
     return progress;
@@ -120,11 +129,7 @@
     if (job == nullptr)
         return;
     job->m_occurrencesDone = progress.m_occurrencesDone;
-    for (const auto number : progress.m_doneOccurrences) {
-        auto* occurrence = ensureOccurrence(*job, number);
-        if (occurrence != nullptr)
-            occurrence->m_isDone = true;
-    }
+    restoreDoneOccurrences(*job, progress);
     for (const auto& stored : progress.m_tasks)
         restoreTask(scheduler, id, stored);
     job->m_durablePhase = progress.m_phase;
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::int64_t millisPerSecond = 1000;
+// In all open occurrences of one job, together with their steps; one occurrence may have as many tasks.
+constexpr std::size_t maximumOpenSize = 20000;
+// In open occurrences that have not begun: enough that each plan finds work for the room that has become free.
+constexpr std::size_t maximumUnbegunSteps = 8;
 constexpr Duration arrivalRetention { 2000 }; // Longer than the window over which arrival rates are measured.
 
 // Finds the longest path from each step to the end of the job: the sum of its estimates and the number of its steps.
@@ -30,18 +34,78 @@
     }
 }
 
+auto dueOf(const Job& job, std::uint32_t number) -> WallMillis
+{
+    return job.m_spec.m_firstDue + static_cast<std::int64_t>(number) * job.m_spec.m_intervalMs;
+}
+
+auto isDone(const Job& job, std::uint32_t number) -> bool
+{
+    return number < job.m_doneBelow || job.m_doneOccurrences.contains(number);
+}
+
 auto makeOccurrence(const Job& job, std::uint32_t number) -> Occurrence
 {
     Occurrence occurrence;
-    occurrence.m_due = job.m_spec.m_firstDue + static_cast<std::int64_t>(number) * job.m_spec.m_intervalMs;
+    occurrence.m_number = number;
+    occurrence.m_due = dueOf(job, number);
+    occurrence.m_isDone = isDone(job, number);
+    occurrence.m_steps.reserve(job.m_spec.m_steps.size());
     for (const auto& step : job.m_spec.m_steps) {
         StepState state;
-        state.m_tasks.resize(step.m_taskCount);
+        state.m_tasks = TaskTable(step.m_taskCount, occurrence.m_isDone);
+        state.m_doneCount = occurrence.m_isDone ? step.m_taskCount : 0;
         occurrence.m_steps.push_back(std::move(state));
     }
     return occurrence;
 }
 
+// What a job's open occurrences take.
+struct OpenOccurrences {
+    std::size_t m_size = 0; // Number of their tasks and steps.
+    std::size_t m_unbegunSteps = 0; // Steps of those of which no task was started.
+};
+
+auto isUnbegun(const Occurrence& occurrence) -> bool
+{
+    return std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(),
+        [](const StepState& step) { return step.m_tasks.nextOwnState(0) == step.m_tasks.size(); });
+}
+
+auto sizeOf(const Occurrence& occurrence) -> std::size_t
+{
+    auto size = occurrence.m_steps.size();
+    for (const auto& step : occurrence.m_steps)
+        size += step.m_tasks.size();
+    return size;
+}
+
+auto addOpen(OpenOccurrences& open, const Occurrence& occurrence) -> void
+{
+    open.m_size += sizeOf(occurrence);
+    open.m_unbegunSteps += isUnbegun(occurrence) ? occurrence.m_steps.size() : 0;
+}
+
+auto measureOpen(const Job& job) -> OpenOccurrences
+{
+    OpenOccurrences open;
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+        if (!occurrence.m_isDone)
+            addOpen(open, occurrence);
+    }
+    return open;
+}
+
+// Whether another occurrence may be opened; one always may.
+auto mayOpen(const Job& job, const OpenOccurrences& open) -> bool
+{
+    auto size = job.m_spec.m_steps.size();
+    for (const auto& step : job.m_spec.m_steps)
+        size += step.m_taskCount;
+    return (open.m_size == 0 || open.m_size + size <= maximumOpenSize)
+        && (open.m_unbegunSteps == 0 || open.m_unbegunSteps + job.m_spec.m_steps.size() <= maximumUnbegunSteps);
+}
+
 // What a job adds at once. Long-running tasks and scheduled occurrences are not part of a burst.
 auto arrivalOf(const JobSpec& spec, Instant now) -> Arrival
 {
@@ -64,26 +128,23 @@
         arrivals.pop_front();
 }
 
+auto hasRuns(const Occurrence& occurrence) -> bool
+{
+    return std::any_of(occurrence.m_steps.begin(), occurrence.m_steps.end(),
+        [](const StepState& step) { return !step.m_runsByExecutor.empty(); });
+}
+
 auto hasRuns(const Job& job) -> bool
 {
-    for (const auto& [number, occurrence] : job.m_occurrences) {
-        for (const auto& step : occurrence.m_steps) {
-            if (!step.m_runsByExecutor.empty())
-                return true;
-        }
-    }
-    return false;
+    return std::any_of(
+        job.m_occurrences.begin(), job.m_occurrences.end(), [](const auto& item) { return hasRuns(item.second); });
 }
 
 auto stopRuns(Scheduler& scheduler, Job& job) -> void
 {
     for (auto& [number, occurrence] : job.m_occurrences) {
-        for (auto& step : occurrence.m_steps) {
-            for (auto& task : step.m_tasks) {
-                for (auto& run : task.m_runs)
-                    stopRun(scheduler, run);
-            }
-        }
+        for (auto& step : occurrence.m_steps)
+            stopRuns(scheduler, step);
     }
 }
 
@@ -186,13 +247,40 @@
 
 auto openDueOccurrences(Job& job, WallMillis wall) -> void
 {
+    job.m_hasDelayedOccurrences = false;
+    auto open = measureOpen(job);
     for (auto& number = job.m_nextOccurrence; number < job.m_spec.m_occurrences; ++number) {
-        if (job.m_spec.m_firstDue + static_cast<std::int64_t>(number) * job.m_spec.m_intervalMs > wall)
+        if (dueOf(job, number) > wall)
             return;
-        ensureOccurrence(job, number);
+        if (isDone(job, number) || job.m_occurrences.contains(number))
+            continue;
+        job.m_hasDelayedOccurrences = !mayOpen(job, open);
+        if (job.m_hasDelayedOccurrences)
+            return;
+        addOpen(open, *ensureOccurrence(job, number));
     }
 }
 
+auto markOccurrenceDone(Job& job, std::uint32_t number) -> void
+{
+    if (number >= std::max<std::uint32_t>(job.m_spec.m_occurrences, 1) || number < job.m_doneBelow)
+        return;
+    job.m_doneOccurrences.insert(number);
+    while (!job.m_doneOccurrences.empty() && *job.m_doneOccurrences.begin() == job.m_doneBelow) {
+        job.m_doneOccurrences.erase(job.m_doneOccurrences.begin());
+        ++job.m_doneBelow;
+    }
+    const auto known = job.m_occurrences.find(number);
+    if (known != job.m_occurrences.end())
+        known->second.m_isDone = true;
+}
+
+auto releaseEndedOccurrences(Job& job) -> void
+{
+    std::erase_if(job.m_occurrences,
+        [&](const auto& item) { return (isFinal(job.m_phase) || item.second.m_isDone) && !hasRuns(item.second); });
+}
+
 auto findStep(Scheduler& scheduler, const TaskKey& key) -> StepState*
 {
     auto* job = findJob(scheduler, key.m_job);
@@ -210,7 +298,7 @@
 auto findTask(Scheduler& scheduler, const TaskKey& key) -> TaskState*
 {
     auto* step = findStep(scheduler, key);
-    return step == nullptr || key.m_index >= step->m_tasks.size() ? nullptr : &step->m_tasks[key.m_index];
+    return step == nullptr || key.m_index >= step->m_tasks.size() ? nullptr : &step->m_tasks.edit(key.m_index);
 }
 
 auto completeWhenDone(Scheduler& scheduler, Job& job, Occurrence& occurrence, WallMillis wall) -> void
@@ -221,7 +309,7 @@
         if (step.m_doneCount < step.m_tasks.size())
             return;
     }
-    occurrence.m_isDone = true;
+    markOccurrenceDone(job, occurrence.m_number);
     ++job.m_occurrencesDone;
     if (job.m_occurrencesDone >= std::max<std::uint32_t>(job.m_spec.m_occurrences, 1))
         enterPhase(scheduler, job, JobPhase::Completed, wall);
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -42,7 +42,7 @@
         task.m_countedRunBits |= endBit(run);
 }
 
-auto stopOtherRuns(Scheduler& scheduler, TaskState& task) -> void
+auto stopRuns(Scheduler& scheduler, TaskState& task) -> void
 {
     for (auto& run : task.m_runs)
         stopRun(scheduler, run);
@@ -57,7 +57,7 @@
     if (step.m_doneCount == step.m_tasks.size())
         step.m_advice = {};
     step.m_runningTasks -= task.m_runs.empty() ? 0 : 1;
-    stopOtherRuns(scheduler, task);
+    stopRuns(scheduler, task);
 }
 
 auto updateFailureBackoff(Scheduler& scheduler, Executor& executor, const EndedRun& end, Instant now) -> void
@@ -88,10 +88,10 @@
     auto& occurrence = *ensureOccurrence(job, key.m_occurrence);
     auto& step = occurrence.m_steps[key.m_step];
     if (isGang) {
-        for (auto& member : step.m_tasks)
-            finishTask(scheduler, step, member);
+        for (std::size_t index = 0; index < step.m_tasks.size(); ++index)
+            finishTask(scheduler, step, step.m_tasks.edit(index));
     } else {
-        finishTask(scheduler, step, step.m_tasks[key.m_index]);
+        finishTask(scheduler, step, step.m_tasks.edit(key.m_index));
     }
     completeWhenDone(scheduler, job, occurrence, wall);
     markChanged(scheduler, job);
@@ -130,6 +130,13 @@
     scheduler.m_executors[run.m_executor]->m_hasStoppingRuns = true;
 }
 
+auto stopRuns(Scheduler& scheduler, StepState& step) -> void
+{
+    for (auto index = step.m_tasks.nextOwnState(0); index < step.m_tasks.size();
+         index = step.m_tasks.nextOwnState(index + 1))
+        stopRuns(scheduler, step.m_tasks.edit(index));
+}
+
 auto findRun(Scheduler& scheduler, const TaskKey& key, std::uint32_t run, ExecutorIndex executor) -> TaskRun*
 {
     auto* task = findTask(scheduler, key);
@@ -145,7 +152,7 @@
 {
     auto& job = *findJob(scheduler, key.m_job);
     auto& step = *findStep(scheduler, key);
-    auto& task = step.m_tasks[key.m_index];
+    auto& task = step.m_tasks.edit(key.m_index);
     const auto& spec = job.m_spec.m_steps[key.m_step];
     auto& target = *scheduler.m_executors[executor];
     if (run > task.m_highestRun)
@@ -185,7 +192,7 @@
         return;
     auto& job = *findJob(scheduler, key.m_job);
     auto& step = *findStep(scheduler, key);
-    auto& task = step.m_tasks[key.m_index];
+    auto& task = step.m_tasks.edit(key.m_index);
     const auto& spec = job.m_spec.m_steps[key.m_step];
     auto& target = *scheduler.m_executors[executor];
     endFlight(scheduler, *found);
@@ -275,14 +282,12 @@
         countFailure(scheduler, job, step, *task, spec.m_isGang, wall);
         // A run of a gang counts once, however many members report that it has failed.
         if (spec.m_isGang) {
-            for (auto& member : step.m_tasks)
-                markCounted(member, end.m_run);
+            for (std::size_t index = 0; index < step.m_tasks.size(); ++index)
+                markCounted(step.m_tasks.edit(index), end.m_run);
         }
     }
-    if (spec.m_isGang && end.m_kind != RunOutcome::Done) {
-        for (auto& member : step.m_tasks)
-            stopOtherRuns(scheduler, member);
-    }
+    if (spec.m_isGang && end.m_kind != RunOutcome::Done)
+        stopRuns(scheduler, step);
 }
 
 auto applyStartAnswer(Scheduler& scheduler, ExecutorIndex executor, const TaskKey& key, std::uint32_t run,
@@ -320,10 +325,8 @@
         found->m_stopAnsweredAt = now;
         return;
     }
-    if (answer == StartAnswer::NotSent && findJob(scheduler, key.m_job)->m_spec.m_steps[key.m_step].m_isGang) {
-        for (auto& member : findStep(scheduler, key)->m_tasks)
-            stopOtherRuns(scheduler, member);
-    }
+    if (answer == StartAnswer::NotSent && findJob(scheduler, key.m_job)->m_spec.m_steps[key.m_step].m_isGang)
+        stopRuns(scheduler, *findStep(scheduler, key));
     const auto reason = answer == StartAnswer::NotSent ? DropReason::NotSent : DropReason::Refused;
     dropRun(scheduler, key, run, executor, reason, now);
 }
--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -30,6 +30,7 @@
 constexpr double percentOfWork = 50;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusConflict = 409;
+constexpr StepFacts factsOfUnknown { .m_cpu = 8000, .m_memoryMb = 1024, .m_workMs = 500 }; // As large jobs ask for.
 
 auto steadyMs() -> std::int64_t { return detail::monotonicNow().time_since_epoch().count(); }
 
@@ -245,7 +246,7 @@
     if (ended != m_highestEnded.end() && key.second <= ended->second)
         return answer(statusConflict, { { "reason", "old" } });
     const auto found = m_facts.find(stepOf(key.first));
-    const auto facts = found == m_facts.end() ? StepFacts {} : found->second;
+    const auto facts = found == m_facts.end() ? factsOfUnknown : found->second;
     if (m_usedCpu + facts.m_cpu > m_place.m_cpu || m_usedMemoryMb + facts.m_memoryMb > m_place.m_memoryMb)
         return answer(statusConflict, { { "reason", "room" } });
     StartedRun started;
--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -26,7 +26,7 @@
 auto notesDisruptions(std::string_view kind) -> bool
 {
     return kind == "store-away" || kind == "waves" || kind == "configurations" || kind == "evacuations"
-        || kind == "hostile-clients";
+        || kind == "hostile-clients" || kind == "large-jobs";
 }
 
 } // namespace
--- a/tests/fleet/PlannedTroubles.cpp
+++ b/tests/fleet/PlannedTroubles.cpp
@@ -1,5 +1,6 @@
 #include "PlannedTroubles.h"
 
+#include "FleetClients.h"
 #include "FleetInstances.h"
 #include "FleetMachines.h"
 #include "FleetRecord.h"
@@ -7,11 +8,16 @@
 #include "hostile/HostileClients.h"
 
 #include "hemlockvane/detail/async/Signal.h"
+#include "hemlockvane/detail/http/HttpConnection.h"
+#include "hemlockvane/errors/FailureReason.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <array>
 #include <csignal>
+#include <cstdint>
+#include <cstdio>
 #include <sstream>
 #include <utility>
 
@@ -29,6 +35,40 @@
 // Together these hold 100 MB at a time where nothing bounds it.
 constexpr std::size_t hostileClientsAtOnce = 100;
 constexpr std::size_t hostileBytes = 1000000;
+constexpr std::int64_t mostTasks = 20000; // Of one job, and occurrences of one job.
+constexpr std::int64_t mostSteps = 1000;
+
+// What a large job is large by.
+enum class Largeness : std::uint8_t {
+    Product, // Many occurrences of many tasks.
+    Occurrences,
+    Tasks,
+    Steps,
+};
+
+constexpr std::size_t kindsOfLargeJobs = 4;
+
+// A job whose occurrences are all due and whose tasks need an executor with a label.
+auto largeJob(Largeness kind, const std::string& label) -> json::object
+{
+    json::object step { { "count", 1 }, { "cpu", 8000 }, { "memMb", 1024 }, { "estimateMs", 500 },
+        { "requires", label } };
+    json::object job { { "spec", "large" } };
+    if (kind == Largeness::Product || kind == Largeness::Occurrences) {
+        job["runCount"] = mostTasks;
+        job["startAtMs"] = 1;
+        job["intervalMs"] = kind == Largeness::Product ? 60000 : 0;
+    }
+    if (kind == Largeness::Product)
+        step["count"] = mostTasks / 2;
+    if (kind == Largeness::Tasks)
+        step["count"] = mostTasks;
+    json::array steps;
+    for (std::int64_t count = kind == Largeness::Steps ? mostSteps : 1; count > 0; --count)
+        steps.push_back(step);
+    job["steps"] = std::move(steps);
+    return job;
+}
 
 } // namespace
 
@@ -54,6 +94,7 @@
         { "leaving", &PlannedTroubles::leaving },
         { "evacuations", &PlannedTroubles::evacuations },
         { "hostile-clients", &PlannedTroubles::hostileClients },
+        { "large-jobs", &PlannedTroubles::largeJobs },
         { "lost-orders", &PlannedTroubles::lostOrders },
     };
     std::istringstream list(names);
@@ -216,6 +257,50 @@
     clients.close();
 }
 
+// Clients hand in jobs whose numbers are the largest that are accepted: many of each kind, so that their sum would not
+// fit into an instance's memory either. Their tasks run on one rack of the pool at most, which they fill for hours; the
+// others are left to ordinary jobs.
+auto PlannedTroubles::largeJobs(std::int64_t until) -> asio::awaitable<void>
+{
+    for (std::int64_t number = 0; m_record.now() < until; ++number) {
+        const auto kind = static_cast<std::size_t>(m_random() % kindsOfLargeJobs);
+        asio::co_spawn(m_context, submitLargeJob(kind, number), asio::detached);
+        co_await pause(50, 150);
+    }
+}
+
+auto PlannedTroubles::firstRack(const std::string& service) const -> std::string
+{
+    for (const auto& machine : m_machines.machines()) {
+        if (machine.m_pool == service)
+            return machine.m_executor->place().m_rack;
+    }
+    return {};
+}
+
+auto PlannedTroubles::submitLargeJob(std::size_t kind, std::int64_t number) -> asio::awaitable<void>
+{
+    const auto routes = m_configuration.at("routes").as_array();
+    const auto& route = routes.at(m_random() % routes.size()).as_object();
+    const auto prefix = std::string(route.at("pathPrefix").as_string());
+    const auto label = between(0, 1) == 1 ? "of no executor" : firstRack(std::string(route.at("service").as_string()));
+    const auto instance = m_random() % m_instances.instances().size();
+    std::array<char, 17> id {};
+    std::snprintf(id.data(), id.size(), "%016llx", 0xb1600000ULL + static_cast<unsigned long long>(number));
+    detail::HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = prefix + id.data();
+    request.m_headers = { { "Host", FleetClients::host }, { "Content-Type", "application/json" },
+        { "Hemlockvane-Key", FleetClients::key } };
+    request.m_body = json::serialize(largeJob(static_cast<Largeness>(kind), label));
+    FailureReason reason;
+    const auto response
+        = co_await detail::httpCall(m_instances.frontAddress(instance), request, Duration { timeoutMs }, reason);
+    m_record.write("clients",
+        "large job " + std::string(id.data()) + " kind " + std::to_string(kind) + ": "
+            + (response ? std::to_string(response->m_status) : reason.m_text));
+}
+
 auto PlannedTroubles::lostOrders(std::int64_t until) -> asio::awaitable<void>
 {
     while (m_record.now() < until) {
--- a/tests/fleet/PlannedTroubles.h
+++ b/tests/fleet/PlannedTroubles.h
@@ -42,6 +42,9 @@
     auto evacuations(std::int64_t until) -> boost::asio::awaitable<void>;
     auto hostileClients(std::int64_t until) -> boost::asio::awaitable<void>;
     auto attack(std::string address, std::size_t kind) -> boost::asio::awaitable<void>;
+    auto largeJobs(std::int64_t until) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto firstRack(const std::string& service) const -> std::string;
+    auto submitLargeJob(std::size_t kind, std::int64_t number) -> boost::asio::awaitable<void>;
     auto lostOrders(std::int64_t until) -> boost::asio::awaitable<void>;
 
     auto between(std::int64_t least, std::int64_t most) -> std::int64_t;
