Refuse new jobs while the accepted ones fill the owner's memory

Callers could end every owner with many jobs, as they could with one: each stays with the owner from its acceptance until its state need not be told any more, and each owner loads all that are stored. 50,000 jobs with a text of 4,000 bytes, or 700 with 1,000 steps (3 KB each as a request), fill 260 MB.

Cause: nothing bounded the sum. An instance that accepts a job knows only its own requests.

Change: the owner estimates the memory of each job that it knows (memoryOf), with open occurrences and started tasks, and tells with each renewal of its ownership what is left of min(96 MB, 3/8 of limits.memoryMb) and which workspaces use most. Instances refuse a new job with 503 and Retry-After, and do not store it, if its workspace would then use more than is left for all others, or if they admitted a 64th of what is left since the owner's last record. Accepted jobs are never dropped for it, and a job that may be stored already is not refused. A record of an earlier version sets no limit. The text of a job is released when the job has ended, and a takeover releases each stored record as its job is made.

--- a/include/hemlockvane/detail/coordinator/Coordinator.h
+++ b/include/hemlockvane/detail/coordinator/Coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockvane/detail/coordinator/CoordinatorPorts.h"
+#include "hemlockvane/detail/coordinator/JobMemoryView.h"
 #include "hemlockvane/detail/coordinator/JobStatusResult.h"
 #include "hemlockvane/scheduling/JobSpec.h"
 
@@ -47,6 +48,9 @@
     /// @brief Number of accepted jobs of a queue that have not started; empty when it is not known at present.
     auto countWaitingJobs(const std::string& queue) -> std::optional<std::size_t>;
 
+    /// @brief What this owner's memory can take of further jobs; empty until the stored ones are loaded.
+    [[nodiscard]] auto jobMemory() const -> std::optional<JobMemoryView>;
+
 private:
     auto run() -> boost::asio::awaitable<void>;
 
--- a/include/hemlockvane/detail/coordinator/OwnerElection.h
+++ b/include/hemlockvane/detail/coordinator/OwnerElection.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hemlockvane::detail {
@@ -32,6 +33,10 @@
     OwnerElection(const OwnerElection&) = delete;
     auto operator=(const OwnerElection&) -> OwnerElection& = delete;
 
+    /// @brief Lets the renewals of this instance, while it is the owner, tell what its memory can take of further jobs.
+    /// @param memory returns nothing while it is not known
+    auto publishJobMemory(std::function<std::optional<JobMemoryView>()> memory) -> void;
+
     auto start() -> void;
 
     /// @brief Releases the ownership for a shutdown; this instance does not take it again.
--- a/include/hemlockvane/detail/coordinator/OwnerView.h
+++ b/include/hemlockvane/detail/coordinator/OwnerView.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "hemlockvane/detail/coordinator/JobMemoryView.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace hemlockvane::detail {
@@ -12,6 +15,7 @@
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nonce = 0;
     bool m_isReleased = true;
+    std::optional<JobMemoryView> m_jobMemory; ///< Empty if the owner does not limit it.
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/detail/coordinator/Submissions.h
+++ b/include/hemlockvane/detail/coordinator/Submissions.h
@@ -27,7 +27,7 @@
 auto applySubmissionRecord(CoordinatorState& state, const KeyedRecord& record) -> void;
 
 /// @brief Applies the whole content of the topic.
-auto loadSubmissions(CoordinatorState& state, const TopicContent& content) -> void;
+auto loadSubmissions(CoordinatorState& state, TopicContent content) -> void;
 
 /// @brief Reads and applies the records after the last read.
 /// @param wait how long the store may wait for a new record
--- a/include/hemlockvane/detail/intake/IntakeOutcome.h
+++ b/include/hemlockvane/detail/intake/IntakeOutcome.h
@@ -8,6 +8,7 @@
 enum class IntakeOutcome : std::uint8_t {
     Stored,
     Refused, ///< Certainly not stored.
+    Full, ///< Certainly not stored: the owner's memory takes no further jobs of the workspace now.
     TooLarge, ///< Certainly not stored, and never will be.
     Unknown, ///< It may be stored, now or later.
 };
--- a/include/hemlockvane/detail/intake/JobIntake.h
+++ b/include/hemlockvane/detail/intake/JobIntake.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/coordinator/JobStatusResult.h"
 #include "hemlockvane/detail/intake/IntakeOutcome.h"
+#include "hemlockvane/detail/intake/JobAdmission.h"
 #include "hemlockvane/detail/intake/RecentSubmissions.h"
 #include "hemlockvane/detail/intake/SubmissionWriter.h"
 #include "hemlockvane/scheduling/JobSpec.h"
@@ -30,10 +31,11 @@
         std::function<std::shared_ptr<Coordinator>()> coordinator, StoreLimits limits = {});
 
     /// @brief Stores a submission. Submitting the same job again has no effect.
+    /// @param memory estimate of the memory that the owner needs for the job, in bytes
     /// @param deadline time after which no further attempt is made
     /// @result what is known after this request and earlier ones for the same job
-    auto submit(scheduling::JobId id, std::string queue, std::string workspace, std::string body, Instant deadline)
-        -> boost::asio::awaitable<IntakeOutcome>;
+    auto submit(scheduling::JobId id, std::string queue, std::string workspace, std::string body, std::size_t memory,
+        Instant deadline) -> boost::asio::awaitable<IntakeOutcome>;
 
     /// @brief Joint outcome of the recent requests through this instance that submitted the job.
     /// @result `Refused` if none of them may have stored it
@@ -51,10 +53,12 @@
     auto countWaitingJobs(std::string queue) -> boost::asio::awaitable<std::optional<std::size_t>>;
 
 private:
+    auto mayAdmit(const std::string& workspace, std::size_t memory) -> bool;
     auto askOwner(std::string target) -> boost::asio::awaitable<std::optional<std::string>>;
 
     SubmissionWriter m_writer;
     RecentSubmissions m_recent;
+    JobAdmission m_admission;
     HttpPool& m_peers;
     const OwnerElection& m_election;
     std::function<std::shared_ptr<Coordinator>()> m_ownedCoordinator;
--- a/include/hemlockvane/scheduling/Job.h
+++ b/include/hemlockvane/scheduling/Job.h
@@ -4,6 +4,7 @@
 #include "hemlockvane/scheduling/JobSpec.h"
 #include "hemlockvane/scheduling/Occurrence.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,6 +30,7 @@
     std::uint32_t m_doneBelow = 0; ///< All occurrences below this number are done.
     std::set<std::uint32_t> m_doneOccurrences; ///< Done occurrences from that number on.
     WallMillis m_endedAt = 0;
+    std::size_t m_memory = 0; ///< What is counted for it in `Scheduler::m_jobMemory`, in bytes.
     bool m_isDirty = false; ///< Progress has changed since it was last handed to the journal.
     std::uint32_t m_occurrencesDone = 0;
     bool m_isChanged = false; ///< Listed in `StartIndex::m_changedJobs`.
--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -8,6 +8,7 @@
 #include "hemlockvane/scheduling/FleetRules.h"
 #include "hemlockvane/scheduling/FoundRun.h"
 #include "hemlockvane/scheduling/Job.h"
+#include "hemlockvane/scheduling/JobMemory.h"
 #include "hemlockvane/scheduling/LostRun.h"
 #include "hemlockvane/scheduling/SchedulerTiming.h"
 #include "hemlockvane/scheduling/StartFlow.h"
@@ -32,6 +33,7 @@
     std::set<JobId> m_undecidedJobs; ///< Jobs with failures that no limit has been applied to yet.
     SchedulerTiming m_timing;
     std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
+    JobMemory m_jobMemory;
     std::set<JobId> m_active; ///< Jobs that have not ended, and ended jobs that still have runs.
     std::vector<JobId> m_endedJobs; ///< Ended jobs in `m_active`.
     std::vector<std::unique_ptr<Executor>> m_executors;
@@ -45,7 +47,8 @@
     std::map<std::string, std::deque<Arrival>> m_arrivals; ///< Recent arrivals, by queue.
     std::vector<JobId> m_dirtyJobs; ///< Jobs with progress that is not in the journal yet.
     std::uint64_t m_openBatch = 1; ///< Number of the journal batch that will contain the next changes.
-    std::set<JobId> m_earlyCancellations; ///< Jobs whose cancellation was read before their submission.
+    /// Jobs whose cancellation was read before their submission, and when.
+    std::map<JobId, WallMillis> m_earlyCancellations;
     Instant m_registryReadAt; ///< When the newest answered read of the registry was sent.
     std::vector<TaskKey> m_crashingTasks; ///< Tasks found to crash executors, whose jobs are to be failed.
     StartFlow m_startFlow;
--- a/include/hemlockvane/scheduling/TaskTable.h
+++ b/include/hemlockvane/scheduling/TaskTable.h
@@ -59,6 +59,9 @@
     /// @brief Number of the first task from `index` on that may have a state of its own; `size()` if there is none.
     [[nodiscard]] auto nextOwnState(std::size_t index) const -> std::size_t;
 
+    /// @brief Memory of the states that tasks have of their own.
+    [[nodiscard]] auto ownBytes() const -> std::size_t;
+
 private:
     static constexpr std::size_t blockSize = 64; ///< Tasks are started in their order, so few blocks have gaps.
 
--- a/include/hemlockvane/scheduling/TrackJobs.h
+++ b/include/hemlockvane/scheduling/TrackJobs.h
@@ -51,9 +51,9 @@
 /// @brief Notes that an occurrence is done.
 auto markOccurrenceDone(Job& job, std::uint32_t number) -> void;
 
-/// @brief Releases the memory of occurrences that are done, or whose job has ended, once they have no runs. The job
-/// must have no start candidates, which point to its occurrences.
-auto releaseEndedOccurrences(Job& job) -> void;
+/// @brief Releases what is not needed of occurrences that are done, and of a job that has ended, once they have no
+/// runs. The job must have no start candidates, which point to its occurrences.
+auto releaseMemory(Scheduler& scheduler, Job& job) -> void;
 
 /// @brief Finds a task by its key.
 /// @result null when there is no such task
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -55,6 +55,7 @@
 // the fleet is; what happens between two plans goes into one.
 constexpr int planningPauseFactor = 3;
 constexpr Duration loadInterval { 1000 }; // Between two log lines about the owner's load.
+constexpr std::size_t listedWorkspaces = 32; // At most: those that use this part of the limit of jobs' memory.
 constexpr Duration statusReadTime { 300 }; // Reading for one query; another instance waits 500 ms for the answer.
 
 // Retires executors and removes their records from the journal.
@@ -217,6 +218,8 @@
             load.m_polls, load.m_pollsWithNews, load.m_pollsUnanswered, load.m_ends, load.m_starts, load.m_plans,
             load.m_planTime.count(), load.m_longestPlan.count(), load.m_batches, load.m_longestBatch.count(),
             load.m_longestDelay.count(), scheduler.m_active.size(), busy);
+        state->m_ports.m_metrics->gauge(
+            "job_memory_bytes", static_cast<double>(state->m_scheduler.m_jobMemory.m_total));
         reportWaiting(*state);
         reportInterference(*state);
         reportShares(*state);
@@ -346,4 +349,19 @@
     return scheduling::countWaitingJobs(m_state->m_scheduler, queue);
 }
 
+auto Coordinator::jobMemory() const -> std::optional<JobMemoryView>
+{
+    if (!m_state->m_isLoaded || m_state->m_isStopped)
+        return std::nullopt;
+    const auto limit = m_state->m_ports.m_jobMemoryLimit;
+    const auto& used = m_state->m_scheduler.m_jobMemory;
+    JobMemoryView view;
+    view.m_left = limit - std::min(limit, used.m_total);
+    for (const auto& [workspace, bytes] : used.m_byWorkspace) {
+        if (bytes >= limit / listedWorkspaces)
+            view.m_byWorkspace.emplace(workspace, bytes);
+    }
+    return view;
+}
+
 } // namespace hemlockvane::detail
--- a/src/detail/coordinator/LoadState.cpp
+++ b/src/detail/coordinator/LoadState.cpp
@@ -75,7 +75,7 @@
     const auto areSubmissionsRead = co_await awaitRead(state, earlySubmissions);
     if (!areSubmissionsRead)
         co_return false;
-    loadSubmissions(*state, *earlySubmissions->m_content);
+    loadSubmissions(*state, std::move(*earlySubmissions->m_content));
     // Until it was fenced, an earlier owner may have started jobs that were submitted after the read above. Their runs
     // are in the journal; a run is restored only if its job is known.
     const auto areNewSubmissionsRead = co_await readSubmissionsToEnd(*state);
--- a/src/detail/coordinator/OwnerElection.cpp
+++ b/src/detail/coordinator/OwnerElection.cpp
@@ -23,6 +23,27 @@
 constexpr int releaseAttempts = 3; // Few, since a shutdown must not take long.
 constexpr Duration followWait { 600 }; // Maximum wait of one read for a renewal.
 
+auto encodeJobMemory(const JobMemoryView& memory, wire::OwnerRecord& record) -> void
+{
+    record.set_job_memory_left(memory.m_left);
+    for (const auto& [workspace, bytes] : memory.m_byWorkspace) {
+        auto& used = *record.add_workspaces();
+        used.set_workspace(workspace);
+        used.set_bytes(bytes);
+    }
+}
+
+auto decodeJobMemory(const wire::OwnerRecord& record) -> std::optional<JobMemoryView>
+{
+    if (!record.has_job_memory_left())
+        return std::nullopt;
+    JobMemoryView memory;
+    memory.m_left = record.job_memory_left();
+    for (const auto& used : record.workspaces())
+        memory.m_byWorkspace[used.workspace()] = used.bytes();
+    return memory;
+}
+
 } // namespace
 
 struct OwnerElection::Impl : std::enable_shared_from_this<OwnerElection::Impl> {
@@ -40,6 +61,7 @@
     auto takeOver(const char* reason) -> asio::awaitable<void>;
     auto takeoverReason() const -> const char*;
     auto appendOwn(std::uint64_t epoch, bool isReleased) -> asio::awaitable<StoreAppendResult>;
+    auto jobMemory() const -> std::optional<JobMemoryView>;
     auto changeOwnership(bool isOwner, std::uint64_t epoch, const char* reason) -> void;
 
     asio::io_context& m_context;
@@ -49,6 +71,7 @@
     std::string m_address;
     std::uint64_t m_nonce = 0;
     std::function<void(bool)> m_onChange;
+    std::function<std::optional<JobMemoryView>()> m_ownJobMemory;
     OwnerView m_view;
     std::uint64_t m_end = 0;
     Instant m_lastActivityAt; // When the last record was read, or the first read succeeded after a failed one.
@@ -86,7 +109,7 @@
         logOf("election")
             .info("event=seen instance={} epoch={} released={}", record.instance(), record.epoch(), record.released());
     m_view = { record.instance(), record.released() ? std::string() : record.address(), record.epoch(), record.nonce(),
-        record.released() };
+        record.released(), decodeJobMemory(record) };
     const auto isOwn = record.nonce() == m_nonce && !record.released();
     if (record.nonce() != m_nonce)
         observeOwnerRecord(m_predecessors, record.epoch(), record.released(), m_lastActivityAt);
@@ -119,6 +142,14 @@
     co_return true;
 }
 
+// While this instance does not know it, before it has loaded the jobs or when it gives them up, what was told last
+// holds on.
+auto OwnerElection::Impl::jobMemory() const -> std::optional<JobMemoryView>
+{
+    auto own = m_ownJobMemory ? m_ownJobMemory() : std::nullopt;
+    return own ? own : m_view.m_jobMemory;
+}
+
 auto OwnerElection::Impl::appendOwn(std::uint64_t epoch, bool isReleased) -> asio::awaitable<StoreAppendResult>
 {
     wire::OwnerRecord record;
@@ -127,6 +158,9 @@
     record.set_epoch(epoch);
     record.set_nonce(m_nonce);
     record.set_released(isReleased);
+    m_view.m_jobMemory = jobMemory();
+    if (m_view.m_jobMemory)
+        encodeJobMemory(*m_view.m_jobMemory, record);
     StoreAppend request;
     request.m_topic = ownerTopic;
     request.m_records.push_back(record.SerializeAsString());
@@ -181,7 +215,7 @@
     if (result.m_kind != StoreAppendKind::Stored)
         co_return;
     m_end = result.m_end;
-    m_view = { m_instance, m_address, epoch, m_nonce, false };
+    m_view = { m_instance, m_address, epoch, m_nonce, false, std::move(m_view.m_jobMemory) };
     changeOwnership(true, epoch, reason);
 }
 
@@ -217,6 +251,11 @@
 
 OwnerElection::~OwnerElection() = default;
 
+auto OwnerElection::publishJobMemory(std::function<std::optional<JobMemoryView>()> memory) -> void
+{
+    m_impl->m_ownJobMemory = std::move(memory);
+}
+
 auto OwnerElection::start() -> void { asio::co_spawn(m_impl->m_context, m_impl->run(), asio::detached); }
 
 auto OwnerElection::release() -> asio::awaitable<void>
--- a/src/detail/coordinator/Submissions.cpp
+++ b/src/detail/coordinator/Submissions.cpp
@@ -8,6 +8,9 @@
 #include "hemlockvane/scheduling.pb.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 
+#include <string>
+#include <utility>
+
 namespace hemlockvane::detail {
 
 namespace asio = boost::asio;
@@ -55,10 +58,12 @@
     scheduling::cancelJob(state.m_scheduler, *id, wallNow());
 }
 
-auto loadSubmissions(CoordinatorState& state, const TopicContent& content) -> void
+auto loadSubmissions(CoordinatorState& state, TopicContent content) -> void
 {
-    for (const auto& record : content.first)
+    for (auto& record : content.first) {
         applySubmissionRecord(state, record);
+        record.m_value = std::string(); // Otherwise all of them would be held beside the jobs made of them.
+    }
     state.m_nextSubmissionOffset = content.second;
     state.m_submissionEnd = std::max(state.m_submissionEnd, content.second);
 }
@@ -70,10 +75,11 @@
     if (!read || state.m_isStopped)
         co_return false;
     if (read->m_isExpired) {
-        const auto content = co_await state.m_ports.m_store->newest(submissionTopic);
-        if (content)
-            loadSubmissions(state, *content);
-        co_return content.has_value();
+        auto content = co_await state.m_ports.m_store->newest(submissionTopic);
+        const auto isLoaded = content.has_value();
+        if (isLoaded)
+            loadSubmissions(state, std::move(*content));
+        co_return isLoaded;
     }
     auto offset = from;
     for (const auto& bytes : read->m_records) {
--- a/src/detail/intake/JobIntake.cpp
+++ b/src/detail/intake/JobIntake.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/coordinator/Submissions.h"
 #include "hemlockvane/detail/http/HttpPool.h"
+#include "hemlockvane/detail/intake/AdmitJob.h"
 #include "hemlockvane/detail/intake/OwnerApi.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling.pb.h"
@@ -42,11 +43,24 @@
 {
 }
 
+auto JobIntake::mayAdmit(const std::string& workspace, std::size_t memory) -> bool
+{
+    const auto coordinator = m_ownedCoordinator();
+    auto left = coordinator ? coordinator->jobMemory() : std::nullopt;
+    if (!left)
+        left = m_election.owner().m_jobMemory;
+    return !left || admitJob(m_admission, *left, m_election.newestRenewal(), workspace, memory);
+}
+
 auto JobIntake::submit(scheduling::JobId id, std::string queue, std::string workspace, std::string body,
-    Instant deadline) -> asio::awaitable<IntakeOutcome>
+    std::size_t memory, Instant deadline) -> asio::awaitable<IntakeOutcome>
 {
-    if (earlierOutcome(id) == IntakeOutcome::Stored)
+    const auto earlier = earlierOutcome(id);
+    if (earlier == IntakeOutcome::Stored)
         co_return IntakeOutcome::Stored;
+    // A job that may be stored already may also run.
+    if (earlier == IntakeOutcome::Refused && !mayAdmit(workspace, memory))
+        co_return IntakeOutcome::Full;
     wire::SubmissionRecord record;
     record.set_queue(std::move(queue));
     record.set_workspace(std::move(workspace));
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -35,6 +35,8 @@
         return "stored";
     case IntakeOutcome::Refused:
         return "refused";
+    case IntakeOutcome::Full:
+        return "full";
     case IntakeOutcome::TooLarge:
         return "too_large";
     case IntakeOutcome::Unknown:
--- a/src/scheduling/OrderCandidates.cpp
+++ b/src/scheduling/OrderCandidates.cpp
@@ -111,7 +111,7 @@
 auto collectFromJob(Scheduler& scheduler, Job& job, Instant now, WallMillis wall) -> void
 {
     auto& candidates = scheduler.m_starts.m_candidates;
-    releaseEndedOccurrences(job);
+    releaseMemory(scheduler, job);
     const auto queue = scheduler.m_starts.m_queues.find(job.m_spec.m_queue);
     if (isFinal(job.m_phase) || queue == scheduler.m_starts.m_queues.end())
         return;
--- a/src/scheduling/TaskTable.cpp
+++ b/src/scheduling/TaskTable.cpp
@@ -51,6 +51,14 @@
     return block[index % blockSize];
 }
 
+auto TaskTable::ownBytes() const -> std::size_t
+{
+    auto bytes = m_blocks.size() * sizeof(m_blocks[0]);
+    for (const auto& block : m_blocks)
+        bytes += block.size() * sizeof(TaskState);
+    return bytes;
+}
+
 auto TaskTable::nextOwnState(std::size_t index) const -> std::size_t
 {
     while (index < m_count && (m_blocks.empty() || m_blocks[index / blockSize].empty()))
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -1,5 +1,7 @@
 #include "hemlockvane/scheduling/TrackJobs.h"
 
+#include "hemlockvane/scheduling/MeasureJobMemory.h"
+#include "hemlockvane/scheduling/OpenLimits.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
 
@@ -11,10 +13,6 @@
 namespace {
 
 constexpr std::int64_t millisPerSecond = 1000;
-// In all open occurrences of one job, together with their steps; one occurrence may have as many tasks.
-constexpr std::size_t maximumOpenSize = 20000;
-// In open occurrences that have not begun: enough that each plan finds work for the room that has become free.
-constexpr std::size_t maximumUnbegunSteps = 8;
 constexpr Duration arrivalRetention { 2000 }; // Longer than the window over which arrival rates are measured.
 
 // Finds the longest path from each step to the end of the job: the sum of its estimates and the number of its steps.
@@ -169,6 +167,7 @@
     recordArrival(scheduler, job->m_spec, now);
     auto& known = *job;
     scheduler.m_jobs.emplace(id, std::move(job));
+    countMemory(scheduler, known, memoryOf(known.m_spec));
     scheduler.m_active.insert(id);
     markChanged(scheduler, known);
     if (scheduler.m_earlyCancellations.erase(id) > 0)
@@ -180,14 +179,14 @@
 {
     auto* job = findJob(scheduler, id);
     if (job == nullptr)
-        scheduler.m_earlyCancellations.insert(id);
+        scheduler.m_earlyCancellations.emplace(id, wall);
     else if (!isFinal(job->m_phase))
         enterPhase(scheduler, *job, JobPhase::Cancelled, wall);
 }
 
 auto dropJob(Scheduler& scheduler, JobId id) -> bool
 {
-    const auto* job = findJob(scheduler, id);
+    auto* job = findJob(scheduler, id);
     if (job == nullptr || hasRuns(*job))
         return false;
     if (job->m_candidates > 0)
@@ -195,6 +194,7 @@
             scheduler.m_starts.m_candidates, [&](const StartCandidate& candidate) { return candidate.m_jobId == id; });
     scheduler.m_active.erase(id);
     scheduler.m_undecidedJobs.erase(id);
+    countMemory(scheduler, *job, 0);
     scheduler.m_jobs.erase(id);
     return true;
 }
@@ -275,10 +275,13 @@
         known->second.m_isDone = true;
 }
 
-auto releaseEndedOccurrences(Job& job) -> void
+auto releaseMemory(Scheduler& scheduler, Job& job) -> void
 {
     std::erase_if(job.m_occurrences,
         [&](const auto& item) { return (isFinal(job.m_phase) || item.second.m_isDone) && !hasRuns(item.second); });
+    if (isFinal(job.m_phase) && job.m_occurrences.empty())
+        job.m_spec.m_payload = std::string();
+    countMemory(scheduler, job, memoryOf(job));
 }
 
 auto findStep(Scheduler& scheduler, const TaskKey& key) -> StepState*
--- a/tests/shell/coordinator/OwnerElectionTest.cpp
+++ b/tests/shell/coordinator/OwnerElectionTest.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace hemlockvane::detail {
 
@@ -28,6 +29,8 @@
     CPPUNIT_TEST(store_downForAll_changesNoOwner);
     CPPUNIT_TEST(owner_loopHalfASecondLate_staysOwner);
     CPPUNIT_TEST(owner_answersLost_staysOwner);
+    CPPUNIT_TEST(jobMemory_published_isKnownToOthersAndAfterTakeover);
+    CPPUNIT_TEST(jobMemory_notPublished_isNotLimited);
     CPPUNIT_TEST(leases_ofReleasedOwner_expireEarlier);
     CPPUNIT_TEST(leases_ofShortOwnership_expireAfterTheLongest);
     CPPUNIT_TEST(leases_withoutPredecessor_haveExpired);
@@ -170,6 +173,33 @@
         CPPUNIT_ASSERT_EQUAL(epoch, m_elections[first]->epoch());
     }
 
+    // Guards against a new owner that admits without a limit until it has loaded the jobs.
+    auto jobMemory_published_isKnownToOthersAndAfterTakeover() -> void
+    {
+        const auto first = owner();
+        const auto other = (first + 1) % m_elections.size();
+        std::optional<JobMemoryView> memory = JobMemoryView { 5000, { { "team", 700 } } };
+        m_elections[first]->publishJobMemory([&] { return memory; });
+        const auto isKnown = [&](std::size_t number) { return m_elections[number]->owner().m_jobMemory.has_value(); };
+        runUntil([&] { return isKnown(other); });
+        CPPUNIT_ASSERT(isKnown(other));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 5000 }, m_elections[other]->owner().m_jobMemory->m_left);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 700 }, m_elections[other]->owner().m_jobMemory->m_byWorkspace.at("team"));
+        memory.reset(); // It gives the jobs up before it releases the ownership.
+        boost::asio::co_spawn(*m_context, m_elections[first]->release(), boost::asio::detached);
+        runUntil([&] { return ownerCount() == 1 && !m_elections[first]->isOwner(); });
+        m_context->run_for(shortTiming().m_renewalTimeout);
+        for (std::size_t number = 0; number < m_elections.size(); ++number)
+            CPPUNIT_ASSERT(number == first || isKnown(number));
+    }
+
+    auto jobMemory_notPublished_isNotLimited() -> void
+    {
+        m_context->run_for(shortTiming().m_renewalTimeout);
+        for (const auto& election : m_elections)
+            CPPUNIT_ASSERT(!election->owner().m_jobMemory);
+    }
+
     auto leases_ofReleasedOwner_expireEarlier() -> void
     {
         PredecessorLeases leases;
--- a/tests/shell/platform/ClientApiTest.cpp
+++ b/tests/shell/platform/ClientApiTest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(submission_unansweredBefore_isUnknownUntilStored);
     CPPUNIT_TEST(submission_refusedBefore_isRefused);
     CPPUNIT_TEST(submission_largerThanTheStoreTakes_isRefusedForGood);
+    CPPUNIT_TEST(submission_ownersMemoryFull_isRefusedForNowAndNotStored);
+    CPPUNIT_TEST(submission_ownersMemoryFullAndMayBeStored_isNotCalledNotAccepted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,7 +147,41 @@
         CPPUNIT_ASSERT(m_store->m_topics["keyed.jobs"].empty());
     }
 
+    auto submission_ownersMemoryFull_isRefusedForNowAndNotStored() -> void
+    {
+        followOwner();
+        CPPUNIT_ASSERT_EQUAL(503U, submit());
+        CPPUNIT_ASSERT(m_store->m_topics["keyed.jobs"].empty());
+        m_ownersMemory.m_left = 1000000;
+        runUntil([&] { return m_election->owner().m_jobMemory->m_left > 0; });
+        CPPUNIT_ASSERT_EQUAL(200U, submit());
+    }
+
+    auto submission_ownersMemoryFullAndMayBeStored_isNotCalledNotAccepted() -> void
+    {
+        m_store->m_losesAnswers = true;
+        m_api->setAnswerDeadline(detail::monotonicNow() + Duration(500));
+        CPPUNIT_ASSERT_EQUAL(504U, submit());
+        m_api->setAnswerDeadline(Instant::max());
+        m_store->m_losesAnswers = false;
+        followOwner();
+        CPPUNIT_ASSERT_EQUAL(200U, submit());
+    }
+
 private:
+    // Another instance becomes the owner, whose memory takes no further jobs.
+    auto followOwner() -> void
+    {
+        m_owner = std::make_unique<detail::OwnerElection>(
+            *m_context, *m_store, "n2", "n2", 2, detail::ElectionTiming {}, [](bool) {});
+        m_owner->publishJobMemory([this] { return m_ownersMemory; });
+        m_owner->start();
+        runUntil([&] { return m_owner->isOwner(); });
+        m_election->start();
+        runUntil([&] { return m_election->owner().m_jobMemory.has_value(); });
+        CPPUNIT_ASSERT(m_election->owner().m_jobMemory.has_value());
+    }
+
     static constexpr auto jobTarget = "/jobs/00000000000000a1";
     static constexpr auto otherTarget = "/jobs/00000000000000a2";
 
@@ -188,6 +224,8 @@
     std::unique_ptr<detail::MemoryStore> m_store;
     std::unique_ptr<detail::HttpPool> m_peers;
     std::unique_ptr<detail::OwnerElection> m_election;
+    std::unique_ptr<detail::OwnerElection> m_owner; ///< Another instance, in some tests.
+    detail::JobMemoryView m_ownersMemory;
     std::unique_ptr<detail::RulesFollower> m_rules;
     std::unique_ptr<detail::JobIntake> m_intake;
     detail::Metrics m_metrics;
