--- a/include/hemlockvane/detail/coordinator/DropJobs.h
+++ b/include/hemlockvane/detail/coordinator/DropJobs.h
@@ -16,7 +16,11 @@
 /// may remove.
 auto droppableJobs(const CoordinatorState& state, WallMillis wall) -> std::vector<scheduling::JobId>;
 
-/// @brief Removes ended jobs from the store after the retention period; runs until the ownership ends.
+/// @brief Jobs that were cancelled but not submitted for as long, as many as one append may remove.
+auto droppableCancellations(const CoordinatorState& state, WallMillis wall) -> std::vector<scheduling::JobId>;
+
+/// @brief Removes ended jobs, and cancellations of jobs that were never submitted, from the store after the retention
+/// period; runs until the ownership ends.
 auto dropOldJobs(std::shared_ptr<CoordinatorState> state) -> boost::asio::awaitable<void>;
 
 } // namespace hemlockvane::detail
--- a/tests/shell/coordinator/DropJobsTest.cpp
+++ b/tests/shell/coordinator/DropJobsTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(cancelledJob_endStored_isKeptForTheRetention);
     CPPUNIT_TEST(cancelledJob_neverStarted_isKeptForTheRetention);
     CPPUNIT_TEST(endedJob_endUnknown_isKept);
+    CPPUNIT_TEST(cancellation_jobNeverSubmitted_isKeptForTheRetention);
     CPPUNIT_TEST(endedJob_runReportedAfterItWasRetired_isKept);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +112,16 @@
         CPPUNIT_ASSERT(droppableJobs(*m_state, wallNow() + hour) == std::vector<scheduling::JobId> { job });
     }
 
+    // Guards against a store and an owner's memory that fill with cancellations of ids that nobody submitted.
+    auto cancellation_jobNeverSubmitted_isKeptForTheRetention() -> void
+    {
+        m_memory.m_topics[submissionTopic] = { encodeKeyedRecord(cancellationPrefix + jobIdText(job), "1") };
+        m_memory.m_topics[progressTopic].clear();
+        takeOver();
+        CPPUNIT_ASSERT(droppableCancellations(*m_state, wallNow()).empty());
+        CPPUNIT_ASSERT(droppableCancellations(*m_state, wallNow() + hour) == std::vector<scheduling::JobId> { job });
+    }
+
     auto endedJob_endUnknown_isKept() -> void
     {
         takeOver();
