--- a/src/scheduling/MeasureJobMemory.cpp
+++ b/src/scheduling/MeasureJobMemory.cpp
@@ -50,6 +50,8 @@
 
 auto countMemory(Scheduler& scheduler, Job& job, std::size_t bytes) -> void
 {
+    if (bytes == job.m_memory)
+        return;
     auto& memory = scheduler.m_jobMemory;
     auto& ofWorkspace = memory.m_byWorkspace[job.m_spec.m_workspace];
     memory.m_total += bytes - job.m_memory;
--- a/src/scheduling/TrackJobs.cpp
+++ b/src/scheduling/TrackJobs.cpp
@@ -248,6 +248,8 @@
 auto openDueOccurrences(Job& job, WallMillis wall) -> void
 {
     job.m_hasDelayedOccurrences = false;
+    if (job.m_nextOccurrence >= job.m_spec.m_occurrences)
+        return;
     auto open = measureOpen(job);
     for (auto& number = job.m_nextOccurrence; number < job.m_spec.m_occurrences; ++number) {
         if (dueOf(job, number) > wall)
