--- a/tests/fleet/FleetInstances.cpp
+++ b/tests/fleet/FleetInstances.cpp
@@ -87,7 +87,7 @@
 
 auto FleetInstances::findOverLimits() const -> std::vector<std::string>
 {
-    std::vector<std::string> violations;
+    auto violations = m_overMemory;
     for (const auto& instance : m_instances) {
         if (instance.m_process <= 0 || kill(instance.m_process, 0) != 0) {
             violations.push_back(instance.m_name + " has ended by itself");
@@ -173,11 +173,21 @@
     m_record.disturb(instance.m_name, m_record.now());
 }
 
+// Notes a process about to be killed that took more memory than its machine has.
+auto FleetInstances::noteMemory(const FleetInstance& instance) -> void
+{
+    const auto memory = peakMb(instance.m_process);
+    if (memory > m_memoryMb)
+        m_overMemory.push_back(instance.m_name + " took " + std::to_string(memory) + " MB");
+}
+
 auto FleetInstances::signal(std::size_t index, int number) -> void
 {
     auto& instance = m_instances[index];
     if (instance.m_process <= 0)
         return;
+    if (number == SIGKILL)
+        noteMemory(instance);
     kill(instance.m_process, number);
     m_record.write(instance.m_name, "signal " + std::to_string(number));
     m_record.disturb(instance.m_name, m_record.now());
--- a/tests/fleet/FleetInstances.h
+++ b/tests/fleet/FleetInstances.h
@@ -47,6 +47,7 @@
     int m_memoryMb = 260; ///< Of each machine.
 
 private:
+    auto noteMemory(const FleetInstance& instance) -> void;
     [[nodiscard]] auto settingsOf(const FleetInstance& instance) const -> std::string;
     [[nodiscard]] auto port(int which) const -> std::string;
 
@@ -58,6 +59,7 @@
     std::int64_t m_longestHoldMs = 0;
     std::int64_t m_longestStopMs = 0;
     std::vector<FleetInstance> m_instances;
+    std::vector<std::string> m_overMemory; ///< A line for each process that was killed.
 };
 
 } // namespace hemlockvane::fleetrun
