--- a/src/scheduling/TaskTable.cpp
+++ b/src/scheduling/TaskTable.cpp
@@ -53,7 +53,7 @@
 
 auto TaskTable::ownBytes() const -> std::size_t
 {
-    auto bytes = m_blocks.size() * sizeof(m_blocks[0]);
+    auto bytes = m_blocks.size() * sizeof(std::vector<TaskState>);
     for (const auto& block : m_blocks)
         bytes += block.size() * sizeof(TaskState);
     return bytes;
--- a/tests/core/scheduling/DelayedOccurrencesTest.cpp
+++ b/tests/core/scheduling/DelayedOccurrencesTest.cpp
@@ -9,8 +9,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <map>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace hemlockvane::scheduling {
@@ -57,7 +57,7 @@
         submitScheduled(count, 3);
         const auto started = runToEnd();
         CPPUNIT_ASSERT(phase() == JobPhase::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { count * 3 }, started.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { count } * 3, started.size());
         CPPUNIT_ASSERT(std::all_of(started.begin(), started.end(), [](const auto& item) { return item.second == 1; }));
     }
 
@@ -256,9 +256,9 @@
         return actions;
     }
 
-    auto runToEnd() -> std::map<TaskKey, int>
+    auto runToEnd() -> std::unordered_map<TaskKey, int>
     {
-        std::map<TaskKey, int> started;
+        std::unordered_map<TaskKey, int> started;
         for (int round = 0; round < 2000 && phase() != JobPhase::Completed; ++round) {
             for (const auto& start : runRound())
                 ++started[start.m_task];
