Move the opening of occurrences out of TrackJobs

A move, without a change of behaviour: the file had grown past jobs and their phases. The largest memory of jobs stands once, with its reason.

--- a/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
+++ b/include/hemlockvane/detail/coordinator/CoordinatorPorts.h
@@ -45,7 +45,9 @@
     Duration m_longestStop { 1000 }; ///< From the request to stop a run to its end.
     bool m_sharesPools = false; ///< Whether pools that cannot hold all tasks are shared by the workspaces' weights.
     bool m_separatesInterference = true; ///< Whether placement keeps images apart that slow each other down.
-    std::size_t m_jobMemoryLimit = 100663296; ///< Of the jobs that are known at a time, in bytes; see `JobMemory`.
+    /// Of the jobs that are known at a time, in bytes; see `JobMemory`. An instance with less memory must be able to
+    /// take the work over.
+    std::size_t m_jobMemoryLimit = 96UL * 1024 * 1024;
     Duration m_statusRetention { 120000 }; ///< The final state of a job can be queried for at least this long.
 };
 
--- a/src/scheduling/OrderCandidates.cpp
+++ b/src/scheduling/OrderCandidates.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/scheduling/IndexRoom.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
+#include "hemlockvane/scheduling/OpenOccurrences.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/scheduling/StoreProgress.h"
 
+#include "hemlockvane/scheduling/OpenOccurrences.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
--- a/src/scheduling/TrackRuns.cpp
+++ b/src/scheduling/TrackRuns.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/ObserveInterference.h"
+#include "hemlockvane/scheduling/OpenOccurrences.h"
 #include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
--- a/tests/core/scheduling/FullScan.cpp
+++ b/tests/core/scheduling/FullScan.cpp
@@ -5,6 +5,7 @@
 #include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/Labels.h"
 #include "hemlockvane/scheduling/MeasureStartDelay.h"
+#include "hemlockvane/scheduling/OpenOccurrences.h"
 #include "hemlockvane/scheduling/RankPlacement.h"
 #include "hemlockvane/scheduling/RequestAdvice.h"
 #include "hemlockvane/scheduling/Scheduler.h"
