Return the memory of freed bodies to the system

Cause: glibc raises its threshold for mapped blocks to the largest block freed so far. Bodies then grow in the heap of their thread, which keeps the gaps between freed blocks, so that each attack adds to what the process holds.

`serve` now fixes the threshold at start. The bound of 128 MB is unchanged.

--- a/src/detail/server/EntryServer.cpp
+++ b/src/detail/server/EntryServer.cpp
@@ -16,6 +16,7 @@
 #include "hemlockvane/detail/crypto/Sha256.h"
 #include "hemlockvane/detail/http/HttpServer.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/program/MapLargeBlocks.h"
 #include "hemlockvane/detail/traffic/EscrowTraffic.h"
 #include "hemlockvane/detail/traffic/TrafficState.h"
 
@@ -184,6 +185,7 @@
 
 auto serveEntry(const ServeSettings& settings, std::string_view logLevel) -> int
 {
+    mapLargeBlocks();
     std::signal(SIGPIPE, SIG_IGN);
     Entry entry(settings);
     startLogging(entry.m_core.m_instance, logLevel);
