Log each new life of an executor when the owner notices it

A poll may show that an executor has started again under its id before the registry does, and neither the moment nor the number of runs that ended with the earlier life was logged.

event=new_life names both lives, the latest lease deadline sent to the earlier one, and how many runs were lost and kept; new_lives_total counts them.

--- a/include/hemlockvane/scheduling/Scheduler.h
+++ b/include/hemlockvane/scheduling/Scheduler.h
@@ -10,6 +10,7 @@
 #include "hemlockvane/scheduling/Job.h"
 #include "hemlockvane/scheduling/JobMemory.h"
 #include "hemlockvane/scheduling/LostRun.h"
+#include "hemlockvane/scheduling/NoticedLife.h"
 #include "hemlockvane/scheduling/SchedulerTiming.h"
 #include "hemlockvane/scheduling/StartFlow.h"
 #include "hemlockvane/scheduling/StartIndex.h"
@@ -55,6 +56,7 @@
     std::vector<LostRun> m_lostRuns; ///< Runs that were lost since the owner last logged them.
     std::vector<DroppedRun> m_droppedRuns; ///< Runs that were forgotten since the owner last logged them.
     std::vector<FoundRun> m_foundRuns; ///< Unknown runs that were reported since the owner last logged them.
+    std::vector<NoticedLife> m_noticedLives; ///< New lives of executors since the owner last logged them.
     interference::InterferenceState m_interference;
     bool m_separatesInterference = true; ///< Whether placement keeps images apart that slow each other down.
     StartIndex m_starts;
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -111,6 +111,18 @@
     state.m_scheduler.m_foundRuns.clear();
 }
 
+auto logNoticedLives(CoordinatorState& state) -> void
+{
+    for (const auto& life : state.m_scheduler.m_noticedLives) {
+        logOf("executors")
+            .info("event=new_life executor={} born={} earlier_born={} lease_until={} runs_lost={} runs_kept={}",
+                state.m_scheduler.m_executors[life.m_executor]->m_entry.m_id, life.m_startedAtMs,
+                life.m_earlierStartedAtMs, life.m_earlierLeaseUntilMs, life.m_lostRuns, life.m_keptRuns);
+        state.m_ports.m_metrics->count("new_lives_total");
+    }
+    state.m_scheduler.m_noticedLives.clear();
+}
+
 auto giveUpCrashingTasks(CoordinatorState& state) -> void
 {
     for (const auto& key : scheduling::giveUpCrashingTasks(state.m_scheduler, wallNow()))
@@ -142,6 +154,7 @@
     const auto expired = scheduling::expireLeases(scheduler, now);
     if (expired > 0)
         logOf("executors").info("event=leases_lapsed runs={}", expired);
+    logNoticedLives(state);
     logLostRuns(state);
     logDroppedRuns(state);
     logFoundRuns(state);
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -104,11 +104,15 @@
 
 // The executor stays unregistered until the registry shows the new life: only the registry tells its service, labels
 // and capacity, which may differ.
-auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index, Instant now) -> void
+auto resetIncarnation(Scheduler& scheduler, ExecutorIndex index, std::int64_t startedAtMs, Instant now) -> void
 {
     auto& executor = *scheduler.m_executors[index];
+    const auto runs = executor.m_runs.size();
     markUnresponsive(executor, now);
     endLife(scheduler, index, now);
+    const auto kept = executor.m_runs.size();
+    scheduler.m_noticedLives.push_back(
+        { index, startedAtMs, executor.m_entry.m_startedAtMs, executor.m_leaseUntilMs, runs - kept, kept });
     confirmBlame(scheduler, index);
     executor.m_isRegistered = false;
     executor.m_acknowledgedEnd = 0;
@@ -319,7 +323,7 @@
         || (executor.m_isTerminated && entry.m_startedAtMs == executor.m_entry.m_startedAtMs))
         return found->second;
     if (entry.m_startedAtMs > executor.m_entry.m_startedAtMs)
-        resetIncarnation(scheduler, found->second, now);
+        resetIncarnation(scheduler, found->second, entry.m_startedAtMs, now);
     const auto isOfOtherKind
         = executor.m_entry.m_service != entry.m_service || executor.m_entry.m_labels != entry.m_labels;
     adoptEntry(scheduler, executor, entry, now);
@@ -383,7 +387,7 @@
     if (report.m_startedAtMs != 0 && report.m_startedAtMs < executor.m_entry.m_startedAtMs)
         return;
     if (report.m_startedAtMs > executor.m_entry.m_startedAtMs) {
-        resetIncarnation(scheduler, index, now);
+        resetIncarnation(scheduler, index, report.m_startedAtMs, now);
         executor.m_entry.m_startedAtMs = report.m_startedAtMs;
     }
     activateExecutor(scheduler, index);
--- a/tests/shell/coordinator/DroppedRunLinesTest.cpp
+++ b/tests/shell/coordinator/DroppedRunLinesTest.cpp
@@ -54,6 +54,7 @@
         CPPUNIT_ASSERT(hasLine(" born=1\n"));
         CPPUNIT_ASSERT(hasMetric("runs_dropped_total{reason=\"new_life\"} 1"));
         CPPUNIT_ASSERT(!hasLine("event=run_found"));
+        CPPUNIT_ASSERT(hasMetric("new_lives_total 1"));
     }
 
     auto report_unknownRun_isAWarningWithTheOtherRun() -> void
