--- a/tests/fleet/CallTroubles.cpp
+++ b/tests/fleet/CallTroubles.cpp
@@ -35,6 +35,7 @@
         { "failures", &CallTroubles::failures },
         { "lapses", &CallTroubles::lapses },
         { "reborn", &CallTroubles::reborn },
+        { "recut", &CallTroubles::recut },
     };
     for (const auto& [known, kind] : kinds) {
         if (known == name) {
@@ -228,4 +229,39 @@
     }
 }
 
+// The executors of one zone lose power for a moment, are back under their ids, and are cut off soon after.
+auto CallTroubles::recut(std::int64_t until) -> asio::awaitable<void>
+{
+    const auto& machines = m_machines.machines();
+    while (!isOver(until)) {
+        co_await pause(2000, 4000);
+        const auto zone = machines[m_random() % machines.size()].m_zone;
+        for (std::size_t i = 0; i < machines.size(); ++i) {
+            if (machines[i].m_zone == zone && machines[i].m_executor->isUp())
+                asio::co_spawn(m_context, recutOne(i), asio::detached);
+        }
+        co_await pause(11000, 12000);
+    }
+}
+
+auto CallTroubles::recutOne(std::size_t machine) -> asio::awaitable<void>
+{
+    constexpr std::int64_t leadMs = 1000; // Calls of this time before may be carried out by the next life.
+    constexpr std::int64_t downMs = 600;
+    constexpr std::int64_t upMs = 2000;
+    constexpr std::int64_t cutMs = 9000;
+    const auto executor = m_machines.machines()[machine].m_executor;
+    executor->m_faults.m_lateCall = 0.3;
+    co_await detail::sleepFor(Duration { leadMs });
+    if (m_machines.machines()[machine].m_executor == executor && executor->isUp())
+        co_await m_machines.goDarkAndReturn(machine, Duration { downMs });
+    executor->m_faults.m_lateCall = 0;
+    co_await detail::sleepFor(Duration { upMs });
+    executor->m_faults.m_isCut = true;
+    m_record.write(executor->place().m_id, "cut off");
+    co_await detail::sleepFor(Duration { cutMs });
+    executor->m_faults.m_isCut = false;
+    m_record.write(executor->place().m_id, "reachable");
+}
+
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/CallTroubles.h
+++ b/tests/fleet/CallTroubles.h
@@ -42,6 +42,8 @@
     auto failures(std::int64_t until) -> boost::asio::awaitable<void>;
     auto lapses(std::int64_t until) -> boost::asio::awaitable<void>;
     auto reborn(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto recut(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto recutOne(std::size_t machine) -> boost::asio::awaitable<void>;
 
     auto setAll(double ExecutorFaults::*fault, double value) -> void;
     auto setInTurns(double ExecutorFaults::*fault, double value, std::int64_t until) -> boost::asio::awaitable<void>;
--- a/tests/fleet/ExecutorFaults.h
+++ b/tests/fleet/ExecutorFaults.h
@@ -10,6 +10,7 @@
     bool m_isMute = false; ///< Requests are carried out, answers don't get through.
     double m_lostAnswer = 0; ///< The order is carried out and its connection closed without an answer.
     double m_lateOrder = 0; ///< The order gets no answer and is carried out seconds later.
+    double m_lateCall = 0; ///< As `m_lateOrder`, for any call; the next life carries it out if there is one by then.
     bool m_isPaused = false; ///< Its process stands still; its clock goes on.
     bool m_stopsSlowly = false; ///< Each stop takes as long as it may.
     std::int64_t m_answerDelayMs = 0; ///< Longest time that an answer is on its way.
--- a/tests/fleet/FleetJob.h
+++ b/tests/fleet/FleetJob.h
@@ -20,6 +20,7 @@
     std::string m_state; ///< As last shown.
     std::int64_t m_shownAt = never; ///< When it was shown as ended.
     bool m_isLasting = false;
+    bool m_isLong = false; ///< May be at work at the end of the play.
     bool m_isHopeless = false;
     bool m_wasRefusedOnly = true; ///< No attempt was accepted or left without an answer.
 };
--- a/tests/fleet/FleetMachines.h
+++ b/tests/fleet/FleetMachines.h
@@ -38,6 +38,9 @@
     /// @brief Ends an executor and lets it begin again under its id after `down`, unless its machine was ordered away.
     auto crashAndReturn(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
 
+    /// @brief As `crashAndReturn`, but by a loss of power.
+    auto goDarkAndReturn(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
+
     auto machines() -> std::vector<FleetMachine>& { return m_machines; }
 
     std::function<std::string(std::int64_t)> m_starterOf;
@@ -54,6 +57,7 @@
     };
 
     auto newExecutor(FleetMachine& machine) -> bool;
+    auto returnAfter(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
     auto order(const detail::HttpRequest& request, bool isMove) -> standins::StandinAnswer;
     auto takeAway(std::size_t index, const std::string& state, Duration time) -> boost::asio::awaitable<void>;
     auto publish(const FleetExecutor& executor) -> void;
--- a/tests/fleet/FleetRun.cpp
+++ b/tests/fleet/FleetRun.cpp
@@ -32,6 +32,8 @@
         "", "hopeless", "share of jobs that always fail", false, 0.05, "share", command);
     const TCLAP::ValueArg<double> cancelled(
         "", "cancelled", "share of jobs that are cancelled", false, 0, "share", command);
+    const TCLAP::ValueArg<double> longJobs(
+        "", "long", "share of jobs that take 12 times as long", false, 0, "share", command);
     const TCLAP::ValueArg<int> memory("", "memory", "of each machine", false, 260, "MB", command);
     const TCLAP::SwitchArg lasting("", "lasting", "also tasks that last", command);
     const TCLAP::SwitchArg watch("", "watch-requests", "also requests on connections that are kept open", command);
@@ -48,6 +50,7 @@
     options.m_load.m_scale = load.getValue();
     options.m_load.m_hopeless = hopeless.getValue();
     options.m_load.m_cancelled = cancelled.getValue();
+    options.m_load.m_long = longJobs.getValue();
     options.m_load.m_hasLasting = lasting.getValue();
     options.m_memoryMb = memory.getValue();
     options.m_watchesRequests = watch.getValue();
