Fence requests that were meant for an executor's earlier life

Callers saw tasks run twice after executors had started again under their ids and were cut off soon after. A request names its executor by id, so that the next life of the executor takes polls and starts that were meant for the former one, also seconds later. Their deadlines are times on the former clock; the new life shortens them to its longest lease, bounds.holdMaxMs, counted from the moment at which the request is carried out. The owner counted 4 s from its newest poll, and started the tasks elsewhere while they went on.

The fencing token of requests to an executor now rises with each of its lives that the owner learns of: the epoch times 2^20 plus that number. Once a life has answered a request that was meant for it, it refuses all earlier ones. Only from that answer on are its runs taken for known, and until then it may have got the longest lease, which is waited for. An answer to a poll with an earlier token, or no answer, tells nothing of the present life, which is polled anew.

Two cases of TrackRunsTest had the life that a poll shows used as soon as it is listed; that poll carried the earlier token, so one more answer is needed now.

--- a/include/hemlockvane/detail/coordinator/ExecutorPolling.h
+++ b/include/hemlockvane/detail/coordinator/ExecutorPolling.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,9 @@
 auto pollExecutor(std::shared_ptr<CoordinatorState> state, scheduling::ExecutorIndex index)
     -> boost::asio::awaitable<void>;
 
+/// @brief Token of this owner's requests to the present life of an executor.
+[[nodiscard]] auto fencingTokenFor(const CoordinatorState& state, scheduling::ExecutorIndex index) -> std::uint64_t;
+
 /// @brief Whether an executor has refused this owner's epoch and no renewal that was sent later has been stored.
 ///
 /// Then a newer owner has called it, also if this owner cannot read that from the store: it is not called any more.
--- a/include/hemlockvane/detail/ports/ExecutorPort.h
+++ b/include/hemlockvane/detail/ports/ExecutorPort.h
@@ -27,9 +27,9 @@
         -> boost::asio::awaitable<scheduling::StartAnswer> = 0;
     /// @param mayBeSent as for `start`
     virtual auto stop(std::string address, std::string id, scheduling::TaskKey task, std::uint32_t run,
-        std::uint64_t epoch, std::function<bool()> mayBeSent) -> boost::asio::awaitable<CallOutcome> = 0;
+        std::uint64_t fencingToken, std::function<bool()> mayBeSent) -> boost::asio::awaitable<CallOutcome> = 0;
     virtual auto pace(std::string address, std::string id, scheduling::TaskKey task, std::uint32_t run,
-        std::int32_t percent, std::uint64_t epoch) -> boost::asio::awaitable<CallOutcome> = 0;
+        std::int32_t percent, std::uint64_t fencingToken) -> boost::asio::awaitable<CallOutcome> = 0;
     virtual auto poll(std::string address, std::string id, PollRequest order) -> boost::asio::awaitable<PollResult> = 0;
 };
 
--- a/include/hemlockvane/detail/ports/StartRequest.h
+++ b/include/hemlockvane/detail/ports/StartRequest.h
@@ -13,7 +13,7 @@
     std::uint32_t m_run = 0;
     std::string m_payload;
     std::int64_t m_deadlineMs = 0; ///< New end of the lease for all runs there, on the executor's clock.
-    std::uint64_t m_epoch = 0;
+    std::uint64_t m_fencingToken = 0;
     std::string m_checkpoint;
     std::string m_ticket;
 };
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -21,12 +21,15 @@
     ExecutorEntry m_entry;
     std::uint32_t m_entryVersion = 1; ///< Rises when the registry shows another entry.
     std::string m_rack;
+    std::uint32_t m_lifeNumber = 0; ///< Number of its lives that ended before this one, as far as this owner knows.
+    bool m_mayHoldEarlierLease
+        = false; ///< A request meant for an earlier life may have extended the present one's lease.
     bool m_isRegistered = true; ///< The registry shows this incarnation.
     bool m_isActive = false; ///< Listed in `Scheduler::m_activeExecutors`.
     std::uint64_t m_activation = 0; ///< Number of its last activation; order of `Scheduler::m_activeExecutors`.
     bool m_isTerminated = false; ///< This incarnation has certainly ended.
-    bool m_isReconciled = false; ///< Its runs are known: it answered a poll of this owner, or it has terminated.
-    std::optional<Instant> m_firstAnsweredAt; ///< From then on it refuses requests of earlier owners.
+    bool m_isReconciled = false; ///< Its runs are known: it answered a poll meant for this life, or it has terminated.
+    std::optional<Instant> m_firstAnsweredAt; ///< From then on its present life refuses requests of earlier owners.
     Instant m_earlierLeasesExpireBy; ///< Time by which all leases granted by earlier owners have expired.
     bool m_isUnresponsive = false; ///< The last poll was not answered.
     std::optional<Instant>
@@ -55,7 +58,7 @@
     bool m_hasStoppingRuns = false; ///< A run in `m_runs` may have to be stopped.
     std::int64_t m_clockMs = 0; ///< Lower bound of the executor's clock at `m_clockReadAt`, in ms.
     Instant m_clockReadAt;
-    std::int64_t m_leaseUntilMs = 0; ///< Latest lease deadline sent to it, on the executor's clock.
+    std::int64_t m_leaseUntilMs = 0; ///< Latest deadline that its lease may have, on the executor's clock.
     std::uint64_t m_acknowledgedEnd = 0; ///< Ended runs up to this number are stored; the executor may discard them.
     std::uint64_t m_appliedEnd = 0; ///< Ended runs up to this number have been applied.
     std::deque<std::pair<std::uint64_t, std::uint64_t>>
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -13,6 +13,7 @@
 #include "hemlockvane/detail/ports/RecordStore.h"
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/FencingToken.h"
 #include "hemlockvane/scheduling/PollSchedule.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
@@ -179,7 +180,7 @@
     auto& executor = *state->m_scheduler.m_executors[index];
     const auto now = monotonicNow();
     PollRequest request;
-    request.m_epoch = state->m_epoch;
+    request.m_fencingToken = fencingTokenFor(*state, index);
     // A new life would forget ends that it has numbered below those of the earlier one.
     request.m_acknowledgedEnd = isLifeCertain(executor, now) ? executor.m_acknowledgedEnd : 0;
     request.m_deadlineMs = leaseDeadline(*state, executor, now);
@@ -193,10 +194,12 @@
         co_return false;
     state->m_ports.m_metrics->count("looks_total");
     countPoll(*state, executor, result);
+    const auto isForPresentLife = request.m_fencingToken == fencingTokenFor(*state, index);
     if (result.m_outcome == CallOutcome::Answered) {
         if (executor.m_isUnresponsive)
             logOf("executors").info("event=regained executor={}", executor.m_entry.m_id);
         result.m_report.m_pollSentAt = now;
+        result.m_report.m_isForPresentLife = isForPresentLife;
         std::vector<scheduling::Action> actions;
         const auto failures = newFailures(*state, executor, result.m_report);
         scheduling::applyReport(state->m_scheduler, index, result.m_report, monotonicNow(), wallNow(), actions);
@@ -207,6 +210,9 @@
         state->m_planSignal.notify();
         co_return true;
     }
+    // Nothing follows from it for the present life.
+    if (!isForPresentLife)
+        co_return true;
     if (result.m_outcome == CallOutcome::OtherIncarnation && previousStartMs == executor.m_entry.m_startedAtMs) {
         logOf("executors")
             .info("event=gone executor={} born={} runs={}", executor.m_entry.m_id, executor.m_entry.m_startedAtMs,
@@ -238,6 +244,11 @@
 
 } // namespace
 
+auto fencingTokenFor(const CoordinatorState& state, scheduling::ExecutorIndex index) -> std::uint64_t
+{
+    return scheduling::fencingToken(state.m_epoch, *state.m_scheduler.m_executors[index]);
+}
+
 auto hasNewerOwner(const CoordinatorState& state, const scheduling::Executor& executor) -> bool
 {
     return executor.m_epochRefusedAt && state.m_ports.m_renewedAt() <= *executor.m_epochRefusedAt;
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -50,7 +50,7 @@
     request.m_task = action.m_task;
     request.m_run = action.m_run;
     request.m_payload = job->m_spec.m_payload;
-    request.m_epoch = state.m_epoch;
+    request.m_fencingToken = fencingTokenFor(state, action.m_executor);
     request.m_checkpoint = task->m_checkpoint;
     request.m_ticket = action.m_ticket;
     request.m_deadlineMs = deadlineMs;
@@ -196,7 +196,7 @@
         return true;
     };
     const auto outcome = co_await state->m_ports.m_executors->stop(executor.m_entry.m_address, executor.m_entry.m_id,
-        action.m_task, action.m_run, state->m_epoch, std::move(mayBeSent));
+        action.m_task, action.m_run, fencingTokenFor(*state, action.m_executor), std::move(mayBeSent));
     if (state->m_isStopped)
         co_return;
     if (outcome == CallOutcome::NotSent && !wasSent)
@@ -214,7 +214,7 @@
     if (hasNewerOwner(*state, executor))
         co_return;
     const auto outcome = co_await state->m_ports.m_executors->pace(executor.m_entry.m_address, executor.m_entry.m_id,
-        action.m_task, action.m_run, action.m_percent, state->m_epoch);
+        action.m_task, action.m_run, action.m_percent, fencingTokenFor(*state, action.m_executor));
     logOf("orders").info("event=pace task={} run={} executor={} percent={} reason=\"{}\" outcome={}",
         taskText(action.m_task), action.m_run, executor.m_entry.m_id, action.m_percent, action.m_reason,
         nameOf(outcome));
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -82,10 +82,24 @@
     executor.m_endedLife = life;
     for (const auto& item : kept)
         repeatStop(scheduler, *findRun(scheduler, item.m_task, item.m_run, index));
-    // Their deadlines are times on the clock of the earlier life.
-    const auto& timing = scheduler.m_timing;
+}
+
+// Until the new life refuses requests that were meant for an earlier one, it may carry them out. Their deadlines are
+// times on another clock, and may be far in the future of its own.
+auto expectEarlierRequests(const SchedulerTiming& timing, Executor& executor, Instant now) -> void
+{
     const auto holdEndsBy = now + longestTimeOf(timing.m_longestHold) + timing.m_leaseSlack;
     executor.m_earlierLeasesExpireBy = std::max(executor.m_earlierLeasesExpireBy, holdEndsBy);
+    executor.m_mayHoldEarlierLease = true;
+    ++executor.m_lifeNumber;
+}
+
+// The answer shows that such requests are refused from now on.
+auto boundEarlierLease(const SchedulerTiming& timing, Executor& executor, const ExecutorReport& report) -> void
+{
+    if (!executor.m_mayHoldEarlierLease)
+        return;
+    executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, report.m_clockMs + timing.m_longestHold.count());
 }
 
 // Stops runs that reached a life of another kind than the one for which they were planned.
@@ -114,7 +128,9 @@
     scheduler.m_noticedLives.push_back(
         { index, startedAtMs, executor.m_entry.m_startedAtMs, executor.m_leaseUntilMs, runs - kept, kept });
     confirmBlame(scheduler, index);
+    expectEarlierRequests(scheduler.m_timing, executor, now);
     executor.m_isRegistered = false;
+    executor.m_firstAnsweredAt.reset();
     executor.m_acknowledgedEnd = 0;
     executor.m_appliedEnd = 0;
     executor.m_leaseUntilMs = 0;
@@ -386,7 +402,8 @@
     auto& executor = *scheduler.m_executors[index];
     if (report.m_startedAtMs != 0 && report.m_startedAtMs < executor.m_entry.m_startedAtMs)
         return;
-    if (report.m_startedAtMs > executor.m_entry.m_startedAtMs) {
+    const auto isNewLife = report.m_startedAtMs > executor.m_entry.m_startedAtMs;
+    if (isNewLife) {
         resetIncarnation(scheduler, index, report.m_startedAtMs, now);
         executor.m_entry.m_startedAtMs = report.m_startedAtMs;
     }
@@ -411,13 +428,16 @@
             refreshRun(scheduler, *run, reported, report.m_pollSentAt, now);
     }
     // Otherwise the runs that are missing may be among the ends that further answers list.
-    if (!report.m_isComplete)
+    // A request that was meant for an earlier life may still start one of them.
+    if (!report.m_isComplete || isNewLife || !report.m_isForPresentLife)
         return;
     stopUnconfirmedStarts(scheduler, index, report);
     settleEndedLife(scheduler, index, report, now);
     removeStoppedRuns(scheduler, index, report, now);
-    if (!executor.m_isReconciled)
+    if (!executor.m_isReconciled) {
         removeUnreportedRuns(scheduler, index, report, now);
+        boundEarlierLease(scheduler.m_timing, executor, report);
+    }
     executor.m_isReconciled = true;
 }
 
--- a/tests/core/scheduling/EndedLifeTest.cpp
+++ b/tests/core/scheduling/EndedLifeTest.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(newLife_listed_reportedRunsAreLostAtOnce);
     CPPUNIT_TEST(newLife_silent_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterItsAnswer_runIsKeptUntilItsLeaseHasExpired);
+    CPPUNIT_TEST(newLife_silentAfterALaterStart_runIsKeptForTheLongestLease);
+    CPPUNIT_TEST(newLife_knownFromAnAnswer_isReconciledByTheNextOne);
+    CPPUNIT_TEST(newLife_listedDuringAPoll_isReconciledByTheNextOne);
     CPPUNIT_TEST(newLife_afterItHasAnswered_laterStartsHaveUsualLeases);
     CPPUNIT_TEST(newLife_ofAnotherService_runIsStopped);
     CPPUNIT_TEST(newLife_withoutTheLabel_runIsStopped);
@@ -136,6 +139,58 @@
         CPPUNIT_ASSERT(starts().empty());
     }
 
+    // Guards against a second run of a task beside the one on an executor that had started again and was cut off: until
+    // it had answered, a poll that was meant for its earlier life may have given it the longest lease.
+    auto newLife_silentAfterALaterStart_runIsKeptForTheLongestLease() -> void
+    {
+        m_scheduler.m_executors[1]->m_isReserved = true;
+        list(0);
+        report(0, {});
+        const auto answeredAt = m_now;
+        m_now += callTime;
+        submit({ step(1, 1000) });
+        const auto start = plan().at(0);
+        CPPUNIT_ASSERT_EQUAL(ExecutorIndex { 0 }, start.m_executor);
+        noteStartSent(m_scheduler, start, m_now);
+        answer(start, StartAnswer::Started, false);
+        report(0, { { start.m_task, start.m_run, "", 10, 0 } });
+        markUnresponsive(*m_scheduler.m_executors[0], m_now);
+        m_now = answeredAt + m_scheduler.m_timing.m_longestHold;
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_scheduler.m_executors[0]->m_runs.size());
+        m_now += m_scheduler.m_timing.m_longestHold / clockDriftDivisor + m_scheduler.m_timing.m_leaseSlack + callTime;
+        plan();
+        CPPUNIT_ASSERT(m_scheduler.m_executors[0]->m_runs.empty());
+    }
+
+    // Requests that were sent before that poll may still be carried out.
+    auto newLife_knownFromAnAnswer_isReconciledByTheNextOne() -> void
+    {
+        auto& executor = *m_scheduler.m_executors[0];
+        auto first = answerOf(0);
+        ++first.m_startedAtMs;
+        std::vector<Action> actions;
+        applyReport(m_scheduler, 0, first, m_now, m_wall, actions);
+        CPPUNIT_ASSERT(!executor.m_isReconciled);
+        m_now += callTime;
+        report(0, {});
+        CPPUNIT_ASSERT(executor.m_isReconciled);
+    }
+
+    auto newLife_listedDuringAPoll_isReconciledByTheNextOne() -> void
+    {
+        list(0);
+        auto& executor = *m_scheduler.m_executors[0];
+        auto earlier = answerOf(0);
+        earlier.m_isForPresentLife = false;
+        std::vector<Action> actions;
+        applyReport(m_scheduler, 0, earlier, m_now, m_wall, actions);
+        CPPUNIT_ASSERT(!executor.m_isReconciled);
+        m_now += callTime;
+        report(0, {});
+        CPPUNIT_ASSERT(executor.m_isReconciled);
+    }
+
     auto newLife_afterItHasAnswered_laterStartsHaveUsualLeases() -> void
     {
         const auto start = startConfirmed();
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -154,6 +154,9 @@
         reportNewLife(0, {});
         CPPUNIT_ASSERT(!isSchedulable(*m_scheduler.m_executors[0], m_now));
         registerExecutor(m_scheduler, m_scheduler.m_executors[0]->m_entry, m_now, m_now);
+        // Until it answers a poll with its own token, it may carry out requests that were meant for the earlier life.
+        CPPUNIT_ASSERT(!isSchedulable(*m_scheduler.m_executors[0], m_now));
+        report(0, {});
         CPPUNIT_ASSERT(isSchedulable(*m_scheduler.m_executors[0], m_now));
     }
 
@@ -175,6 +178,7 @@
         reportNewLife(0, {});
         CPPUNIT_ASSERT(retireExecutors(m_scheduler) == std::vector<ExecutorIndex> { 0 });
         registerExecutor(m_scheduler, m_scheduler.m_executors[0]->m_entry, m_now, m_now);
+        report(0, {});
         submit({ step(2, 8000) });
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan().size());
     }
