Tell the next owner which executors may have a longer lease than usual

Callers saw two runs of a task after a hand-over: the first started by the former owner on an executor that had come back under its id and was then cut off, the second by the next owner.

The next owner waits for the longest lease there, from the takeover on, and from the executor's first answer if it answers.

newLife_nextOwner_waitsForTheLongestLease failed before: the task was started on the other executor at once.

--- a/include/hemlockvane/detail/coordinator/Journal.h
+++ b/include/hemlockvane/detail/coordinator/Journal.h
@@ -2,6 +2,7 @@
 
 #include "hemlockvane/detail/ports/TopicContent.h"
 #include "hemlockvane/scheduling/JobSpec.h"
+#include "hemlockvane/scheduling/TaskRun.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -39,6 +40,9 @@
 /// @brief Removes a job's progress from the journal with the next batch.
 auto removeProgress(CoordinatorState& state, scheduling::JobId id) -> void;
 
+/// @brief Writes an executor to the journal with the next batch.
+auto storeExecutor(CoordinatorState& state, scheduling::ExecutorIndex index) -> void;
+
 /// @brief Restores the stored progress of the loaded jobs, the executors in use, machine orders and waves.
 auto restoreJournal(CoordinatorState& state, const TopicContent& content) -> void;
 
--- a/include/hemlockvane/detail/coordinator/SchedulerRecords.h
+++ b/include/hemlockvane/detail/coordinator/SchedulerRecords.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockvane/scheduling/ExecutorEntry.h"
+#include "hemlockvane/detail/coordinator/StoredExecutor.h"
 #include "hemlockvane/scheduling/JobProgress.h"
 #include "hemlockvane/scheduling/JobSpec.h"
 #include "hemlockvane/scheduling/TaskKey.h"
@@ -27,7 +27,7 @@
 auto encodeProgress(const scheduling::JobProgress& progress) -> std::string;
 auto decodeProgress(scheduling::JobId id, std::string_view bytes) -> std::optional<scheduling::JobProgress>;
 
-auto encodeExecutor(const scheduling::ExecutorEntry& entry) -> std::string;
-auto decodeExecutor(std::string_view bytes) -> std::optional<scheduling::ExecutorEntry>;
+auto encodeExecutor(const StoredExecutor& executor) -> std::string;
+auto decodeExecutor(std::string_view bytes) -> std::optional<StoredExecutor>;
 
 } // namespace hemlockvane::detail
--- /dev/null
+++ b/include/hemlockvane/detail/coordinator/StoredExecutor.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "hemlockvane/scheduling/ExecutorEntry.h"
+
+namespace hemlockvane::detail {
+
+/// @brief What the journal holds of an executor.
+struct StoredExecutor {
+    scheduling::ExecutorEntry m_entry;
+    bool m_mayHoldEarlierLease = false; ///< A request meant for an earlier life may have extended its lease.
+};
+
+} // namespace hemlockvane::detail
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -58,6 +58,7 @@
     bool m_hasStoppingRuns = false; ///< A run in `m_runs` may have to be stopped.
     std::int64_t m_clockMs = 0; ///< Lower bound of the executor's clock at `m_clockReadAt`, in ms.
     Instant m_clockReadAt;
+    std::int64_t m_earlierLeaseUntilMs = 0; ///< Latest deadline by a request meant for an earlier life; 0: not known.
     std::int64_t m_leaseUntilMs = 0; ///< Latest deadline that its lease may have, on the executor's clock.
     std::uint64_t m_acknowledgedEnd = 0; ///< Ended runs up to this number are stored; the executor may discard them.
     std::uint64_t m_appliedEnd = 0; ///< Ended runs up to this number have been applied.
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -15,6 +15,7 @@
 
 struct Executor;
 struct Scheduler;
+struct SchedulerTiming;
 
 /// @brief Adds or updates an executor from its registry entry. A newer start time under a known id removes the runs
 /// that ended with the earlier life; those whose start the new one may have received are kept until it has answered.
@@ -26,6 +27,17 @@
 /// @brief Makes plans look at an executor, until it is retired.
 auto activateExecutor(Scheduler& scheduler, ExecutorIndex index) -> void;
 
+/// @brief Notes that requests meant for an earlier life of an executor may have extended the lease of the present one.
+///
+/// Their deadlines are times on another clock, and may be far in the future of its own: the lease may be as long as an
+/// executor allows, from the last of these requests on. The first answer to a request that is meant for the present
+/// life shows that the others are refused from then on.
+auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant now) -> void;
+
+/// @brief Finds the executors on which such a lease, if there was one, has expired by now.
+/// @result those that were not known to be so before
+auto forgetEarlierLeases(Scheduler& scheduler, Instant now) -> std::vector<ExecutorIndex>;
+
 /// @brief Retires the executors that are not registered and have neither runs nor ended runs to acknowledge. Machines
 /// that move get a new executor each time, so the others are few among all that were ever registered.
 /// @result the executors that were retired
--- a/src/detail/coordinator/Coordinator.cpp
+++ b/src/detail/coordinator/Coordinator.cpp
@@ -58,6 +58,16 @@
 constexpr std::size_t listedWorkspaces = 32; // At most: those that use this part of the limit of jobs' memory.
 constexpr Duration statusReadTime { 300 }; // Reading for one query; another instance waits 500 ms for the answer.
 
+// The next owner need not wait for these leases any more.
+auto storeExpiredEarlierLeases(CoordinatorState& state, Instant now) -> void
+{
+    const auto forgotten = scheduling::forgetEarlierLeases(state.m_scheduler, now);
+    for (const auto index : forgotten)
+        storeExecutor(state, index);
+    if (!forgotten.empty())
+        state.m_journalSignal.notify();
+}
+
 // Retires executors and removes their records from the journal.
 auto dropExecutorRecords(CoordinatorState& state) -> void
 {
@@ -154,6 +164,7 @@
     const auto expired = scheduling::expireLeases(scheduler, now);
     if (expired > 0)
         logOf("executors").info("event=leases_lapsed runs={}", expired);
+    storeExpiredEarlierLeases(state, now);
     logNoticedLives(state);
     logLostRuns(state);
     logDroppedRuns(state);
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -68,8 +68,7 @@
     const auto knownCapacity = isNew ? entry->m_capacity : scheduler.m_executors[known->second]->m_entry.m_capacity;
     const auto index = scheduling::registerExecutor(scheduler, *entry, state->m_earlierLeasesExpireBy, monotonicNow());
     if (!wasRegistered || knownStartMs != entry->m_startedAtMs) {
-        state->m_pendingRecords[executorPrefix + entry->m_id] = encodeExecutor(*entry);
-        state->m_storedExecutors.insert(entry->m_id);
+        storeExecutor(*state, index);
         state->m_journalSignal.notify();
         // Its polling may be idle, and no task is started there before its first answer.
         wakePolling(*state, entry->m_id);
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -167,13 +167,16 @@
 
 auto restoreExecutor(CoordinatorState& state, std::string_view bytes) -> bool
 {
-    const auto entry = decodeExecutor(bytes);
-    if (!entry)
+    const auto stored = decodeExecutor(bytes);
+    if (!stored)
         return false;
-    const auto index
-        = scheduling::registerExecutor(state.m_scheduler, *entry, state.m_earlierLeasesExpireBy, monotonicNow());
-    state.m_scheduler.m_executors[index]->m_isRegistered = false; // Until the registry contains it.
-    state.m_storedExecutors.insert(entry->m_id);
+    const auto index = scheduling::registerExecutor(
+        state.m_scheduler, stored->m_entry, state.m_earlierLeasesExpireBy, monotonicNow());
+    auto& executor = *state.m_scheduler.m_executors[index];
+    executor.m_isRegistered = false; // Until the registry contains it.
+    if (stored->m_mayHoldEarlierLease)
+        scheduling::expectEarlierLease(state.m_scheduler.m_timing, executor, monotonicNow());
+    state.m_storedExecutors.insert(stored->m_entry.m_id);
     return true;
 }
 
@@ -256,6 +259,14 @@
         state.m_pendingRecords[partKey(id, number)] = std::string();
 }
 
+auto storeExecutor(CoordinatorState& state, scheduling::ExecutorIndex index) -> void
+{
+    const auto& executor = *state.m_scheduler.m_executors[index];
+    const auto& id = executor.m_entry.m_id;
+    state.m_pendingRecords[executorPrefix + id] = encodeExecutor({ executor.m_entry, executor.m_mayHoldEarlierLease });
+    state.m_storedExecutors.insert(id);
+}
+
 auto restoreJournal(CoordinatorState& state, const TopicContent& content) -> void
 {
     // Executors first, since runs are restored onto them, and the first part of a job's progress before the others.
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -118,8 +118,9 @@
     return progress;
 }
 
-auto encodeExecutor(const scheduling::ExecutorEntry& entry) -> std::string
+auto encodeExecutor(const StoredExecutor& executor) -> std::string
 {
+    const auto& entry = executor.m_entry;
     wire::ExecutorRecord record;
     record.set_id(entry.m_id);
     record.set_born_ms(entry.m_startedAtMs);
@@ -131,15 +132,17 @@
     record.set_cpu_millis(entry.m_capacity.m_cpuMilliCores);
     record.set_memory_mb(entry.m_capacity.m_memoryMb);
     record.set_gpus(entry.m_capacity.m_gpus);
+    record.set_may_hold_earlier_lease(executor.m_mayHoldEarlierLease);
     return record.SerializeAsString();
 }
 
-auto decodeExecutor(std::string_view bytes) -> std::optional<scheduling::ExecutorEntry>
+auto decodeExecutor(std::string_view bytes) -> std::optional<StoredExecutor>
 {
     wire::ExecutorRecord record;
     if (!record.ParseFromString(toBytes(bytes)))
         return std::nullopt;
-    scheduling::ExecutorEntry entry;
+    StoredExecutor executor;
+    auto& entry = executor.m_entry;
     entry.m_id = record.id();
     entry.m_startedAtMs = record.born_ms();
     entry.m_service = record.service();
@@ -147,7 +150,8 @@
     entry.m_zone = record.zone();
     entry.m_labels.assign(record.labels().begin(), record.labels().end());
     entry.m_capacity = { record.cpu_millis(), record.memory_mb(), record.gpus() };
-    return entry;
+    executor.m_mayHoldEarlierLease = record.may_hold_earlier_lease();
+    return executor;
 }
 
 } // namespace hemlockvane::detail
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -84,22 +84,13 @@
         repeatStop(scheduler, *findRun(scheduler, item.m_task, item.m_run, index));
 }
 
-// Until the new life refuses requests that were meant for an earlier one, it may carry them out. Their deadlines are
-// times on another clock, and may be far in the future of its own.
-auto expectEarlierRequests(const SchedulerTiming& timing, Executor& executor, Instant now) -> void
-{
-    const auto holdEndsBy = now + longestTimeOf(timing.m_longestHold) + timing.m_leaseSlack;
-    executor.m_earlierLeasesExpireBy = std::max(executor.m_earlierLeasesExpireBy, holdEndsBy);
-    executor.m_mayHoldEarlierLease = true;
-    ++executor.m_lifeNumber;
-}
-
 // The answer shows that such requests are refused from now on.
 auto boundEarlierLease(const SchedulerTiming& timing, Executor& executor, const ExecutorReport& report) -> void
 {
     if (!executor.m_mayHoldEarlierLease)
         return;
-    executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, report.m_clockMs + timing.m_longestHold.count());
+    executor.m_earlierLeaseUntilMs = report.m_clockMs + timing.m_longestHold.count();
+    executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, executor.m_earlierLeaseUntilMs);
 }
 
 // Stops runs that reached a life of another kind than the one for which they were planned.
@@ -128,7 +119,8 @@
     scheduler.m_noticedLives.push_back(
         { index, startedAtMs, executor.m_entry.m_startedAtMs, executor.m_leaseUntilMs, runs - kept, kept });
     confirmBlame(scheduler, index);
-    expectEarlierRequests(scheduler.m_timing, executor, now);
+    expectEarlierLease(scheduler.m_timing, executor, now);
+    ++executor.m_lifeNumber;
     executor.m_isRegistered = false;
     executor.m_firstAnsweredAt.reset();
     executor.m_acknowledgedEnd = 0;
@@ -305,6 +297,29 @@
     return executor.m_backoffUntil <= now ? "" : "backoff";
 }
 
+auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant now) -> void
+{
+    const auto expiresBy = now + longestTimeOf(timing.m_longestHold) + timing.m_leaseSlack;
+    executor.m_earlierLeasesExpireBy = std::max(executor.m_earlierLeasesExpireBy, expiresBy);
+    executor.m_mayHoldEarlierLease = true;
+    executor.m_earlierLeaseUntilMs = 0;
+}
+
+auto forgetEarlierLeases(Scheduler& scheduler, Instant now) -> std::vector<ExecutorIndex>
+{
+    std::vector<ExecutorIndex> forgotten;
+    for (const auto index : scheduler.m_activeExecutors) {
+        auto& executor = *scheduler.m_executors[index];
+        const auto lapsesAt = executor.m_earlierLeaseUntilMs + scheduler.m_timing.m_leaseSlack.count();
+        if (!executor.m_mayHoldEarlierLease || executor.m_earlierLeaseUntilMs == 0
+            || clockLowerBound(executor, now) <= lapsesAt)
+            continue;
+        executor.m_mayHoldEarlierLease = false;
+        forgotten.push_back(index);
+    }
+    return forgotten;
+}
+
 auto isSchedulable(const Executor& executor, Instant now) -> bool { return obstacleToStarts(executor, now).empty(); }
 
 auto isCapacityKnown(const Scheduler& scheduler, const Executor& executor, Instant now) -> bool
--- a/tests/core/scheduling/EndedLifeTest.cpp
+++ b/tests/core/scheduling/EndedLifeTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(newLife_silent_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterItsAnswer_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterALaterStart_runIsKeptForTheLongestLease);
+    CPPUNIT_TEST(newLife_longestLeaseHasExpired_isForgottenOnce);
     CPPUNIT_TEST(newLife_knownFromAnAnswer_isReconciledByTheNextOne);
     CPPUNIT_TEST(newLife_listedDuringAPoll_isReconciledByTheNextOne);
     CPPUNIT_TEST(newLife_afterItHasAnswered_laterStartsHaveUsualLeases);
@@ -163,6 +164,19 @@
         CPPUNIT_ASSERT(m_scheduler.m_executors[0]->m_runs.empty());
     }
 
+    auto newLife_longestLeaseHasExpired_isForgottenOnce() -> void
+    {
+        list(0);
+        m_now += m_scheduler.m_timing.m_longestHold * 2;
+        CPPUNIT_ASSERT(forgetEarlierLeases(m_scheduler, m_now).empty());
+        report(0, {});
+        m_now += m_scheduler.m_timing.m_longestHold;
+        CPPUNIT_ASSERT(forgetEarlierLeases(m_scheduler, m_now).empty());
+        m_now += m_scheduler.m_timing.m_longestHold / clockDriftDivisor + m_scheduler.m_timing.m_leaseSlack + callTime;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, forgetEarlierLeases(m_scheduler, m_now).size());
+        CPPUNIT_ASSERT(forgetEarlierLeases(m_scheduler, m_now).empty());
+    }
+
     // Requests that were sent before that poll may still be carried out.
     auto newLife_knownFromAnAnswer_isReconciledByTheNextOne() -> void
     {
--- a/tests/shell/coordinator/ExecutorLivesTest.cpp
+++ b/tests/shell/coordinator/ExecutorLivesTest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(newLife_knownOnlyFromPoll_getsNoStartUntilListed);
     CPPUNIT_TEST(newLife_listedAfterItsAnswer_isInTheJournal);
     CPPUNIT_TEST(newLife_nextOwner_keepsItsRun);
+    CPPUNIT_TEST(newLife_nextOwner_waitsForTheLongestLease);
+    CPPUNIT_TEST(newLife_polledAndStartedOn_tokensAreHigherThanBefore);
     CPPUNIT_TEST(newLife_reportsRunBeforeItIsListed_isPolledOn);
     CPPUNIT_TEST(newLife_listedWhileIdle_isPolledAndUsed);
     CPPUNIT_TEST(newLife_listedAfterItsFirstStart_taskIsNotStartedElsewhere);
@@ -66,6 +68,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
     }
 
+    // Guards against a second run of a task after a hand-over: a poll that was meant for the earlier life may have
+    // given the new one the longest lease.
+    auto newLife_nextOwner_waitsForTheLongestLease() -> void
+    {
+        startOnNewLife();
+        m_coordinator->stop();
+        m_executors.m_lives[restarted].m_isSilent = true;
+        list(other, "1");
+        own(2, {});
+        runUntil([this] { return m_executors.m_lives[other].m_polls > 0; });
+        settle();
+        CPPUNIT_ASSERT(m_executors.m_lives[other].m_polls > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
+    }
+
+    // Guards against a poll that was meant for the earlier life, reaches the new one seconds later and extends its
+    // lease.
+    auto newLife_polledAndStartedOn_tokensAreHigherThanBefore() -> void
+    {
+        startOnNewLife();
+        const auto& received = m_executors.m_lives[restarted].m_received;
+        CPPUNIT_ASSERT(received.back().m_fencingToken > received.front().m_fencingToken);
+        CPPUNIT_ASSERT_EQUAL(received.back().m_fencingToken, m_executors.m_starts.at(0).second.m_fencingToken);
+    }
+
     auto newLife_reportsRunBeforeItIsListed_isPolledOn() -> void
     {
         m_executors.m_lives[restarted].m_runs = { { { job, 0, 0, 0 }, 1, {}, 100, 0 } };
@@ -166,7 +193,7 @@
         for (const auto& bytes : m_memory.m_topics[progressTopic]) {
             const auto record = decodeKeyedRecord(bytes, 0);
             if (record && record->m_key == executorPrefix + restarted)
-                newest = record->m_value.empty() ? 0 : decodeExecutor(record->m_value).value().m_startedAtMs;
+                newest = record->m_value.empty() ? 0 : decodeExecutor(record->m_value).value().m_entry.m_startedAtMs;
         }
         return newest;
     }
