Keep a run whose start may still reach its executor's next life

A start that got no answer is repeated.

Such a run, and one of an earlier owner, is kept if the request is less than 12 s old, the longest delay that the platform's disruptions list. The first answer of the new life to a request that is meant for it decides, since it refuses earlier ones from then on.

newLife_startHadAnUnansweredRequest_reportedRunIsKeptUntilItAnswers fails without it.

--- a/include/hemlockvane/scheduling/MeasureStartDelay.h
+++ b/include/hemlockvane/scheduling/MeasureStartDelay.h
@@ -29,7 +29,7 @@
 auto endFlight(Scheduler& scheduler, TaskRun& run) -> void;
 
 /// @brief Ends the flight of a start whose executor did not answer: the owner does not delay it.
-auto noteStartUnanswered(Scheduler& scheduler, const Action& start) -> void;
+auto noteStartUnanswered(Scheduler& scheduler, const Action& start, Instant now) -> void;
 
 /// @brief Upper estimate of the time from the decision of a start to its confirmation.
 auto startDelay(const Scheduler& scheduler) -> Duration;
--- a/include/hemlockvane/scheduling/TaskRun.h
+++ b/include/hemlockvane/scheduling/TaskRun.h
@@ -23,6 +23,7 @@
     bool m_isReported = false; ///< An answer to a poll of the executor's present life has listed it.
     std::optional<Instant> m_startAnsweredAt; ///< When its executor confirmed the request to start it.
     std::optional<Instant> m_sentAt; ///< When its start was last sent, or restored from the journal.
+    std::optional<Instant> m_unansweredAt; ///< When a request to start it last got no answer, or may have got none.
     bool m_mayBeStopping = false; ///< An earlier owner may have had it stopped, and the stop may not have ended yet.
     bool m_isRestored = false; ///< Restored from the journal: it is not known when its start was sent.
     std::optional<Instant> m_outcomeUnknownSince; ///< When its start got no answer: it may still be carried out.
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -137,7 +137,7 @@
         if (answer != scheduling::StartAnswer::Unknown || state->m_isStopped)
             break;
         executor.m_backoffUntil = std::max(executor.m_backoffUntil, monotonicNow() + unansweredBackoff);
-        scheduling::noteStartUnanswered(state->m_scheduler, action);
+        scheduling::noteStartUnanswered(state->m_scheduler, action, monotonicNow());
     }
     if (state->m_isStopped)
         co_return;
--- a/src/scheduling/MeasureStartDelay.cpp
+++ b/src/scheduling/MeasureStartDelay.cpp
@@ -98,10 +98,13 @@
     --scheduler.m_startFlow.m_inFlightByService[scheduler.m_executors[run.m_executor]->m_entry.m_service];
 }
 
-auto noteStartUnanswered(Scheduler& scheduler, const Action& start) -> void
+auto noteStartUnanswered(Scheduler& scheduler, const Action& start, Instant now) -> void
 {
-    if (auto* run = findRun(scheduler, start.m_task, start.m_run, start.m_executor))
-        endFlight(scheduler, *run);
+    auto* run = findRun(scheduler, start.m_task, start.m_run, start.m_executor);
+    if (run == nullptr)
+        return;
+    run->m_unansweredAt = now;
+    endFlight(scheduler, *run);
 }
 
 auto startDelay(const Scheduler& scheduler) -> Duration
--- a/src/scheduling/StoreProgress.cpp
+++ b/src/scheduling/StoreProgress.cpp
@@ -54,6 +54,7 @@
     auto& run = addRun(scheduler, stored.m_task, stored.m_run, executor->second,
         isNeeded ? RunPhase::Running : RunPhase::Stopping, now);
     run.m_sentAt = now; // Its start may have been sent at any time before.
+    run.m_unansweredAt = now;
     run.m_isRestored = true;
     run.m_mayBeStopping = true;
 }
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -20,6 +20,10 @@
 // For executors that do not check their capacity: shorter than the time after which a smaller capacity binds.
 constexpr Duration capacityValidity { 2000 };
 
+// An executor may carry out a request that got no answer up to this much later: the longest delay that the platform's
+// disruptions list.
+constexpr Duration latestArrival { 12000 };
+
 auto rackOf(const ExecutorEntry& entry) -> std::string
 {
     // The labels are the kind and the rack, in this order.
@@ -46,13 +50,20 @@
     return runs.size();
 }
 
-// Whether the start of a run may have reached the life of its executor that follows: it names the executor, but not its
-// life. A start that was not sent is not sent to another life any more.
-auto mayBeOnNextLife(const TaskRun& run) -> bool { return run.m_sentAt.has_value() && !run.m_isReported; }
+// Whether the start of a run may have reached the life of its executor that follows, or may do so: it names the
+// executor, but not its life. A start that was not sent is not sent to another life any more.
+auto mayBeOnNextLife(const TaskRun& run, Instant now) -> bool
+{
+    const auto mayArriveLate = run.m_unansweredAt && now - *run.m_unansweredAt < latestArrival;
+    return run.m_sentAt.has_value() && (!run.m_isReported || mayArriveLate);
+}
 
-// The next life has seen no stop of a run that may have been started there.
-auto repeatStop(Scheduler& scheduler, TaskRun& run) -> void
+// The next life has neither listed a run that may have been started there nor seen a stop of it.
+auto keepForNextLife(Scheduler& scheduler, TaskRun& run, Instant now) -> void
 {
+    if (run.m_isReported)
+        run.m_startAnsweredAt = run.m_startAnsweredAt.value_or(now);
+    run.m_isReported = false;
     run.m_stopAnsweredAt.reset();
     run.m_wasStopSent = false;
     run.m_nextActionAt = {};
@@ -69,7 +80,7 @@
     std::vector<ExecutorRun> kept;
     for (const auto& item : executor.m_runs) {
         auto& run = *findRun(scheduler, item.m_task, item.m_run, index);
-        (mayBeOnNextLife(run) ? kept : lost).push_back(item);
+        (mayBeOnNextLife(run, now) ? kept : lost).push_back(item);
     }
     auto life = presentLife(executor);
     life.m_noticedAt = now;
@@ -81,7 +92,7 @@
     life.m_hasOtherSuspects = areLostSuspected;
     executor.m_endedLife = life;
     for (const auto& item : kept)
-        repeatStop(scheduler, *findRun(scheduler, item.m_task, item.m_run, index));
+        keepForNextLife(scheduler, *findRun(scheduler, item.m_task, item.m_run, index), now);
 }
 
 // The answer shows that such requests are refused from now on.
--- a/tests/core/scheduling/EndedLifeTest.cpp
+++ b/tests/core/scheduling/EndedLifeTest.cpp
@@ -1,6 +1,7 @@
 #include "core/scheduling/SchedulerFixture.h"
 
 #include "hemlockvane/scheduling/BlameCrashes.h"
+#include "hemlockvane/scheduling/MeasureStartDelay.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "hemlockvane/scheduling/TrackJobs.h"
 #include "hemlockvane/scheduling/TrackRuns.h"
@@ -20,6 +21,8 @@
     CPPUNIT_TEST(newLife_doesNotListARunConfirmedLater_taskIsStartedElsewhere);
     CPPUNIT_TEST(newLife_doesNotListRunOfEarlierOwner_taskIsStartedElsewhere);
     CPPUNIT_TEST(newLife_listed_reportedRunsAreLostAtOnce);
+    CPPUNIT_TEST(newLife_startHadAnUnansweredRequest_reportedRunIsKeptUntilItAnswers);
+    CPPUNIT_TEST(newLife_startHadAnUnansweredRequestLongAgo_reportedRunIsLostAtOnce);
     CPPUNIT_TEST(newLife_silent_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterItsAnswer_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterALaterStart_runIsKeptForTheLongestLease);
@@ -118,6 +121,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
     }
 
+    // Guards against a second run of a task beside one that the new life starts on the first of two requests, while the
+    // second one had been carried out by the earlier life.
+    auto newLife_startHadAnUnansweredRequest_reportedRunIsKeptUntilItAnswers() -> void
+    {
+        const auto start = startReportedAfterARepeat();
+        list(start.m_executor);
+        CPPUNIT_ASSERT(starts().empty());
+        report(start.m_executor, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
+    }
+
+    auto newLife_startHadAnUnansweredRequestLongAgo_reportedRunIsLostAtOnce() -> void
+    {
+        const auto start = startReportedAfterARepeat();
+        m_now += Duration(12000);
+        list(start.m_executor);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
+    }
+
     // The deadline that the new life received was a time on the clock of the earlier one.
     auto newLife_silent_runIsKeptUntilItsLeaseHasExpired() -> void
     {
@@ -316,6 +338,16 @@
         return start;
     }
 
+    auto startReportedAfterARepeat() -> Action
+    {
+        const auto start = startSent();
+        noteStartUnanswered(m_scheduler, start, m_now);
+        m_now += callTime;
+        answer(start, StartAnswer::Started, true);
+        report(start.m_executor, { { start.m_task, start.m_run, "", 10, 0 } });
+        return start;
+    }
+
     auto checkStops(const Action& start, const ExecutorEntry& entry) -> void
     {
         registerExecutor(m_scheduler, entry, m_now, m_now);
--- a/tests/core/scheduling/MeasureStartDelayTest.cpp
+++ b/tests/core/scheduling/MeasureStartDelayTest.cpp
@@ -61,7 +61,7 @@
     {
         submit({ step(1, 1000) });
         const auto start = plan().at(0);
-        noteStartUnanswered(m_scheduler, start);
+        noteStartUnanswered(m_scheduler, start, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, inFlight());
         answer(start, StartAnswer::Started);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, inFlight());
