Conclude nothing about an executor's life from an older list of machines

Callers saw tasks run twice after upkeeps: an executor is back under its id and gets tasks, then a list of machines arrives that was asked for before and shows its machine as still under upkeep.

A list that was asked for before the owner learnt of an executor's life ends no runs of that life. list_olderThanAnExecutorsLife_itsRunsGoOn fails without it. review/8 was broken in one of one play before the changes, with 24 pairs, and held in 4 of 4 with them.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -22,6 +22,7 @@
     std::uint32_t m_entryVersion = 1; ///< Rises when the registry shows another entry.
     std::string m_rack;
     std::uint32_t m_lifeNumber = 0; ///< Number of its lives that ended before this one, as far as this owner knows.
+    Instant m_lifeNoticedAt; ///< When this owner learnt of its present life.
     bool m_mayHoldEarlierLease
         = false; ///< A request meant for an earlier life may have extended the present one's lease.
     bool m_isRegistered = true; ///< The registry shows this incarnation.
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -56,13 +56,16 @@
     });
 }
 
-auto markEndedExecutors(CoordinatorState& state, const std::vector<fleet::Machine>& machines) -> void
+auto markEndedExecutors(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
 {
     for (const auto& id : fleet::endedExecutors(state.m_fleet.m_machines, machines)) {
         const auto found = state.m_scheduler.m_executorById.find(id);
         if (found == state.m_scheduler.m_executorById.end())
             continue;
         auto& executor = *state.m_scheduler.m_executors[found->second];
+        // The list may be older than its present life.
+        if (executor.m_lifeNoticedAt >= askedAt)
+            continue;
         executor.m_isLeaving = executor.m_isLeaving || isAway(machines, id, state.m_fleet.m_machines);
         if (!executor.m_runs.empty())
             logOf("fleet").info("event=gone executor={} runs={}", id, executor.m_runs.size());
@@ -79,7 +82,7 @@
     if (state->m_isStopped || !machines)
         co_return;
     // Before orders are settled, while it is known which executors they ended.
-    markEndedExecutors(*state, *machines);
+    markEndedExecutors(*state, *machines, askedAt);
     settleOrders(*state, *machines, askedAt);
     state->m_fleet.m_machines = std::move(*machines);
     state->m_fleet.m_listedAt = askedAt;
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -132,6 +132,7 @@
     confirmBlame(scheduler, index);
     expectEarlierLease(scheduler.m_timing, executor, now);
     ++executor.m_lifeNumber;
+    executor.m_lifeNoticedAt = now;
     executor.m_isRegistered = false;
     executor.m_firstAnsweredAt.reset();
     executor.m_acknowledgedEnd = 0;
@@ -353,6 +354,7 @@
         adoptEntry(scheduler, *executor, entry, now);
         executor->m_earlierLeasesExpireBy = earlierLeasesExpireBy;
         executor->m_clockReadAt = now;
+        executor->m_lifeNoticedAt = now;
         const auto index = static_cast<ExecutorIndex>(scheduler.m_executors.size());
         scheduler.m_executors.push_back(std::move(executor));
         scheduler.m_executorById.emplace(entry.m_id, index);
--- a/tests/shell/coordinator/ManageFleetTest.cpp
+++ b/tests/shell/coordinator/ManageFleetTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(wave_rulesNotRead_leavesTasksAlone);
     CPPUNIT_TEST(wave_rulesRead_drainsMachine);
     CPPUNIT_TEST(wave_rulesOlderThanPredecessors_leavesTasksAlone);
+    CPPUNIT_TEST(list_olderThanAnExecutorsLife_itsRunsGoOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +91,23 @@
         CPPUNIT_ASSERT(findRun()->m_phase == scheduling::RunPhase::Running);
     }
 
+    // Guards against a second run of each task on an executor that is back from its upkeep under its id.
+    auto list_olderThanAnExecutorsLife_itsRunsGoOn() -> void
+    {
+        run();
+        const auto index = m_state->m_scheduler.m_executorById.at("e1");
+        m_machines.m_listed->front().m_state = fleet::MachineState::Upkeep;
+        m_machines.m_duringList = [&] {
+            m_machines.m_listed->front().m_state = fleet::MachineState::Up;
+            auto entry = m_state->m_scheduler.m_executors[index]->m_entry;
+            ++entry.m_startedAtMs;
+            scheduling::registerExecutor(m_state->m_scheduler, entry, monotonicNow(), monotonicNow());
+            scheduling::addRun(m_state->m_scheduler, task, 2, index, scheduling::RunPhase::Running, monotonicNow());
+        };
+        m_context->run_for(Duration(600)); // Several lists.
+        CPPUNIT_ASSERT(scheduling::findRun(m_state->m_scheduler, task, 2, index) != nullptr);
+    }
+
 private:
     auto startLongRunningTask() -> void
     {
--- a/tests/shell/coordinator/RecordingMachines.h
+++ b/tests/shell/coordinator/RecordingMachines.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlockvane::detail {
@@ -14,7 +15,13 @@
 /// @brief Machines that record the orders they get and answer with a fixed outcome.
 class RecordingMachines : public MachinePort {
 public:
-    auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> override { co_return m_listed; }
+    auto list() -> boost::asio::awaitable<std::optional<std::vector<fleet::Machine>>> override
+    {
+        auto listed = m_listed;
+        if (m_duringList)
+            std::exchange(m_duringList, {})();
+        co_return listed;
+    }
 
     auto move(std::string machine, std::string /*pool*/, std::uint64_t /*epoch*/, std::function<bool()> /*mayBeSent*/)
         -> boost::asio::awaitable<MachineOutcome> override
@@ -30,6 +37,7 @@
     }
 
     std::optional<std::vector<fleet::Machine>> m_listed; ///< Empty: calls for the list get no answer.
+    std::function<void()> m_duringList; ///< What happens once between the call for the list and its answer.
     std::vector<std::string> m_moved;
     MachineOutcome m_outcome = MachineOutcome::Done;
 };
