Play executors whose new life the registry shows late, and more late requests

Half of the executors of "recut" are listed at once after their return, the others by their next heartbeat only, and six of ten requests of the second before are late.

--- a/tests/fleet/CallTroubles.cpp
+++ b/tests/fleet/CallTroubles.cpp
@@ -251,10 +251,10 @@
     constexpr std::int64_t upMs = 2000;
     constexpr std::int64_t cutMs = 9000;
     const auto executor = m_machines.machines()[machine].m_executor;
-    executor->m_faults.m_lateCall = 0.3;
+    executor->m_faults.m_lateCall = 0.6;
     co_await detail::sleepFor(Duration { leadMs });
     if (m_machines.machines()[machine].m_executor == executor && executor->isUp())
-        co_await m_machines.goDarkAndReturn(machine, Duration { downMs });
+        co_await m_machines.goDarkAndReturn(machine, Duration { downMs }, between(0, 1) == 1);
     executor->m_faults.m_lateCall = 0;
     co_await detail::sleepFor(Duration { upMs });
     executor->m_faults.m_isCut = true;
--- a/tests/fleet/FleetMachines.cpp
+++ b/tests/fleet/FleetMachines.cpp
@@ -135,22 +135,22 @@
 auto FleetMachines::crashAndReturn(std::size_t machine, Duration down) -> asio::awaitable<void>
 {
     m_machines[machine].m_executor->crash();
-    co_await returnAfter(machine, down);
+    co_await returnAfter(machine, down, true);
 }
 
-auto FleetMachines::goDarkAndReturn(std::size_t machine, Duration down) -> asio::awaitable<void>
+auto FleetMachines::goDarkAndReturn(std::size_t machine, Duration down, bool isListedAtOnce) -> asio::awaitable<void>
 {
     m_machines[machine].m_executor->goDark();
-    co_await returnAfter(machine, down);
+    co_await returnAfter(machine, down, isListedAtOnce);
 }
 
-auto FleetMachines::returnAfter(std::size_t machine, Duration down) -> asio::awaitable<void>
+auto FleetMachines::returnAfter(std::size_t machine, Duration down, bool isListedAtOnce) -> asio::awaitable<void>
 {
     const auto executor = m_machines[machine].m_executor;
     co_await detail::sleepFor(down);
     if (m_machines[machine].m_executor != executor || executor->isUp() || m_machines[machine].m_state != "up")
         co_return;
-    if (executor->start())
+    if (executor->start() && isListedAtOnce)
         publish(*executor);
 }
 
--- a/tests/fleet/FleetMachines.h
+++ b/tests/fleet/FleetMachines.h
@@ -39,7 +39,8 @@
     auto crashAndReturn(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
 
     /// @brief As `crashAndReturn`, but by a loss of power.
-    auto goDarkAndReturn(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
+    /// @param isListedAtOnce otherwise the registry shows the new life only by its next heartbeat
+    auto goDarkAndReturn(std::size_t machine, Duration down, bool isListedAtOnce) -> boost::asio::awaitable<void>;
 
     auto machines() -> std::vector<FleetMachine>& { return m_machines; }
 
@@ -57,7 +58,7 @@
     };
 
     auto newExecutor(FleetMachine& machine) -> bool;
-    auto returnAfter(std::size_t machine, Duration down) -> boost::asio::awaitable<void>;
+    auto returnAfter(std::size_t machine, Duration down, bool isListedAtOnce) -> boost::asio::awaitable<void>;
     auto order(const detail::HttpRequest& request, bool isMove) -> standins::StandinAnswer;
     auto takeAway(std::size_t index, const std::string& state, Duration time) -> boost::asio::awaitable<void>;
     auto publish(const FleetExecutor& executor) -> void;
