Wait for a start that may still arrive on a new life out of reach

A run whose start got no answer was kept over a change of its executor's life for the longest lease from the moment at which the change was noticed. Out of reach, that life may carry the start out up to 12 s after it was sent, and only then takes its lease: the task would run twice.

The lease is counted from the latest time at which the start can arrive now. Once the new life answers a request that is meant for it, the bound is that of the answer alone, so that nothing is waited for longer where it can be reached. newLife_silentAndAStartWasNotAnswered_runIsKeptUntilItCannotArriveAnyMore fails without it.

--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -32,7 +32,8 @@
 /// Their deadlines are times on another clock, and may be far in the future of its own: the lease may be as long as an
 /// executor allows, from the last of these requests on. The first answer to a request that is meant for the present
 /// life shows that the others are refused from then on.
-auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant now) -> void;
+/// @param latestRequestAt latest time at which one of them that matters to a run may be carried out without that answer
+auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant latestRequestAt) -> void;
 
 /// @brief Finds the executors on which such a lease, if there was one, has expired by now.
 /// @result those that were not known to be so before
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -50,12 +50,18 @@
     return runs.size();
 }
 
+// Latest time at which a request to start the run may be carried out; `now` if each one was answered.
+auto latestStart(const TaskRun& run, Instant now) -> Instant
+{
+    const auto unanswered = run.m_isConfirmed ? run.m_unansweredAt : std::max(run.m_unansweredAt, run.m_sentAt);
+    return unanswered ? std::max(*unanswered + latestArrival, now) : now;
+}
+
 // Whether the start of a run may have reached the life of its executor that follows, or may do so: it names the
 // executor, but not its life. A start that was not sent is not sent to another life any more.
 auto mayBeOnNextLife(const TaskRun& run, Instant now) -> bool
 {
-    const auto mayArriveLate = run.m_unansweredAt && now - *run.m_unansweredAt < latestArrival;
-    return run.m_sentAt.has_value() && (!run.m_isReported || mayArriveLate);
+    return run.m_sentAt.has_value() && (!run.m_isReported || latestStart(run, now) > now);
 }
 
 // The next life has neither listed a run that may have been started there nor seen a stop of it.
@@ -91,15 +97,20 @@
         return;
     life.m_hasOtherSuspects = areLostSuspected;
     executor.m_endedLife = life;
-    for (const auto& item : kept)
-        keepForNextLife(scheduler, *findRun(scheduler, item.m_task, item.m_run, index), now);
+    for (const auto& item : kept) {
+        auto& run = *findRun(scheduler, item.m_task, item.m_run, index);
+        expectEarlierLease(scheduler.m_timing, executor, latestStart(run, now));
+        keepForNextLife(scheduler, run, now);
+    }
 }
 
 // The answer shows that such requests are refused from now on.
-auto boundEarlierLease(const SchedulerTiming& timing, Executor& executor, const ExecutorReport& report) -> void
+auto boundEarlierLease(const SchedulerTiming& timing, Executor& executor, const ExecutorReport& report, Instant now)
+    -> void
 {
     if (!executor.m_mayHoldEarlierLease)
         return;
+    executor.m_earlierLeasesExpireBy = now;
     executor.m_earlierLeaseUntilMs = report.m_clockMs + timing.m_longestHold.count();
     executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, executor.m_earlierLeaseUntilMs);
 }
@@ -309,9 +320,9 @@
     return executor.m_backoffUntil <= now ? "" : "backoff";
 }
 
-auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant now) -> void
+auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant latestRequestAt) -> void
 {
-    const auto expiresBy = now + longestTimeOf(timing.m_longestHold) + timing.m_leaseSlack;
+    const auto expiresBy = latestRequestAt + longestTimeOf(timing.m_longestHold) + timing.m_leaseSlack;
     executor.m_earlierLeasesExpireBy = std::max(executor.m_earlierLeasesExpireBy, expiresBy);
     executor.m_mayHoldEarlierLease = true;
     executor.m_earlierLeaseUntilMs = 0;
@@ -464,7 +475,7 @@
     removeStoppedRuns(scheduler, index, report, now);
     if (!executor.m_isReconciled) {
         removeUnreportedRuns(scheduler, index, report, now);
-        boundEarlierLease(scheduler.m_timing, executor, report);
+        boundEarlierLease(scheduler.m_timing, executor, report, now);
     }
     executor.m_isReconciled = true;
 }
--- a/tests/core/scheduling/EndedLifeTest.cpp
+++ b/tests/core/scheduling/EndedLifeTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(newLife_startHadAnUnansweredRequest_reportedRunIsKeptUntilItAnswers);
     CPPUNIT_TEST(newLife_startHadAnUnansweredRequestLongAgo_reportedRunIsLostAtOnce);
     CPPUNIT_TEST(newLife_silent_runIsKeptUntilItsLeaseHasExpired);
+    CPPUNIT_TEST(newLife_silentAndAStartWasNotAnswered_runIsKeptUntilItCannotArriveAnyMore);
     CPPUNIT_TEST(newLife_silentAfterItsAnswer_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterALaterStart_runIsKeptForTheLongestLease);
     CPPUNIT_TEST(newLife_longestLeaseHasExpired_isForgottenOnce);
@@ -135,7 +136,7 @@
     auto newLife_startHadAnUnansweredRequestLongAgo_reportedRunIsLostAtOnce() -> void
     {
         const auto start = startReportedAfterARepeat();
-        m_now += Duration(12000);
+        m_now += latestArrival;
         list(start.m_executor);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
     }
@@ -152,6 +153,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
     }
 
+    // Guards against a second run of a task beside one that the new life starts late, and out of reach.
+    auto newLife_silentAndAStartWasNotAnswered_runIsKeptUntilItCannotArriveAnyMore() -> void
+    {
+        const auto start = startSent();
+        const auto sentAt = m_now;
+        noteStartUnanswered(m_scheduler, start, m_now);
+        list(start.m_executor);
+        markUnresponsive(*m_scheduler.m_executors[start.m_executor], m_now);
+        m_now = sentAt + latestArrival + m_scheduler.m_timing.m_longestHold;
+        CPPUNIT_ASSERT(starts().empty());
+        m_now += m_scheduler.m_timing.m_longestHold / clockDriftDivisor + m_scheduler.m_timing.m_leaseSlack + callTime;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
+    }
+
     auto newLife_silentAfterItsAnswer_runIsKeptUntilItsLeaseHasExpired() -> void
     {
         const auto start = startConfirmed();
@@ -297,6 +312,7 @@
 
 private:
     static constexpr Duration callTime { 10 };
+    static constexpr Duration latestArrival { 12000 }; // Of a request that got no answer.
     static constexpr int clockDriftDivisor = 49; // A clock that is 2 % slow needs 1/49 more.
 
     auto nextLife(ExecutorIndex index) -> ExecutorEntry
