Let no call be carried out by a stand-in executor that is not up

An executor without power kept its port when its machine was ordered away, so that the machine's next executor could not listen, and a call that had been read before an executor's end was carried out by it afterwards.

--- a/tests/fleet/FleetClients.cpp
+++ b/tests/fleet/FleetClients.cpp
@@ -32,7 +32,7 @@
 constexpr Duration cancelDelay { 400 };
 constexpr std::int64_t visibleMs = 3000; // An accepted job must be known after this.
 constexpr std::int64_t lossSlackMs = 200;
-constexpr std::int64_t longFactor = 12; // Of the work of a long job's tasks, as the users' pages play them.
+constexpr std::int64_t longFactor = 12; // Of the work of a long job's tasks; see deploy/days/recut.toml.
 constexpr std::int64_t askPauseMs = 60;
 constexpr std::uint64_t submitEach = 200; // One in so many of these requests hands in a job.
 constexpr std::size_t watchedConnections = 3; // To each instance.
--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -107,9 +107,9 @@
 
 auto FleetExecutor::crash() -> void
 {
-    if (!m_isUp)
-        return;
-    endLife("crashed");
+    if (m_isUp)
+        endLife("crashed");
+    m_isDark = false;
     m_server->closeAll();
 }
 
@@ -206,6 +206,8 @@
     StandinAnswer none;
     none.m_delivery = Delivery::None;
     co_await awaitPower();
+    if (!m_isUp)
+        co_return none;
     const auto life = m_life;
     co_await awaitReachable(&ExecutorFaults::m_isCut, life);
     co_await awaitReachable(&ExecutorFaults::m_isPaused, life);
