Play cuts right after the return, and excuse only long jobs that are at work

"recut-soon" cuts executors off 0 to 400 ms after their return, most of them before any answer to a request that was meant for their present life. A long job that is not completed at the end of a play counts as lost unless it had a run within the last 3 s; before, any that was queued or running was excused.

--- a/tests/fleet/CallTroubles.cpp
+++ b/tests/fleet/CallTroubles.cpp
@@ -36,6 +36,7 @@
         { "lapses", &CallTroubles::lapses },
         { "reborn", &CallTroubles::reborn },
         { "recut", &CallTroubles::recut },
+        { "recut-soon", &CallTroubles::recutSoon },
     };
     for (const auto& [known, kind] : kinds) {
         if (known == name) {
@@ -229,8 +230,22 @@
     }
 }
 
-// The executors of one zone lose power for a moment, are back under their ids, and are cut off soon after.
 auto CallTroubles::recut(std::int64_t until) -> asio::awaitable<void>
+{
+    constexpr std::int64_t upMs = 2000;
+    co_await recutZones(until, upMs, upMs);
+}
+
+// Most of them before any answer to a call that was meant for their present life.
+auto CallTroubles::recutSoon(std::int64_t until) -> asio::awaitable<void>
+{
+    constexpr std::int64_t mostUpMs = 400;
+    co_await recutZones(until, 0, mostUpMs);
+}
+
+// The executors of one zone lose power for a moment, are back under their ids, and are cut off soon after.
+auto CallTroubles::recutZones(std::int64_t until, std::int64_t leastUpMs, std::int64_t mostUpMs)
+    -> asio::awaitable<void>
 {
     const auto& machines = m_machines.machines();
     while (!isOver(until)) {
@@ -238,17 +253,16 @@
         const auto zone = machines[m_random() % machines.size()].m_zone;
         for (std::size_t i = 0; i < machines.size(); ++i) {
             if (machines[i].m_zone == zone && machines[i].m_executor->isUp())
-                asio::co_spawn(m_context, recutOne(i), asio::detached);
+                asio::co_spawn(m_context, recutOne(i, between(leastUpMs, mostUpMs)), asio::detached);
         }
         co_await pause(11000, 12000);
     }
 }
 
-auto CallTroubles::recutOne(std::size_t machine) -> asio::awaitable<void>
+auto CallTroubles::recutOne(std::size_t machine, std::int64_t upMs) -> asio::awaitable<void>
 {
     constexpr std::int64_t leadMs = 1000; // Calls of this time before may be carried out by the next life.
     constexpr std::int64_t downMs = 600;
-    constexpr std::int64_t upMs = 2000;
     constexpr std::int64_t cutMs = 9000;
     const auto executor = m_machines.machines()[machine].m_executor;
     executor->m_faults.m_lateCall = 0.6;
--- a/tests/fleet/CallTroubles.h
+++ b/tests/fleet/CallTroubles.h
@@ -43,7 +43,9 @@
     auto lapses(std::int64_t until) -> boost::asio::awaitable<void>;
     auto reborn(std::int64_t until) -> boost::asio::awaitable<void>;
     auto recut(std::int64_t until) -> boost::asio::awaitable<void>;
-    auto recutOne(std::size_t machine) -> boost::asio::awaitable<void>;
+    auto recutSoon(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto recutZones(std::int64_t until, std::int64_t leastUpMs, std::int64_t mostUpMs) -> boost::asio::awaitable<void>;
+    auto recutOne(std::size_t machine, std::int64_t upMs) -> boost::asio::awaitable<void>;
 
     auto setAll(double ExecutorFaults::*fault, double value) -> void;
     auto setInTurns(double ExecutorFaults::*fault, double value, std::int64_t until) -> boost::asio::awaitable<void>;
--- a/tests/fleet/FleetPlay.cpp
+++ b/tests/fleet/FleetPlay.cpp
@@ -15,6 +15,8 @@
 #include <cstdio>
 #include <functional>
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace hemlockvane::fleetrun {
@@ -32,6 +34,7 @@
 constexpr Duration trafficDelay { 4000 }; // Traffic starts later than the instances do.
 constexpr std::int64_t finishMs = 14000; // After the end of the traffic all jobs that can be done must be completed.
 constexpr std::size_t maxAttempts = 3;
+constexpr std::int64_t standstillMs = 3000; // A job that could run and has no run for this long is lost.
 
 auto siteOf(const FleetOptions& options) -> FleetSite
 {
@@ -160,7 +163,10 @@
 {
     auto violations = m_clients.m_violations;
     std::map<std::string, std::size_t> failedRuns;
+    std::set<std::string> working; // Jobs that had a run a moment ago.
     for (const auto& run : m_record.m_runs) {
+        if (run.m_endedAt == never || run.m_endedAt > m_record.now() - standstillMs)
+            working.insert(run.m_task.substr(0, run.m_task.find('.')));
         if (run.m_how == "failed")
             ++failedRuns[run.m_task.substr(0, run.m_task.find('.'))];
     }
@@ -168,8 +174,8 @@
         if (job.m_acceptedAt == never || job.m_isLasting || job.m_cancelSentAt != never || job.m_state == "unknown")
             continue;
         const auto mayFail = job.m_isHopeless || failedRuns[job.m_id] >= maxAttempts;
-        const auto mayBeAtWork = job.m_isLong && (job.m_state == "queued" || job.m_state == "running");
-        if (job.m_state != "completed" && !mayBeAtWork && !(mayFail && job.m_state == "failed"))
+        const auto isAtWork = job.m_isLong && job.m_state == "running" && working.contains(job.m_id);
+        if (job.m_state != "completed" && !isAtWork && !(mayFail && job.m_state == "failed"))
             violations.push_back("LOST: job " + job.m_id + ", accepted at " + std::to_string(job.m_acceptedAt)
                 + ", is shown as \"" + job.m_state + "\"");
     }
