Store a new life when a poll shows it, and whether it has answered

And it waited for that lease from the takeover on, also on a life that had not answered any request meant for it, where a start of before may still arrive.

A life that a poll shows is stored at once, and the record says until its first answer that earlier requests may still arrive; the next owner waits that much longer then.

newLife_knownOnlyFromPoll_nextOwnerWaitsForTheLongestLease and newLife_hasNotAnswered_journalSaysSoUntilItDoes.

--- a/include/hemlockvane/detail/coordinator/StoredExecutor.h
+++ b/include/hemlockvane/detail/coordinator/StoredExecutor.h
@@ -8,6 +8,7 @@
 struct StoredExecutor {
     scheduling::ExecutorEntry m_entry;
     bool m_mayHoldEarlierLease = false; ///< A request meant for an earlier life may have extended its lease.
+    bool m_mayGetEarlierRequests = false; ///< It had not answered a request meant for its present life.
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -31,7 +31,7 @@
     bool m_isTerminated = false; ///< This incarnation has certainly ended.
     bool m_isReconciled = false; ///< Its runs are known: it answered a poll meant for this life, or it has terminated.
     std::optional<Instant> m_firstAnsweredAt; ///< From then on its present life refuses requests of earlier owners.
-    Instant m_earlierLeasesExpireBy; ///< Time by which all leases granted by earlier owners have expired.
+    Instant m_earlierLeasesExpireBy; ///< By then leases granted by earlier owners, or to earlier lives, have expired.
     bool m_isUnresponsive = false; ///< The last poll was not answered.
     std::optional<Instant>
         m_epochRefusedAt; ///< When it last refused this owner's epoch, since it had seen a newer one.
--- a/include/hemlockvane/scheduling/SchedulerTiming.h
+++ b/include/hemlockvane/scheduling/SchedulerTiming.h
@@ -11,6 +11,9 @@
     /// Executors shorten longer leases to this. A deadline on the clock of an earlier life may be far in the future of
     /// the present one.
     Duration m_longestHold { 10000 };
+    /// A request that got no answer may be carried out up to this much later: the longest delay of `applied_late`,
+    /// which the users' bench lists; their pages say seconds.
+    Duration m_latestArrival { 12000 };
     Duration m_longestStop { 1000 }; ///< From the request to stop a run to its end.
     Duration m_stopRetryInterval { 300 }; ///< Interval at which the stop of a run is sent again until answered.
     Duration m_failureBackoff { 3000 }; ///< For an executor whose runs of different jobs fail.
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -199,9 +199,17 @@
             logOf("executors").info("event=regained executor={}", executor.m_entry.m_id);
         result.m_report.m_pollSentAt = now;
         result.m_report.m_isForPresentLife = isForPresentLife;
+        const auto wasReconciled = executor.m_isReconciled;
         std::vector<scheduling::Action> actions;
         const auto failures = newFailures(*state, executor, result.m_report);
         scheduling::applyReport(state->m_scheduler, index, result.m_report, monotonicNow(), wallNow(), actions);
+        // The next owner relies on what is stored of a new life.
+        const auto isNewLife = executor.m_entry.m_startedAtMs != previousStartMs;
+        const auto isFirstAnswer = executor.m_mayHoldEarlierLease && executor.m_isReconciled && !wasReconciled;
+        if (isNewLife || isFirstAnswer) {
+            storeExecutor(*state, index);
+            state->m_journalSignal.notify();
+        }
         logFailures(*state, executor, failures);
         sendActions(state, std::move(actions));
         if (!result.m_report.m_endedRuns.empty())
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -174,8 +174,10 @@
         state.m_scheduler, stored->m_entry, state.m_earlierLeasesExpireBy, monotonicNow());
     auto& executor = *state.m_scheduler.m_executors[index];
     executor.m_isRegistered = false; // Until the registry contains it.
+    const auto& timing = state.m_scheduler.m_timing;
+    const auto untilArrived = stored->m_mayGetEarlierRequests ? timing.m_latestArrival : Duration { 0 };
     if (stored->m_mayHoldEarlierLease)
-        scheduling::expectEarlierLease(state.m_scheduler.m_timing, executor, monotonicNow());
+        scheduling::expectEarlierLease(timing, executor, monotonicNow() + untilArrived);
     state.m_storedExecutors.insert(stored->m_entry.m_id);
     return true;
 }
@@ -263,7 +265,9 @@
 {
     const auto& executor = *state.m_scheduler.m_executors[index];
     const auto& id = executor.m_entry.m_id;
-    state.m_pendingRecords[executorPrefix + id] = encodeExecutor({ executor.m_entry, executor.m_mayHoldEarlierLease });
+    const auto mayGetEarlierRequests = executor.m_mayHoldEarlierLease && !executor.m_isReconciled;
+    state.m_pendingRecords[executorPrefix + id]
+        = encodeExecutor({ executor.m_entry, executor.m_mayHoldEarlierLease, mayGetEarlierRequests });
     state.m_storedExecutors.insert(id);
 }
 
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -133,6 +133,7 @@
     record.set_memory_mb(entry.m_capacity.m_memoryMb);
     record.set_gpus(entry.m_capacity.m_gpus);
     record.set_may_hold_earlier_lease(executor.m_mayHoldEarlierLease);
+    record.set_may_get_earlier_requests(executor.m_mayGetEarlierRequests);
     return record.SerializeAsString();
 }
 
@@ -151,6 +152,7 @@
     entry.m_labels.assign(record.labels().begin(), record.labels().end());
     entry.m_capacity = { record.cpu_millis(), record.memory_mb(), record.gpus() };
     executor.m_mayHoldEarlierLease = record.may_hold_earlier_lease();
+    executor.m_mayGetEarlierRequests = record.may_get_earlier_requests();
     return executor;
 }
 
--- a/tests/shell/coordinator/ExecutorLivesTest.cpp
+++ b/tests/shell/coordinator/ExecutorLivesTest.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(newLife_listedAfterItsAnswer_isInTheJournal);
     CPPUNIT_TEST(newLife_nextOwner_keepsItsRun);
     CPPUNIT_TEST(newLife_nextOwner_waitsForTheLongestLease);
+    CPPUNIT_TEST(newLife_knownOnlyFromPoll_nextOwnerWaitsForTheLongestLease);
+    CPPUNIT_TEST(newLife_hasNotAnswered_journalSaysSoUntilItDoes);
     CPPUNIT_TEST(newLife_polledAndStartedOn_tokensAreHigherThanBefore);
     CPPUNIT_TEST(newLife_reportsRunBeforeItIsListed_isPolledOn);
     CPPUNIT_TEST(newLife_listedWhileIdle_isPolledAndUsed);
@@ -83,6 +85,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
     }
 
+    // Guards against a second run of a task beside one that a new life started before the registry showed it.
+    auto newLife_knownOnlyFromPoll_nextOwnerWaitsForTheLongestLease() -> void
+    {
+        m_executors.m_lives[restarted].m_startedAtMs = 1;
+        own(1, {});
+        runUntil([this] { return !m_executors.m_starts.empty(); });
+        CPPUNIT_ASSERT_EQUAL(restarted, m_executors.m_starts.at(0).first);
+        m_executors.m_lives[restarted].m_startedAtMs = 2;
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, storedStartTime());
+        m_coordinator->stop();
+        m_executors.m_lives[restarted].m_isSilent = true;
+        list(other, "1");
+        own(2, {});
+        runUntil([this] { return m_executors.m_lives[other].m_polls > 0; });
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
+    }
+
+    // The next owner waits longer for runs there: a start of before may still arrive.
+    auto newLife_hasNotAnswered_journalSaysSoUntilItDoes() -> void
+    {
+        auto& life = m_executors.m_lives[restarted];
+        life.m_startedAtMs = 1;
+        own(1, {});
+        settle();
+        CPPUNIT_ASSERT(!stored().m_mayGetEarlierRequests);
+        life.m_isSilent = true;
+        list(restarted, "2");
+        settle();
+        CPPUNIT_ASSERT(stored().m_mayHoldEarlierLease);
+        CPPUNIT_ASSERT(stored().m_mayGetEarlierRequests);
+        life.m_isSilent = false;
+        life.m_startedAtMs = 2;
+        runUntil([this] { return !stored().m_mayGetEarlierRequests; });
+        CPPUNIT_ASSERT(stored().m_mayHoldEarlierLease);
+        CPPUNIT_ASSERT(!stored().m_mayGetEarlierRequests);
+    }
+
     // Guards against a poll that was meant for the earlier life, reaches the new one seconds later and extends its
     // lease.
     auto newLife_polledAndStartedOn_tokensAreHigherThanBefore() -> void
@@ -187,16 +228,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_executors.m_starts.size());
     }
 
-    auto storedStartTime() -> std::int64_t
+    auto stored() -> StoredExecutor
     {
-        std::int64_t newest = 0;
+        StoredExecutor newest;
         for (const auto& bytes : m_memory.m_topics[progressTopic]) {
             const auto record = decodeKeyedRecord(bytes, 0);
             if (record && record->m_key == executorPrefix + restarted)
-                newest = record->m_value.empty() ? 0 : decodeExecutor(record->m_value).value().m_entry.m_startedAtMs;
+                newest = record->m_value.empty() ? StoredExecutor {} : decodeExecutor(record->m_value).value();
         }
         return newest;
     }
+
+    auto storedStartTime() -> std::int64_t { return stored().m_entry.m_startedAtMs; }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorLivesTest);
--- a/tests/shell/coordinator/TakeoverOrderTest.cpp
+++ b/tests/shell/coordinator/TakeoverOrderTest.cpp
@@ -107,7 +107,7 @@
         const KeyedRecord executor { executorId, "listed" };
         m_memory.m_topics[executorTopic] = { encodeKeyedRecord(executor.m_key, executor.m_value) };
         m_memory.m_topics[progressTopic]
-            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor({ executorEntry(), false })) };
+            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor({ executorEntry(), false, false })) };
         asio::co_spawn(
             m_context, loadState(m_state), [this](const std::exception_ptr&, bool isLoaded) { m_result = isLoaded; });
     }
--- a/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
+++ b/tests/shell/coordinator/TakeoverWithoutRulesTest.cpp
@@ -135,7 +135,7 @@
         m_memory.m_topics[submissionTopic] = { submission() };
         m_memory.m_topics[executorTopic] = { encodeKeyedRecord(executorId, "listed") };
         m_memory.m_topics[progressTopic]
-            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor({ executorEntry(), false })) };
+            = { encodeKeyedRecord(executorPrefix + executorId, encodeExecutor({ executorEntry(), false, false })) };
         storeFailures(newestRun - 1);
         m_executors = {};
         CoordinatorPorts ports;
