Notice a new life by the clock in its answer to a start

A start may be the first request that reaches a new life which neither the registry nor a poll has shown.

Every answer has the executor's clock. One that is behind the reading that the start was sent with is another life's: its run is kept for the longest lease, the next owner is told, and no task is started there until it has answered a poll.

newLife_answersAStartWithAnEarlierClock_runIsKeptForTheLongestLease and start_answered_tellsTheExecutorsClock.

--- a/include/hemlockvane/detail/ports/StartRequest.h
+++ b/include/hemlockvane/detail/ports/StartRequest.h
@@ -3,6 +3,7 @@
 #include "hemlockvane/scheduling/TaskKey.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace hemlockvane::detail {
@@ -16,6 +17,7 @@
     std::uint64_t m_fencingToken = 0;
     std::string m_checkpoint;
     std::string m_ticket;
+    std::function<void(std::int64_t clockMs)> m_onAnswer; ///< Called with the executor's clock in its answer.
 };
 
 } // namespace hemlockvane::detail
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -35,6 +35,13 @@
 /// @param latestRequestAt latest time at which one of them that matters to a run may be carried out without that answer
 auto expectEarlierLease(const SchedulerTiming& timing, Executor& executor, Instant latestRequestAt) -> void;
 
+/// @brief Handles the clock in the answer to a start: one that is behind an earlier reading is that of another life,
+/// which took a deadline on the earlier one's clock. No task is started there until it has answered a poll.
+/// @param earlierClockMs reading of the clock when the start was sent
+/// @result whether it is another life
+auto noteStartClock(
+    Scheduler& scheduler, ExecutorIndex index, std::int64_t clockMs, std::int64_t earlierClockMs, Instant now) -> bool;
+
 /// @brief Finds the executors on which such a lease, if there was one, has expired by now.
 /// @result those that were not known to be so before
 auto forgetEarlierLeases(Scheduler& scheduler, Instant now) -> std::vector<ExecutorIndex>;
--- a/src/detail/coordinator/SendActions.cpp
+++ b/src/detail/coordinator/SendActions.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/clock/Clock.h"
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/ExecutorPolling.h"
+#include "hemlockvane/detail/coordinator/Journal.h"
 #include "hemlockvane/detail/coordinator/LeaseDeadline.h"
 #include "hemlockvane/detail/coordinator/SchedulerRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
@@ -98,6 +99,19 @@
         co_await sleepFor(clockCheckInterval);
 }
 
+// A life that the registry has not shown yet may have carried the start out.
+auto noteStartClock(CoordinatorState& state, const scheduling::Action& action, std::int64_t clockMs,
+    std::int64_t earlierClockMs) -> void
+{
+    if (!scheduling::noteStartClock(state.m_scheduler, action.m_executor, clockMs, earlierClockMs, monotonicNow()))
+        return;
+    logOf("executors")
+        .info("event=other_clock executor={} clock={} earlier_clock={}",
+            state.m_scheduler.m_executors[action.m_executor]->m_entry.m_id, clockMs, earlierClockMs);
+    storeExecutor(state, action.m_executor);
+    state.m_journalSignal.notify();
+}
+
 auto sendStart(std::shared_ptr<CoordinatorState> state, scheduling::Action action) -> asio::awaitable<void>
 {
     auto& executor = *state->m_scheduler.m_executors[action.m_executor];
@@ -113,9 +127,13 @@
         abandonStart(*state, action, sentAt);
         co_return;
     }
-    const auto request = makeStartRequest(*state, action, *deadlineMs);
+    auto request = makeStartRequest(*state, action, *deadlineMs);
     executor.m_leaseUntilMs = std::max(executor.m_leaseUntilMs, request.m_deadlineMs);
     const auto startedAtMs = executor.m_entry.m_startedAtMs;
+    request.m_onAnswer = [&, earlierClockMs = executor.m_clockMs](std::int64_t clockMs) {
+        if (!state->m_isStopped && executor.m_entry.m_startedAtMs == startedAtMs)
+            noteStartClock(*state, action, clockMs, earlierClockMs);
+    };
     std::string_view obstacle;
     const std::function<bool()> check = [&] {
         obstacle = obstacleToSending(*state, action, startedAtMs, request.m_deadlineMs, sentAt);
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -20,10 +20,6 @@
 // For executors that do not check their capacity: shorter than the time after which a smaller capacity binds.
 constexpr Duration capacityValidity { 2000 };
 
-// An executor may carry out a request that got no answer up to this much later: the longest delay that the platform's
-// disruptions list.
-constexpr Duration latestArrival { 12000 };
-
 auto rackOf(const ExecutorEntry& entry) -> std::string
 {
     // The labels are the kind and the rack, in this order.
@@ -51,17 +47,17 @@
 }
 
 // Latest time at which a request to start the run may be carried out; `now` if each one was answered.
-auto latestStart(const TaskRun& run, Instant now) -> Instant
+auto latestStart(const SchedulerTiming& timing, const TaskRun& run, Instant now) -> Instant
 {
     const auto unanswered = run.m_isConfirmed ? run.m_unansweredAt : std::max(run.m_unansweredAt, run.m_sentAt);
-    return unanswered ? std::max(*unanswered + latestArrival, now) : now;
+    return unanswered ? std::max(*unanswered + timing.m_latestArrival, now) : now;
 }
 
 // Whether the start of a run may have reached the life of its executor that follows, or may do so: it names the
 // executor, but not its life. A start that was not sent is not sent to another life any more.
-auto mayBeOnNextLife(const TaskRun& run, Instant now) -> bool
+auto mayBeOnNextLife(const SchedulerTiming& timing, const TaskRun& run, Instant now) -> bool
 {
-    return run.m_sentAt.has_value() && (!run.m_isReported || latestStart(run, now) > now);
+    return run.m_sentAt.has_value() && (!run.m_isReported || latestStart(timing, run, now) > now);
 }
 
 // The next life has neither listed a run that may have been started there nor seen a stop of it.
@@ -86,7 +82,7 @@
     std::vector<ExecutorRun> kept;
     for (const auto& item : executor.m_runs) {
         auto& run = *findRun(scheduler, item.m_task, item.m_run, index);
-        (mayBeOnNextLife(run, now) ? kept : lost).push_back(item);
+        (mayBeOnNextLife(scheduler.m_timing, run, now) ? kept : lost).push_back(item);
     }
     auto life = presentLife(executor);
     life.m_noticedAt = now;
@@ -99,7 +95,7 @@
     executor.m_endedLife = life;
     for (const auto& item : kept) {
         auto& run = *findRun(scheduler, item.m_task, item.m_run, index);
-        expectEarlierLease(scheduler.m_timing, executor, latestStart(run, now));
+        expectEarlierLease(scheduler.m_timing, executor, latestStart(scheduler.m_timing, run, now));
         keepForNextLife(scheduler, run, now);
     }
 }
@@ -328,6 +324,17 @@
     executor.m_earlierLeaseUntilMs = 0;
 }
 
+auto noteStartClock(
+    Scheduler& scheduler, ExecutorIndex index, std::int64_t clockMs, std::int64_t earlierClockMs, Instant now) -> bool
+{
+    if (clockMs >= earlierClockMs)
+        return false;
+    auto& executor = *scheduler.m_executors[index];
+    expectEarlierLease(scheduler.m_timing, executor, now);
+    executor.m_isReconciled = false;
+    return true;
+}
+
 auto forgetEarlierLeases(Scheduler& scheduler, Instant now) -> std::vector<ExecutorIndex>
 {
     std::vector<ExecutorIndex> forgotten;
--- a/tests/core/scheduling/EndedLifeTest.cpp
+++ b/tests/core/scheduling/EndedLifeTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(newLife_silentAndAStartWasNotAnswered_runIsKeptUntilItCannotArriveAnyMore);
     CPPUNIT_TEST(newLife_silentAfterItsAnswer_runIsKeptUntilItsLeaseHasExpired);
     CPPUNIT_TEST(newLife_silentAfterALaterStart_runIsKeptForTheLongestLease);
+    CPPUNIT_TEST(newLife_answersAStartWithAnEarlierClock_runIsKeptForTheLongestLease);
     CPPUNIT_TEST(newLife_longestLeaseHasExpired_isForgottenOnce);
     CPPUNIT_TEST(newLife_knownFromAnAnswer_isReconciledByTheNextOne);
     CPPUNIT_TEST(newLife_listedDuringAPoll_isReconciledByTheNextOne);
@@ -136,7 +137,7 @@
     auto newLife_startHadAnUnansweredRequestLongAgo_reportedRunIsLostAtOnce() -> void
     {
         const auto start = startReportedAfterARepeat();
-        m_now += latestArrival;
+        m_now += m_latestArrival;
         list(start.m_executor);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
     }
@@ -161,7 +162,7 @@
         noteStartUnanswered(m_scheduler, start, m_now);
         list(start.m_executor);
         markUnresponsive(*m_scheduler.m_executors[start.m_executor], m_now);
-        m_now = sentAt + latestArrival + m_scheduler.m_timing.m_longestHold;
+        m_now = sentAt + m_latestArrival + m_scheduler.m_timing.m_longestHold;
         CPPUNIT_ASSERT(starts().empty());
         m_now += m_scheduler.m_timing.m_longestHold / clockDriftDivisor + m_scheduler.m_timing.m_leaseSlack + callTime;
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, starts().size());
@@ -201,6 +202,25 @@
         CPPUNIT_ASSERT(m_scheduler.m_executors[0]->m_runs.empty());
     }
 
+    // Guards against a second run of a task that a life started which neither the registry nor a poll had shown.
+    auto newLife_answersAStartWithAnEarlierClock_runIsKeptForTheLongestLease() -> void
+    {
+        m_scheduler.m_executors[1]->m_isReserved = true;
+        const auto start = startConfirmed();
+        auto& executor = *m_scheduler.m_executors[0];
+        const auto readAtMs = executor.m_clockMs;
+        CPPUNIT_ASSERT(!noteStartClock(m_scheduler, 0, readAtMs, readAtMs, m_now));
+        CPPUNIT_ASSERT(noteStartClock(m_scheduler, 0, readAtMs - 1, readAtMs, m_now));
+        CPPUNIT_ASSERT(!isSchedulable(executor, m_now));
+        markUnresponsive(executor, m_now);
+        m_now += m_scheduler.m_timing.m_longestHold;
+        plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, executor.m_runs.size());
+        m_now += m_scheduler.m_timing.m_longestHold / clockDriftDivisor + m_scheduler.m_timing.m_leaseSlack + callTime;
+        plan();
+        CPPUNIT_ASSERT(executor.m_runs.empty());
+    }
+
     auto newLife_longestLeaseHasExpired_isForgottenOnce() -> void
     {
         list(0);
@@ -312,7 +332,7 @@
 
 private:
     static constexpr Duration callTime { 10 };
-    static constexpr Duration latestArrival { 12000 }; // Of a request that got no answer.
+    const Duration m_latestArrival = m_scheduler.m_timing.m_latestArrival;
     static constexpr int clockDriftDivisor = 49; // A clock that is 2 % slow needs 1/49 more.
 
     auto nextLife(ExecutorIndex index) -> ExecutorEntry
--- a/tests/shell/platform/HttpExecutorsTest.cpp
+++ b/tests/shell/platform/HttpExecutorsTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(start_refused_isToldByReason);
     CPPUNIT_TEST(start_statusThatDoesNothing_isRefused);
     CPPUNIT_TEST(start_statusThatThePagesDoNotName_isUnknown);
+    CPPUNIT_TEST(start_answered_tellsTheExecutorsClock);
     CPPUNIT_TEST(start_notWanted_isNotSent);
     CPPUNIT_TEST(stop_order_hasAllFields);
     CPPUNIT_TEST(pace_order_hasAllFields);
@@ -146,6 +147,18 @@
         }
     }
 
+    auto start_answered_tellsTheExecutorsClock() -> void
+    {
+        auto asked = order();
+        std::vector<std::int64_t> clocks;
+        asked.m_onAnswer = [&](std::int64_t clockMs) { clocks.push_back(clockMs); };
+        for (const auto* body : { R"({"clockMs":482113})", "{}", "", R"({"clockMs":1e300})" }) {
+            m_answer = body;
+            start(asked, true);
+        }
+        CPPUNIT_ASSERT(clocks == std::vector<std::int64_t> { 482113 });
+    }
+
     auto start_notWanted_isNotSent() -> void
     {
         CPPUNIT_ASSERT(start(order(), false) == StartAnswer::NotSent);
@@ -317,7 +330,8 @@
 private:
     static auto order() -> detail::StartRequest
     {
-        return { { 0x5c0e7a21d94b36f8, 4, 1, 17 }, 2, "work", -7, std::numeric_limits<std::uint64_t>::max(), "c", "t" };
+        return { { 0x5c0e7a21d94b36f8, 4, 1, 17 }, 2, "work", -7, std::numeric_limits<std::uint64_t>::max(), "c", "t",
+            {} };
     }
 
     auto startServer(const std::string& address) -> void
