Complete a wave only by lists of machines newer than its order

What operators saw: a wave of a machine that joined while the list of machines answered 503 was shown as completed 0.3 s after its order.

Cause: isWaveCompleted took each machine that the newest list lacks for gone, however old that list was. Here it was the last one before the outage, older than the order. The completion is stored and never taken back.

The log did not tell what the platform says of a machine: event=machine does now.

Change: the last two lists, with the times at which they were asked for, and the executors that the registry shows on each machine are kept together in MachineHistory. Whatever a list would overrule is compared with it in one way (isNewerThan): the order of a wave, an executor's life, the answer to an order. A machine is gone once two lists in a row lack it that were asked for after the order was read and after an executor on it was last noticed; two, since one list is read page by page.

Result: wave_ordersMachineThatTheLastListLacks_isNotCompleted, wave_listAskedForBeforeItArrivesAfterIt_isNotCompleted and wave_machineIsMissingFromOneListOnly_isNotCompleted failed before and hold; wave_machineIsGone_isCompleted holds as before.

--- a/include/hemlockvane/detail/coordinator/FleetControlState.h
+++ b/include/hemlockvane/detail/coordinator/FleetControlState.h
@@ -2,7 +2,7 @@
 
 #include "hemlockvane/detail/coordinator/MachineOrder.h"
 #include "hemlockvane/fleet/FleetTiming.h"
-#include "hemlockvane/fleet/Machine.h"
+#include "hemlockvane/fleet/MachineHistory.h"
 #include "hemlockvane/fleet/WaveState.h"
 #include "hemlockvane/time/Time.h"
 
@@ -10,15 +10,13 @@
 #include <map>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace hemlockvane::detail {
 
 /// @brief The coordinator's state of machines and waves.
 struct FleetControlState {
     fleet::FleetTiming m_timing;
-    std::vector<fleet::Machine> m_machines; ///< Result of the last list call.
-    Instant m_listedAt; ///< When the last list call was sent.
+    fleet::MachineHistory m_machines;
     std::map<std::uint64_t, fleet::WaveState> m_waves;
     std::map<std::string, MachineOrder>
         m_outstandingOrders; ///< By machine; kept until the list of machines shows the outcome.
--- a/include/hemlockvane/detail/coordinator/MachineOrders.h
+++ b/include/hemlockvane/detail/coordinator/MachineOrders.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "hemlockvane/fleet/FleetAction.h"
-#include "hemlockvane/fleet/Machine.h"
+#include "hemlockvane/fleet/MachineList.h"
 #include "hemlockvane/fleet/WaveState.h"
 #include "hemlockvane/time/Time.h"
 
@@ -28,8 +28,7 @@
 
 /// @brief Settles orders by a list of machines: once a list that was requested after an order's answer shows the
 /// machine up, the order's outcome is known and the machine is no longer counted as down.
-/// @param askedAt when the list was requested
-auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void;
+auto settleOrders(CoordinatorState& state, const fleet::MachineList& list) -> void;
 
 /// @brief Restores an earlier owner's order for a machine: no new order is sent while that one may still be carried
 /// out.
--- a/include/hemlockvane/detail/logging/OutcomeNames.h
+++ b/include/hemlockvane/detail/logging/OutcomeNames.h
@@ -3,6 +3,10 @@
 #include <cstdint>
 #include <string_view>
 
+namespace hemlockvane::fleet {
+enum class MachineState : std::uint8_t;
+} // namespace hemlockvane::fleet
+
 namespace hemlockvane::scheduling {
 enum class DropReason : std::uint8_t;
 enum class JobPhase : std::uint8_t;
@@ -19,6 +23,7 @@
 [[nodiscard]] auto nameOf(CallOutcome outcome) -> std::string_view;
 [[nodiscard]] auto nameOf(IntakeOutcome outcome) -> std::string_view;
 [[nodiscard]] auto nameOf(MachineOutcome outcome) -> std::string_view;
+[[nodiscard]] auto nameOf(fleet::MachineState state) -> std::string_view;
 [[nodiscard]] auto nameOf(scheduling::DropReason reason) -> std::string_view;
 [[nodiscard]] auto nameOf(scheduling::JobPhase phase) -> std::string_view;
 [[nodiscard]] auto nameOf(scheduling::StartAnswer answer) -> std::string_view;
--- a/include/hemlockvane/fleet/PlanMachineWave.h
+++ b/include/hemlockvane/fleet/PlanMachineWave.h
@@ -10,6 +10,7 @@
 
 struct FleetTiming;
 struct FleetView;
+struct MachineHistory;
 struct WaveState;
 
 /// @brief Plans the upkeeps of a wave within its time limit, starting with machines of the pools with the lowest load.
@@ -25,7 +26,8 @@
 /// @brief True when a machine belongs to the wave and its upkeep has not started.
 auto isUpkeepPending(const WaveState& wave, const std::string& machine) -> bool;
 
-/// @brief True once the upkeep of every machine of the wave that is still listed has started.
-auto isWaveCompleted(const FleetView& view, const WaveState& wave) -> bool;
+/// @brief True once the upkeep of every machine of the wave has started, or the machine does not exist any more. It
+/// stays true, so that it may be stored: the lists that show that a machine is gone were asked for after the order.
+auto isWaveCompleted(const MachineHistory& history, const WaveState& wave) -> bool;
 
 } // namespace hemlockvane::fleet
--- a/include/hemlockvane/scheduling/ExecutorEntry.h
+++ b/include/hemlockvane/scheduling/ExecutorEntry.h
@@ -15,6 +15,7 @@
     std::string m_service;
     std::string m_address;
     std::string m_zone;
+    std::string m_machine; ///< Machine that it is a life of; empty if it does not say so.
     bool m_isDraining = false;
     std::int64_t m_remainingMs = 0; ///< While draining: minimum time left until it stops.
     std::int64_t m_remainingColdMs = 0; ///< How much longer it is slow after its start.
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -11,6 +11,7 @@
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/ExecutorPort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/scheduling/AttemptLimits.h"
 #include "hemlockvane/scheduling/BlameCrashes.h"
 #include "hemlockvane/scheduling/FencingToken.h"
@@ -73,6 +74,8 @@
         // Its polling may be idle, and no task is started there before its first answer.
         wakePolling(*state, entry->m_id);
     }
+    if ((isNew || knownStartMs != entry->m_startedAtMs) && !entry->m_machine.empty())
+        fleet::noteJoined(state->m_fleet.m_machines, entry->m_machine, entry->m_id, monotonicNow());
     if (isNew || knownStartMs != entry->m_startedAtMs || wasDraining != entry->m_isDraining) {
         logOf("executors")
             .info("event=listed executor={} service={} born={} draining={} remaining_ms={} offset={}", entry->m_id,
--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/coordinator/MachineOrders.h"
 #include "hemlockvane/fleet/MeasurePools.h"
 #include "hemlockvane/fleet/PlanMachineWave.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/scheduling/MeasureDemand.h"
 
 #include <algorithm>
@@ -80,11 +81,8 @@
 
 auto executorOf(CoordinatorState& state, const std::string& machine) -> scheduling::Executor*
 {
-    for (const auto& listed : state.m_fleet.m_machines) {
-        if (listed.m_id == machine)
-            return findExecutor(state, listed.m_executorId);
-    }
-    return nullptr;
+    const auto* listed = fleet::findMachine(state.m_fleet.m_machines.m_newest, machine);
+    return listed == nullptr ? nullptr : findExecutor(state, listed->m_executorId);
 }
 
 auto buildFleetView(CoordinatorState& state, Instant now) -> fleet::FleetView
@@ -113,7 +111,7 @@
         pool.m_machinesForLongRunning = demand.m_executorsForLongRunning;
         pool.m_waitOfLongRunning = measureWaitOfLongRunning(state.m_fleet, pool, now);
     }
-    for (const auto& machine : state.m_fleet.m_machines) {
+    for (const auto& machine : state.m_fleet.m_machines.m_newest.m_machines) {
         view.m_machines.push_back(viewMachine(state, machine, now));
         const auto& added = view.m_machines.back();
         const auto isServing = machine.m_state == fleet::MachineState::Up && added.m_hasExecutor;
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -8,12 +8,12 @@
 #include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/MachinePort.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/scheduling.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -32,9 +32,8 @@
 
 auto poolOf(const FleetControlState& fleetState, const std::string& machine) -> std::string
 {
-    const auto found = std::find_if(fleetState.m_machines.begin(), fleetState.m_machines.end(),
-        [&](const fleet::Machine& listed) { return listed.m_id == machine; });
-    return found == fleetState.m_machines.end() ? std::string() : found->m_pool;
+    const auto* listed = fleet::findMachine(fleetState.m_machines.m_newest, machine);
+    return listed == nullptr ? std::string() : listed->m_pool;
 }
 
 auto encodeOrder(std::uint64_t renewal, std::uint64_t wave) -> std::string
@@ -45,13 +44,14 @@
     return record.SerializeAsString();
 }
 
-// Whether an order for the machine may be carried out after the list call was sent.
-auto isOrderUnsettled(const FleetControlState& fleetState, const std::string& machine, Instant askedAt) -> bool
+// Whether an order for the machine may be carried out after the list was asked for.
+auto isOrderUnsettled(const FleetControlState& fleetState, const std::string& machine, const fleet::MachineList& list)
+    -> bool
 {
     const auto ordered = fleetState.m_outstandingOrders.find(machine);
     const auto isOutstanding = ordered != fleetState.m_outstandingOrders.end()
-        && (ordered->second.m_isInFlight || askedAt < ordered->second.m_at + orderVisibilityDelay);
-    return isOutstanding || mayEarlierOrderArrive(fleetState, machine, askedAt);
+        && (ordered->second.m_isInFlight || !fleet::isNewerThan(list, ordered->second.m_at + orderVisibilityDelay));
+    return isOutstanding || mayEarlierOrderArrive(fleetState, machine, list.m_askedAt);
 }
 
 auto setLeaving(CoordinatorState& state, const std::string& machine, bool isLeaving) -> void
@@ -172,12 +172,12 @@
     state.m_journalSignal.notify();
 }
 
-auto settleOrders(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
+auto settleOrders(CoordinatorState& state, const fleet::MachineList& list) -> void
 {
     auto& fleetState = state.m_fleet;
-    for (const auto& machine : machines) {
+    for (const auto& machine : list.m_machines) {
         const auto ordered = fleetState.m_outstandingOrders.find(machine.m_id);
-        if (machine.m_state != fleet::MachineState::Up || isOrderUnsettled(fleetState, machine.m_id, askedAt))
+        if (machine.m_state != fleet::MachineState::Up || isOrderUnsettled(fleetState, machine.m_id, list))
             continue;
         for (auto& [number, wave] : fleetState.m_waves)
             wave.m_downSince.erase(machine.m_id);
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -8,6 +8,7 @@
 #include "hemlockvane/detail/coordinator/RulesVersion.h"
 #include "hemlockvane/detail/coordinator/WaveRecords.h"
 #include "hemlockvane/detail/logging/Log.h"
+#include "hemlockvane/detail/logging/OutcomeNames.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
 #include "hemlockvane/detail/ports/MachinePort.h"
 #include "hemlockvane/detail/ports/RecordStore.h"
@@ -17,11 +18,14 @@
 #include "hemlockvane/fleet/LimitOrders.h"
 #include "hemlockvane/fleet/PlanMachineWave.h"
 #include "hemlockvane/fleet/PlanPoolMoves.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/placement/ResourceSize.h"
 #include "hemlockvane/scheduling/Evacuate.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 namespace hemlockvane::detail {
 
@@ -56,17 +60,17 @@
     });
 }
 
-auto markEndedExecutors(CoordinatorState& state, const std::vector<fleet::Machine>& machines, Instant askedAt) -> void
+auto markEndedExecutors(CoordinatorState& state, const fleet::MachineList& list) -> void
 {
-    for (const auto& id : fleet::endedExecutors(state.m_fleet.m_machines, machines)) {
+    const auto& before = state.m_fleet.m_machines.m_newest.m_machines;
+    for (const auto& id : fleet::endedExecutors(before, list.m_machines)) {
         const auto found = state.m_scheduler.m_executorById.find(id);
         if (found == state.m_scheduler.m_executorById.end())
             continue;
         auto& executor = *state.m_scheduler.m_executors[found->second];
-        // The list may be older than its present life.
-        if (executor.m_lifeNoticedAt >= askedAt)
+        if (!fleet::isNewerThan(list, executor.m_lifeNoticedAt))
             continue;
-        executor.m_isLeaving = executor.m_isLeaving || isAway(machines, id, state.m_fleet.m_machines);
+        executor.m_isLeaving = executor.m_isLeaving || isAway(list.m_machines, id, before);
         if (!executor.m_runs.empty())
             logOf("fleet").info("event=gone executor={} runs={}", id, executor.m_runs.size());
         scheduling::markTerminated(
@@ -75,6 +79,28 @@
     }
 }
 
+// The logs of an incident tell by it what the platform said of a machine, and when.
+auto logChangedMachines(const fleet::MachineList& before, const fleet::MachineList& now) -> void
+{
+    std::map<std::string_view, const fleet::Machine*> known;
+    for (const auto& machine : before.m_machines)
+        known.emplace(machine.m_id, &machine);
+    for (const auto& machine : now.m_machines) {
+        const auto found = known.find(machine.m_id);
+        const auto* earlier = found == known.end() ? nullptr : found->second;
+        if (found != known.end())
+            known.erase(found);
+        const auto isKnown = earlier != nullptr || before.m_machines.empty();
+        if (isKnown && (earlier == nullptr || earlier->m_state == machine.m_state))
+            continue;
+        logOf("fleet").info("event=machine machine={} pool={} state={} executor={}", machine.m_id, machine.m_pool,
+            nameOf(machine.m_state), machine.m_executorId);
+    }
+    for (const auto& [id, machine] : known)
+        logOf("fleet").info(
+            "event=machine machine={} pool={} state=unlisted executor={}", id, machine->m_pool, machine->m_executorId);
+}
+
 auto readMachines(const std::shared_ptr<CoordinatorState>& state) -> asio::awaitable<void>
 {
     const auto askedAt = monotonicNow();
@@ -82,10 +108,11 @@
     if (state->m_isStopped || !machines)
         co_return;
     // Before orders are settled, while it is known which executors they ended.
-    markEndedExecutors(*state, *machines, askedAt);
-    settleOrders(*state, *machines, askedAt);
-    state->m_fleet.m_machines = std::move(*machines);
-    state->m_fleet.m_listedAt = askedAt;
+    fleet::MachineList list { std::move(*machines), askedAt };
+    markEndedExecutors(*state, list);
+    settleOrders(*state, list);
+    logChangedMachines(state->m_fleet.m_machines.m_newest, list);
+    fleet::recordList(state->m_fleet.m_machines, std::move(list));
 }
 
 auto isOrder(const FleetAction& action) -> bool
@@ -166,7 +193,7 @@
         if (pool.m_waitingMilliCores > 0)
             logOf("fleet").info("event=room pool={} cores_m={} used_m={} waiting_m={} arriving_m={} list_age_ms={}",
                 name, pool.m_capacityMilliCores, pool.m_usedMilliCores, pool.m_waitingMilliCores,
-                pool.m_arrivingMilliCores, (now - state.m_fleet.m_listedAt).count());
+                pool.m_arrivingMilliCores, (now - state.m_fleet.m_machines.m_newest.m_askedAt).count());
     }
 }
 
@@ -196,7 +223,7 @@
         if (wave.m_isCompleted || !hasOrder(wave))
             continue;
         reportPace(*state, number, fleet::planMachineWave(view, wave, fleetState.m_timing, now, actions), now);
-        wave.m_isCompleted = fleet::isWaveCompleted(view, wave);
+        wave.m_isCompleted = fleet::isWaveCompleted(fleetState.m_machines, wave);
         if (wave.m_isCompleted)
             storeWave(*state, wave);
     }
@@ -244,7 +271,7 @@
 {
     while (!state->m_isStopped) {
         const auto interval = hasOpenWork(state->m_fleet) ? listInterval : idleListInterval;
-        if (monotonicNow() - state->m_fleet.m_listedAt >= interval)
+        if (monotonicNow() - state->m_fleet.m_machines.m_newest.m_askedAt >= interval)
             co_await readMachines(state);
         for (auto& [number, wave] : state->m_fleet.m_waves) {
             if (hasOrder(wave))
@@ -252,7 +279,7 @@
         }
         const auto now = monotonicNow();
         if (!state->m_isStopped && mayOrderMachines(*state) && areRulesKnown(*state)
-            && !state->m_fleet.m_machines.empty())
+            && !state->m_fleet.m_machines.m_newest.m_machines.empty())
             planOnce(state, now);
         co_await sleepFor(std::clamp((monotonicNow() - now) * planningPauseFactor, planInterval, longestPlanInterval));
     }
--- a/src/detail/coordinator/ReportZones.cpp
+++ b/src/detail/coordinator/ReportZones.cpp
@@ -29,7 +29,7 @@
         rest.m_runs += executor.m_runs.size();
         rest.m_activeLongRunningRuns += executor.m_activeLongRunningRuns;
     }
-    const auto& machines = state.m_fleet.m_machines;
+    const auto& machines = state.m_fleet.m_machines.m_newest.m_machines;
     rest.m_machines
         = static_cast<std::size_t>(std::count_if(machines.begin(), machines.end(), [&](const fleet::Machine& machine) {
               return machine.m_zone == zone && !scheduler.m_rules.m_spareServices.contains(machine.m_pool);
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -3,6 +3,7 @@
 #include "hemlockvane/detail/intake/IntakeOutcome.h"
 #include "hemlockvane/detail/ports/CallOutcome.h"
 #include "hemlockvane/detail/ports/MachineOutcome.h"
+#include "hemlockvane/fleet/MachineState.h"
 #include "hemlockvane/scheduling/DropReason.h"
 #include "hemlockvane/scheduling/JobPhase.h"
 #include "hemlockvane/scheduling/StartAnswer.h"
@@ -45,6 +46,21 @@
     return "invalid";
 }
 
+auto nameOf(fleet::MachineState state) -> std::string_view
+{
+    switch (state) {
+    case fleet::MachineState::Up:
+        return "up";
+    case fleet::MachineState::Moving:
+        return "moving";
+    case fleet::MachineState::Upkeep:
+        return "upkeep";
+    case fleet::MachineState::Down:
+        return "down";
+    }
+    return "invalid";
+}
+
 auto nameOf(MachineOutcome outcome) -> std::string_view
 {
     switch (outcome) {
--- a/src/fleet/PlanMachineWave.cpp
+++ b/src/fleet/PlanMachineWave.cpp
@@ -2,7 +2,9 @@
 
 #include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/fleet/MachineHistory.h"
 #include "hemlockvane/fleet/MeasurePools.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/fleet/WavePace.h"
 #include "hemlockvane/fleet/WaveState.h"
 
@@ -208,10 +210,12 @@
     return wave.m_order.m_machines.contains(machine) && !wave.m_startedMachines.contains(machine);
 }
 
-auto isWaveCompleted(const FleetView& view, const WaveState& wave) -> bool
+auto isWaveCompleted(const MachineHistory& history, const WaveState& wave) -> bool
 {
-    return std::none_of(view.m_machines.begin(), view.m_machines.end(),
-        [&](const MachineView& machine) { return isUpkeepPending(wave, machine.m_machine.m_id); });
+    const auto& machines = wave.m_order.m_machines;
+    return std::all_of(machines.begin(), machines.end(), [&](const std::string& machine) {
+        return wave.m_startedMachines.contains(machine) || isGone(history, machine, wave.m_seenAt);
+    });
 }
 
 } // namespace hemlockvane::fleet
--- a/tests/core/fleetplan/MachinePlansTest.cpp
+++ b/tests/core/fleetplan/MachinePlansTest.cpp
@@ -1,5 +1,6 @@
 #include "hemlockvane/fleet/FleetTiming.h"
 #include "hemlockvane/fleet/FleetView.h"
+#include "hemlockvane/fleet/MachineHistory.h"
 #include "hemlockvane/fleet/PlanMachineWave.h"
 #include "hemlockvane/fleet/PlanPoolMoves.h"
 #include "hemlockvane/fleet/WaveState.h"
@@ -146,10 +147,14 @@
 
     auto wave_machineNotBegun_isNotCompleted() -> void
     {
+        MachineHistory history;
+        for (const auto& item : m_view.m_machines)
+            history.m_newest.m_machines.push_back(item.m_machine);
+        history.m_newest.m_askedAt = m_now + Duration(1);
         m_wave.m_startedMachines = { "a0", "a1", "a2" };
-        CPPUNIT_ASSERT(!isWaveCompleted(m_view, m_wave));
+        CPPUNIT_ASSERT(!isWaveCompleted(history, m_wave));
         m_wave.m_startedMachines.insert("a3");
-        CPPUNIT_ASSERT(isWaveCompleted(m_view, m_wave));
+        CPPUNIT_ASSERT(isWaveCompleted(history, m_wave));
     }
 
     auto moves_demandAboveCapacity_takesSpareMachinesFirst() -> void
--- a/tests/shell/coordinator/FleetViewsTest.cpp
+++ b/tests/shell/coordinator/FleetViewsTest.cpp
@@ -34,7 +34,7 @@
         m_state->m_scheduler.m_rules.m_services = { "counter", "spare" };
         m_state->m_scheduler.m_rules.m_spareServices = { "spare" };
         for (const std::string id : { "m1", "m2", "m3" }) {
-            m_state->m_fleet.m_machines.push_back(
+            m_state->m_fleet.m_machines.m_newest.m_machines.push_back(
                 { id, "counter", fleet::MachineState::Up, "z", {}, { machineMilliCores, 16000, 0 }, "of-" + id });
             scheduling::ExecutorEntry entry;
             entry.m_id = "of-" + id;
--- a/tests/shell/coordinator/MachineOrdersTest.cpp
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -128,7 +128,7 @@
         scheduling::ExecutorEntry entry;
         entry.m_id = "executor-of-" + machine;
         entry.m_startedAtMs = 1;
-        for (auto& listed : m_state->m_fleet.m_machines) {
+        for (auto& listed : newestList(*m_state).m_machines) {
             if (listed.m_id == machine)
                 listed.m_executorId = entry.m_id;
         }
@@ -143,10 +143,12 @@
         placeMachineOrder(*m_state, { fleet::FleetActionKind::Maintain, "m1", 3, {}, "test" });
     }
 
+    static auto newestList(CoordinatorState& state) -> fleet::MachineList& { return state.m_fleet.m_machines.m_newest; }
+
     // Applies a list that shows all machines up.
     auto settle(Duration afterNow) -> void
     {
-        settleOrders(*m_state, m_state->m_fleet.m_machines, monotonicNow() + afterNow);
+        settleOrders(*m_state, { newestList(*m_state).m_machines, monotonicNow() + afterNow });
     }
 
     auto isDown() -> bool { return m_state->m_fleet.m_waves[3].m_downSince.contains("m1"); }
@@ -161,7 +163,7 @@
         ports.m_renewedAt = [this] { return m_renewedAt; };
         auto state = std::make_shared<CoordinatorState>(m_context, ports, 1);
         for (const auto* id : { "m1", "m2" })
-            state->m_fleet.m_machines.push_back({ id, "spare", fleet::MachineState::Up, "z", {}, {}, {} });
+            newestList(*state).m_machines.push_back({ id, "spare", fleet::MachineState::Up, "z", {}, {}, {} });
         return state;
     }
 
--- a/tests/shell/coordinator/ManageFleetTest.cpp
+++ b/tests/shell/coordinator/ManageFleetTest.cpp
@@ -33,6 +33,10 @@
     CPPUNIT_TEST(wave_rulesRead_drainsMachine);
     CPPUNIT_TEST(wave_rulesOlderThanPredecessors_leavesTasksAlone);
     CPPUNIT_TEST(list_olderThanAnExecutorsLife_itsRunsGoOn);
+    CPPUNIT_TEST(wave_ordersMachineThatTheLastListLacks_isNotCompleted);
+    CPPUNIT_TEST(wave_listAskedForBeforeItArrivesAfterIt_isNotCompleted);
+    CPPUNIT_TEST(wave_machineIsMissingFromOneListOnly_isNotCompleted);
+    CPPUNIT_TEST(wave_machineIsGone_isCompleted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,8 +52,7 @@
         ports.m_renewalWrittenBy = [](std::uint64_t) { return monotonicNow(); };
         ports.m_renewedAt = [] { return monotonicNow(); };
         m_state = std::make_shared<CoordinatorState>(*m_context, ports, 1);
-        m_machines.m_listed = { { "m1", "orders", fleet::MachineState::Up, "z", {}, { 8000, 16000, 0 }, "e1" },
-            { "m2", "orders", fleet::MachineState::Up, "z", {}, { 8000, 16000, 0 }, "e2" } };
+        m_machines.m_listed = { machine("m1", "e1"), machine("m2", "e2") };
         fleet::WaveState wave;
         wave.m_order = { 3, { "m1", "m2" }, Duration(2000), 2 };
         wave.m_seenAt = monotonicNow();
@@ -108,7 +111,74 @@
         CPPUNIT_ASSERT(scheduling::findRun(m_state->m_scheduler, task, 2, index) != nullptr);
     }
 
+    // Guards against a wave that is completed by a list from before its order (review/15).
+    auto wave_ordersMachineThatTheLastListLacks_isNotCompleted() -> void
+    {
+        runWithRules();
+        m_machines.m_listed.reset();
+        orderWave("m3");
+        m_context->run_for(Duration(600));
+        CPPUNIT_ASSERT(!isCompleted());
+        m_machines.m_listed = { machine("m3", "e3") };
+        m_context->run_for(Duration(1000)); // Several lists.
+        CPPUNIT_ASSERT(!isCompleted());
+    }
+
+    // Guards against a wave that is completed by a list which was under way when its order was read.
+    auto wave_listAskedForBeforeItArrivesAfterIt_isNotCompleted() -> void
+    {
+        runWithRules();
+        m_machines.m_duringList = [this] {
+            m_machines.m_listed.reset();
+            orderWave("m3");
+        };
+        m_context->run_for(Duration(1000));
+        CPPUNIT_ASSERT(!isCompleted());
+    }
+
+    // Guards against a wave that is completed although a machine of it was only missed between two pages of a list.
+    auto wave_machineIsMissingFromOneListOnly_isNotCompleted() -> void
+    {
+        runWithRules();
+        orderWave("m3");
+        m_machines.m_duringList = [this] { m_machines.m_listed->push_back(machine("m3", "e3")); };
+        m_context->run_for(Duration(1500)); // Several lists.
+        CPPUNIT_ASSERT(!isCompleted());
+    }
+
+    // Guards against a wave that never ends since one of its machines does not exist any more.
+    auto wave_machineIsGone_isCompleted() -> void
+    {
+        runWithRules();
+        orderWave("m3");
+        m_context->run_for(Duration(2000)); // Several lists.
+        CPPUNIT_ASSERT(isCompleted());
+    }
+
 private:
+    static constexpr std::uint64_t secondWave = 4;
+
+    static auto machine(const std::string& id, const std::string& executor) -> fleet::Machine
+    {
+        return { id, "orders", fleet::MachineState::Up, "z", {}, { 8000, 16000, 0 }, executor };
+    }
+
+    auto orderWave(const std::string& machine) -> void
+    {
+        fleet::WaveState wave;
+        wave.m_order = { secondWave, { machine }, Duration(20000), 1 };
+        wave.m_seenAt = monotonicNow();
+        addWave(*m_state, wave);
+    }
+
+    auto isCompleted() -> bool { return m_state->m_fleet.m_waves.at(secondWave).m_isCompleted; }
+
+    auto runWithRules() -> void
+    {
+        m_state->m_scheduler.m_rules.m_services = { "orders" };
+        run();
+    }
+
     auto startLongRunningTask() -> void
     {
         auto& scheduler = m_state->m_scheduler;
