Free a wave's place when a machine is removed during its upkeep

What operators would see: with one machine at a time, a wave stands still for good once a machine of it is removed during its upkeep.

Cause: a machine counts as down for its wave until a list shows it up. One that was removed is on no list any more.

Change: orders for a machine that is gone, by two lists that are newer than the order's answer, are settled as those for one that is up.

Result: maintenance_machineIsGone_freesItsPlace and maintenance_machineIsMissingFromListsOfBefore_keepsItsPlace hold.

--- a/include/hemlockvane/detail/coordinator/MachineOrders.h
+++ b/include/hemlockvane/detail/coordinator/MachineOrders.h
@@ -30,6 +30,9 @@
 /// machine up, the order's outcome is known and the machine is no longer counted as down.
 auto settleOrders(CoordinatorState& state, const fleet::MachineList& list) -> void;
 
+/// @brief Settles the orders for machines that do not exist any more: they are no longer counted as down.
+auto settleGoneMachines(CoordinatorState& state) -> void;
+
 /// @brief Restores an earlier owner's order for a machine: no new order is sent while that one may still be carried
 /// out.
 /// @result false when the record cannot be parsed
--- a/src/detail/coordinator/MachineOrders.cpp
+++ b/src/detail/coordinator/MachineOrders.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace hemlockvane::detail {
@@ -192,6 +193,28 @@
     }
 }
 
+auto settleGoneMachines(CoordinatorState& state) -> void
+{
+    auto& fleetState = state.m_fleet;
+    const auto& history = fleetState.m_machines;
+    std::set<std::string> ordered;
+    for (const auto& [machine, order] : fleetState.m_outstandingOrders)
+        ordered.insert(machine);
+    for (const auto& [number, wave] : fleetState.m_waves) {
+        for (const auto& [machine, since] : wave.m_downSince)
+            ordered.insert(machine);
+    }
+    for (const auto& machine : ordered) {
+        if (isOrderUnsettled(fleetState, machine, history.m_previous) || !fleet::isGone(history, machine, {}))
+            continue;
+        logOf("fleet").info("event=machine_gone machine={}", machine);
+        for (auto& [number, wave] : fleetState.m_waves)
+            wave.m_downSince.erase(machine);
+        setReserved(state, machine, false);
+        fleetState.m_outstandingOrders.erase(machine);
+    }
+}
+
 auto sendMachineOrders(const std::shared_ptr<CoordinatorState>& state, std::vector<FleetAction> orders) -> void
 {
     for (auto& order : orders) {
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -113,6 +113,7 @@
     settleOrders(*state, list);
     logChangedMachines(state->m_fleet.m_machines.m_newest, list);
     fleet::recordList(state->m_fleet.m_machines, std::move(list));
+    settleGoneMachines(*state);
 }
 
 auto isOrder(const FleetAction& action) -> bool
--- a/tests/shell/coordinator/MachineOrdersTest.cpp
+++ b/tests/shell/coordinator/MachineOrdersTest.cpp
@@ -4,6 +4,7 @@
 #include "hemlockvane/detail/coordinator/CoordinatorState.h"
 #include "hemlockvane/detail/coordinator/FleetViews.h"
 #include "hemlockvane/detail/metrics/Metrics.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 #include "shell/coordinator/RecordingMachines.h"
 
@@ -25,6 +26,8 @@
     CPPUNIT_TEST(order_ownershipNotRenewed_isAbandoned);
     CPPUNIT_TEST(maintenance_notAnsweredYet_countsAsDownWhateverTheListShows);
     CPPUNIT_TEST(maintenance_listRequestedAfterAnswer_settlesIt);
+    CPPUNIT_TEST(maintenance_machineIsGone_freesItsPlace);
+    CPPUNIT_TEST(maintenance_machineIsMissingFromListsOfBefore_keepsItsPlace);
     CPPUNIT_TEST(move_accepted_executorTakesNoTaskUntilSettled);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +114,28 @@
         CPPUNIT_ASSERT(!isBlocked("m1"));
     }
 
+    // Guards against a wave that never goes on: a machine that was removed during its upkeep kept one of the places of
+    // those that may be down.
+    auto maintenance_machineIsGone_freesItsPlace() -> void
+    {
+        placeMaintenance();
+        send();
+        listWithout("m1", Duration(1000));
+        CPPUNIT_ASSERT(isDown());
+        listWithout("m1", Duration(1400));
+        CPPUNIT_ASSERT(!isDown());
+        CPPUNIT_ASSERT(m_state->m_fleet.m_outstandingOrders.empty());
+    }
+
+    auto maintenance_machineIsMissingFromListsOfBefore_keepsItsPlace() -> void
+    {
+        placeMaintenance();
+        send();
+        listWithout("m1", Duration(0));
+        listWithout("m1", Duration(1000));
+        CPPUNIT_ASSERT(isDown());
+    }
+
     auto move_accepted_executorTakesNoTaskUntilSettled() -> void
     {
         const auto executor = addExecutor("m1");
@@ -151,6 +176,15 @@
         settleOrders(*m_state, { newestList(*m_state).m_machines, monotonicNow() + afterNow });
     }
 
+    // Applies a list that lacks a machine.
+    auto listWithout(const std::string& machine, Duration afterNow) -> void
+    {
+        fleet::MachineList list { newestList(*m_state).m_machines, monotonicNow() + afterNow };
+        std::erase_if(list.m_machines, [&](const fleet::Machine& listed) { return listed.m_id == machine; });
+        fleet::recordList(m_state->m_fleet.m_machines, std::move(list));
+        settleGoneMachines(*m_state);
+    }
+
     auto isDown() -> bool { return m_state->m_fleet.m_waves[3].m_downSince.contains("m1"); }
 
     auto makeState() -> std::shared_ptr<CoordinatorState>
