Order no upkeep by a list that names a machine's earlier executor

What operators would see: an upkeep or a move ends tasks that are at work, on a machine that had just come back with another executor.

Cause: a machine is ordered away while the executor that the list names has no runs. If another one has joined the machine since the list was asked for, that says nothing about what runs there.

Result: executor_joinsAfterTheList_machineIsNotMaintainedBeforeTheNext fails without the new line and holds with it.

--- a/src/detail/coordinator/FleetViews.cpp
+++ b/src/detail/coordinator/FleetViews.cpp
@@ -61,6 +61,8 @@
         view.m_activeLongRunningRuns = executor->m_activeLongRunningRuns;
         view.m_usedCpuMilliCores = executor->m_used.m_cpuMilliCores;
     }
+    // Until the next list names that one, nothing is known of what runs there.
+    view.m_mayHaveUnknownRuns = view.m_mayHaveUnknownRuns || fleet::hasJoinedSince(fleetState.m_machines, machine);
     auto [idle, isNew] = fleetState.m_idleSince.try_emplace(machine.m_id, now);
     if (view.m_runs > 0)
         idle->second = now;
--- a/tests/shell/coordinator/FleetViewsTest.cpp
+++ b/tests/shell/coordinator/FleetViewsTest.cpp
@@ -6,6 +6,7 @@
 #include "hemlockvane/fleet/FleetView.h"
 #include "hemlockvane/fleet/PlanMachineWave.h"
 #include "hemlockvane/fleet/PlanPoolMoves.h"
+#include "hemlockvane/fleet/ReadMachines.h"
 #include "hemlockvane/scheduling/TrackExecutors.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(executor_notAnsweredYet_machineIsNotMaintained);
     CPPUNIT_TEST(executor_notAnsweredYet_countsAsCapacity);
     CPPUNIT_TEST(executor_capacityShrinks_poolShrinks);
+    CPPUNIT_TEST(executor_joinsAfterTheList_machineIsNotMaintainedBeforeTheNext);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +83,23 @@
             2 * machineMilliCores + machineMilliCores / 4, view.m_pools.at("counter").m_capacityMilliCores);
     }
 
+    // Guards against an upkeep that ends tasks: a machine that is back with another executor looked empty by the list
+    // that names the earlier one.
+    auto executor_joinsAfterTheList_machineIsNotMaintainedBeforeTheNext() -> void
+    {
+        answer();
+        m_state->m_fleet.m_reserved.insert("m1");
+        auto& history = m_state->m_fleet.m_machines;
+        history.m_newest.m_askedAt = m_now;
+        fleet::noteJoined(history, "m1", "next-of-m1", m_now + Duration(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, maintenance().size());
+        auto next = history.m_newest;
+        next.m_machines.front().m_executorId = "next-of-m1";
+        next.m_askedAt = m_now + Duration(200);
+        fleet::recordList(history, next);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, maintenance().size());
+    }
+
 private:
     static constexpr std::int64_t machineMilliCores = 32000;
     static constexpr Duration idleTime { 60000 };
