Start a task elsewhere once its executor can carry out nothing any more

Cause: such a start may be carried out by any later life for 12 s, with the longest lease, and the owner waited for both. It knew of silence only: the registry's removal of the entry, and polls without an answer. It did not ask for what could tell more.

Change: once the registry has dropped a silent executor that has runs, the list of machines is asked for at once. If a list that is newer than the removal and than the executor's last known life shows its machine as down, away or with another executor, or two such lists do not name it any more, the executor's runs are dropped (reason=machine_lost) and their tasks start elsewhere. Silence alone proves nothing, as before: leases and fences are unchanged.

--- a/include/hemlockvane/fleet/ReadMachines.h
+++ b/include/hemlockvane/fleet/ReadMachines.h
@@ -37,4 +37,14 @@
 /// that the list names an earlier one.
 [[nodiscard]] auto hasJoinedSince(const MachineHistory& history, const Machine& listed) -> bool;
 
+/// @brief Whether the lists show that an executor, which was last known on a machine, can carry out nothing any more:
+/// the machine is down, moving or under upkeep, has another executor, or does not exist any more.
+///
+/// The platform says so of the machine itself. A machine that is only cut off, from the store or from its callers,
+/// stays listed as up with the same executor.
+/// @param machine the executor's machine; empty if it is only known from lists
+/// @param learntAt when the executor was last known to live, or was found to be missing from the registry
+[[nodiscard]] auto isExecutorGone(
+    const MachineHistory& history, const std::string& executorId, const std::string& machine, Instant learntAt) -> bool;
+
 } // namespace hemlockvane::fleet
--- a/include/hemlockvane/scheduling/DropReason.h
+++ b/include/hemlockvane/scheduling/DropReason.h
@@ -9,6 +9,7 @@
     NewLife, ///< Its executor has started again under its id.
     OtherIncarnation, ///< Another executor answered at its executor's address.
     ListOfMachines, ///< The list of machines shows that its executor has ended.
+    MachineLost, ///< Its executor is unresponsive and not listed, and its machine is down, gone or has another one.
     LeaseLapsed, ///< Its executor is unresponsive, and its lease has expired.
     Refused, ///< Its start was refused, or given up before it was sent.
     NotSent, ///< Its start was dropped before it was sent.
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -53,7 +53,17 @@
 
 /// @brief Handles the removal of an executor's entry: no task is started there any more; runs stay until they end or
 /// their lease expires.
-auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void;
+auto unregisterExecutor(Scheduler& scheduler, std::string_view id, Instant now) -> void;
+
+/// @brief Whether something that was learnt since its present life may show that an executor can carry out nothing any
+/// more: it does not answer, and the registry has dropped it. By itself this is only silence, and its runs may go on.
+[[nodiscard]] auto mayBeLost(const Executor& executor) -> bool;
+
+/// @brief Removes the runs of such an executor at once, also those whose start may have reached one of several lives.
+/// The caller must be certain that its machine is down, does not exist any more, or has another executor.
+/// What crashed it is left open, since the starts without an answer may never have been carried out.
+/// @result number of runs removed
+auto removeLostRuns(Scheduler& scheduler, ExecutorIndex index, Instant now) -> std::size_t;
 
 /// @brief Marks an executor's incarnation as ended and removes its runs. The caller must be certain that it has ended.
 /// @param reason what showed it
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -59,7 +59,7 @@
         if (known == scheduler.m_executorById.end() || !scheduler.m_executors[known->second]->m_isRegistered)
             return;
         logOf("executors").info("event=unlisted executor={} empty={}", record.m_key, record.m_value.empty());
-        scheduling::unregisterExecutor(scheduler, record.m_key);
+        scheduling::unregisterExecutor(scheduler, record.m_key, monotonicNow());
         return;
     }
     const auto isNew = known == scheduler.m_executorById.end();
@@ -281,10 +281,10 @@
     }
     // Executors that are known only from the journal of an earlier owner may still have runs.
     for (scheduling::ExecutorIndex index = 0; index < state->m_scheduler.m_executors.size(); ++index) {
-        auto& executor = *state->m_scheduler.m_executors[index];
-        if (listed.contains(executor.m_entry.m_id))
+        const auto& id = state->m_scheduler.m_executors[index]->m_entry.m_id;
+        if (listed.contains(id))
             continue;
-        executor.m_isRegistered = false;
+        scheduling::unregisterExecutor(state->m_scheduler, id, monotonicNow());
         startPolling(state, index);
     }
     state->m_nextExecutorOffset = content.second;
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -39,7 +39,7 @@
 // Planning takes at most a tenth of the time, but is not put off for longer than this.
 constexpr int planningPauseFactor = 9;
 constexpr Duration longestPlanInterval { 500 };
-constexpr Duration listInterval { 400 }; // Between two list calls while waves or orders are open.
+constexpr Duration listInterval { 400 }; // Between two list calls while something waits for the next one.
 constexpr Duration idleListInterval { 2000 };
 constexpr Duration statusTimeout { 700 };
 constexpr Duration capacityReportInterval { 1000 }; // Metrics are read every few seconds.
@@ -79,6 +79,32 @@
     }
 }
 
+// The executors that the registry has dropped and of which the list may show that they have ended.
+auto executorsInDoubt(const scheduling::Scheduler& scheduler) -> std::vector<scheduling::ExecutorIndex>
+{
+    std::vector<scheduling::ExecutorIndex> inDoubt;
+    for (const auto index : scheduler.m_activeExecutors) {
+        if (scheduling::mayBeLost(*scheduler.m_executors[index]))
+            inDoubt.push_back(index);
+    }
+    return inDoubt;
+}
+
+// Their tasks start elsewhere at once.
+auto removeLostRuns(CoordinatorState& state) -> void
+{
+    for (const auto index : executorsInDoubt(state.m_scheduler)) {
+        const auto& executor = *state.m_scheduler.m_executors[index];
+        const auto& entry = executor.m_entry;
+        const auto learntAt = std::max(*executor.m_unlistedAt, executor.m_lifeNoticedAt);
+        if (!fleet::isExecutorGone(state.m_fleet.m_machines, entry.m_id, entry.m_machine, learntAt))
+            continue;
+        const auto runs = scheduling::removeLostRuns(state.m_scheduler, index, monotonicNow());
+        logOf("fleet").info("event=machine_lost executor={} machine={} runs={}", entry.m_id, entry.m_machine, runs);
+        state.m_planSignal.notify();
+    }
+}
+
 // The logs of an incident tell by it what the platform said of a machine, and when.
 auto logChangedMachines(const fleet::MachineList& before, const fleet::MachineList& now) -> void
 {
@@ -114,6 +140,7 @@
     logChangedMachines(state->m_fleet.m_machines.m_newest, list);
     fleet::recordList(state->m_fleet.m_machines, std::move(list));
     settleGoneMachines(*state);
+    removeLostRuns(*state);
 }
 
 auto isOrder(const FleetAction& action) -> bool
@@ -246,13 +273,14 @@
     return !state.m_scheduler.m_rules.m_services.empty() && !areRulesOutdated(state);
 }
 
-auto hasOpenWork(const FleetControlState& fleetState) -> bool
+// Whether something waits for the next list.
+auto hasOpenWork(const CoordinatorState& state) -> bool
 {
-    for (const auto& [number, wave] : fleetState.m_waves) {
+    for (const auto& [number, wave] : state.m_fleet.m_waves) {
         if (!wave.m_isCompleted)
             return true;
     }
-    return !fleetState.m_outstandingOrders.empty();
+    return !state.m_fleet.m_outstandingOrders.empty() || !executorsInDoubt(state.m_scheduler).empty();
 }
 
 } // namespace
@@ -271,7 +299,7 @@
 auto manageFleet(std::shared_ptr<CoordinatorState> state) -> asio::awaitable<void>
 {
     while (!state->m_isStopped) {
-        const auto interval = hasOpenWork(state->m_fleet) ? listInterval : idleListInterval;
+        const auto interval = hasOpenWork(*state) ? listInterval : idleListInterval;
         if (monotonicNow() - state->m_fleet.m_machines.m_newest.m_askedAt >= interval)
             co_await readMachines(state);
         for (auto& [number, wave] : state->m_fleet.m_waves) {
--- a/src/detail/coordinator/SchedulerRecords.cpp
+++ b/src/detail/coordinator/SchedulerRecords.cpp
@@ -127,6 +127,7 @@
     record.set_service(entry.m_service);
     record.set_address(entry.m_address);
     record.set_zone(entry.m_zone);
+    record.set_machine(entry.m_machine);
     for (const auto& label : entry.m_labels)
         record.add_labels(label);
     record.set_cpu_millis(entry.m_capacity.m_cpuMilliCores);
@@ -149,6 +150,7 @@
     entry.m_service = record.service();
     entry.m_address = record.address();
     entry.m_zone = record.zone();
+    entry.m_machine = record.machine();
     entry.m_labels.assign(record.labels().begin(), record.labels().end());
     entry.m_capacity = { record.cpu_millis(), record.memory_mb(), record.gpus() };
     executor.m_mayHoldEarlierLease = record.may_hold_earlier_lease();
--- a/src/detail/logging/OutcomeNames.cpp
+++ b/src/detail/logging/OutcomeNames.cpp
@@ -91,6 +91,8 @@
         return "other_incarnation";
     case scheduling::DropReason::ListOfMachines:
         return "list_of_machines";
+    case scheduling::DropReason::MachineLost:
+        return "machine_lost";
     case scheduling::DropReason::LeaseLapsed:
         return "lease_lapsed";
     case scheduling::DropReason::Refused:
--- a/src/fleet/ReadMachines.cpp
+++ b/src/fleet/ReadMachines.cpp
@@ -42,4 +42,19 @@
         && !isNewerThan(history.m_newest, joined->second.m_noticedAt);
 }
 
+auto isExecutorGone(
+    const MachineHistory& history, const std::string& executorId, const std::string& machine, Instant learntAt) -> bool
+{
+    const auto& machines = history.m_newest.m_machines;
+    const auto found = std::find_if(machines.begin(), machines.end(), [&](const Machine& listed) {
+        return machine.empty() ? listed.m_executorId == executorId : listed.m_id == machine;
+    });
+    if (found == machines.end())
+        return !machine.empty() && isGone(history, machine, learntAt);
+    // A machine that has come up may not name its executor yet.
+    const auto mayRun
+        = found->m_state == MachineState::Up && (found->m_executorId.empty() || found->m_executorId == executorId);
+    return !mayRun && isNewerThan(history.m_newest, learntAt);
+}
+
 } // namespace hemlockvane::fleet
--- a/tests/core/fleetplan/ReadMachinesTest.cpp
+++ b/tests/core/fleetplan/ReadMachinesTest.cpp
@@ -18,6 +18,13 @@
     CPPUNIT_TEST(machine_executorJoinedBeforeTheLists_isGone);
     CPPUNIT_TEST(machine_otherExecutorJoins_listNamesEarlierOne);
     CPPUNIT_TEST(machine_listedExecutorJoins_listNamesPresentOne);
+    CPPUNIT_TEST(executor_machineUp_isNotGone);
+    CPPUNIT_TEST(executor_machineUpWithoutAName_isNotGone);
+    CPPUNIT_TEST(executor_machineDown_isGone);
+    CPPUNIT_TEST(executor_machineDownByAListOfBefore_isNotGone);
+    CPPUNIT_TEST(executor_machineHasAnother_isGone);
+    CPPUNIT_TEST(executor_machineNotListedTwice_isGone);
+    CPPUNIT_TEST(executor_machineUnknownAndNotNamed_isNotGone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,10 +62,8 @@
 
     auto machine_listedAsDown_isNotGone() -> void
     {
-        auto machine = up("m1", "e1");
-        machine.m_state = MachineState::Down;
-        list(400, { machine });
-        list(800, { machine });
+        list(400, { down("m1", "e1") });
+        list(800, { down("m1", "e1") });
         CPPUNIT_ASSERT(!isGone(m_history, "m1", m_learntAt));
     }
 
@@ -94,7 +99,64 @@
         CPPUNIT_ASSERT(!hasJoinedSince(m_history, up("m1", "e1")));
     }
 
+    auto executor_machineUp_isNotGone() -> void
+    {
+        list(400, { up("m1", "e1") });
+        CPPUNIT_ASSERT(!isE1Gone());
+    }
+
+    auto executor_machineUpWithoutAName_isNotGone() -> void
+    {
+        list(400, { up("m1", "") });
+        CPPUNIT_ASSERT(!isE1Gone());
+    }
+
+    auto executor_machineDown_isGone() -> void
+    {
+        list(400, { down("m1", "") });
+        CPPUNIT_ASSERT(isE1Gone());
+        CPPUNIT_ASSERT(!isExecutorGone(m_history, "e1", "", m_learntAt));
+        list(800, { down("m1", "e1") });
+        CPPUNIT_ASSERT(isExecutorGone(m_history, "e1", "", m_learntAt));
+    }
+
+    auto executor_machineDownByAListOfBefore_isNotGone() -> void
+    {
+        list(0, { down("m1", "") });
+        CPPUNIT_ASSERT(!isE1Gone());
+    }
+
+    auto executor_machineHasAnother_isGone() -> void
+    {
+        list(400, { up("m1", "e2") });
+        CPPUNIT_ASSERT(isE1Gone());
+    }
+
+    auto executor_machineNotListedTwice_isGone() -> void
+    {
+        list(400, {});
+        CPPUNIT_ASSERT(!isE1Gone());
+        list(800, {});
+        CPPUNIT_ASSERT(isE1Gone());
+    }
+
+    auto executor_machineUnknownAndNotNamed_isNotGone() -> void
+    {
+        list(400, {});
+        list(800, {});
+        CPPUNIT_ASSERT(!isExecutorGone(m_history, "e1", "", m_learntAt));
+    }
+
 private:
+    static auto down(const std::string& id, const std::string& executor) -> Machine
+    {
+        auto machine = up(id, executor);
+        machine.m_state = MachineState::Down;
+        return machine;
+    }
+
+    auto isE1Gone() -> bool { return isExecutorGone(m_history, "e1", "m1", m_learntAt); }
+
     static auto up(const std::string& id, const std::string& executor) -> Machine
     {
         return { id, "a", MachineState::Up, "z", {}, {}, executor };
--- a/tests/shell/coordinator/OwnerFixture.h
+++ b/tests/shell/coordinator/OwnerFixture.h
@@ -67,6 +67,7 @@
         ports.m_store = &m_memory;
         ports.m_storeLimits = m_memory.m_limits;
         ports.m_executors = &m_executors;
+        ports.m_machines = m_machines;
         ports.m_metrics = &m_metrics;
         ports.m_renewedAt = [] { return monotonicNow(); };
         ports.m_executorTopic = m_executorTopic;
@@ -95,6 +96,7 @@
     MemoryStore m_memory;
     ScriptedExecutors m_executors;
     Metrics m_metrics;
+    MachinePort* m_machines = nullptr;
     scheduling::JobSpec m_spec; ///< Of all jobs.
     scheduling::FleetRules m_rules;
     std::function<std::optional<scheduling::ExecutorEntry>(std::string_view, std::string_view)> m_decodeExecutor
--- a/tests/shell/coordinator/ScriptedExecutors.h
+++ b/tests/shell/coordinator/ScriptedExecutors.h
@@ -22,6 +22,7 @@
     struct Life {
         std::int64_t m_startedAtMs = 1;
         bool m_isSilent = false; ///< Calls get no answer and have no effect.
+        bool m_hangsAtStart = false; ///< Becomes silent when it gets a start, which has no effect.
         bool m_hasNewerOwner = false; ///< Polls are refused, since a newer owner has called.
         std::vector<scheduling::ReportedRun> m_runs;
         std::vector<scheduling::EndedRun> m_ends; ///< Ends that are listed until they are acknowledged.
@@ -37,6 +38,7 @@
         if (!mayBeSent())
             co_return scheduling::StartAnswer::NotSent;
         auto& life = m_lives[id];
+        life.m_isSilent = life.m_isSilent || life.m_hangsAtStart;
         if (life.m_isSilent)
             co_return scheduling::StartAnswer::Unknown;
         life.m_runs.push_back({ order.m_task, order.m_run, {}, 100, 0 });
