Play hung and lost executors, and an unreachable list of machines

FleetRun gets two disruptions: hang-and-lose (an executor answers nothing, starts again under its id, and up to three a run are then lost for good) and list-away (the service of machines refuses lists and orders, or answers with lists that are up to 0.95 s old).

--- a/tests/fleet/ExecutorPlace.h
+++ b/tests/fleet/ExecutorPlace.h
@@ -8,6 +8,7 @@
 /// @brief Where an executor runs and what it offers.
 struct ExecutorPlace {
     std::string m_id;
+    std::string m_machine;
     std::string m_service;
     std::string m_zone;
     std::string m_rack;
--- a/tests/fleet/FleetExecutor.cpp
+++ b/tests/fleet/FleetExecutor.cpp
@@ -141,8 +141,8 @@
         { "zone", m_place.m_zone }, { "version", "v1" }, { "slots", 8 },
         { "state", m_isDraining ? "draining" : "ready" }, { "coldRemainingMs", 0 },
         { "capacity", json::object { { "cpu", m_place.m_cpu }, { "memMb", m_place.m_memoryMb }, { "gpu", 0 } } },
-        { "labels", json::array { "a", m_place.m_rack } }, { "clockMs", clockMs() }, { "seq", ++m_sequence },
-        { "born", m_bornUnixMs } });
+        { "labels", json::array { "a", m_place.m_rack } }, { "machine", m_place.m_machine }, { "clockMs", clockMs() },
+        { "seq", ++m_sequence }, { "born", m_bornUnixMs } });
 }
 
 auto FleetExecutor::clockMs() const -> std::int64_t
--- a/tests/fleet/FleetMachines.cpp
+++ b/tests/fleet/FleetMachines.cpp
@@ -28,6 +28,7 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBad = 400;
 constexpr unsigned statusConflict = 409;
+constexpr unsigned statusUnavailable = 503;
 
 auto jsonAnswer(unsigned status, const json::object& body) -> StandinAnswer
 {
@@ -82,7 +83,7 @@
 {
     std::array<char, 16> name {};
     std::snprintf(name.data(), name.size(), "i-%08x", static_cast<unsigned>(m_random()));
-    ExecutorPlace place { name.data(), machine.m_pool, machine.m_zone, machine.m_rack, machine.m_address,
+    ExecutorPlace place { name.data(), machine.m_id, machine.m_pool, machine.m_zone, machine.m_rack, machine.m_address,
         m_site.m_executorCpu, m_site.m_executorMemoryMb, m_site.m_longestHoldMs, m_site.m_longestStopMs };
     if (machine.m_executor)
         m_pastExecutors.push_back(machine.m_executor);
@@ -154,6 +155,8 @@
         publish(*executor);
 }
 
+auto FleetMachines::lose(std::size_t machine) -> void { m_machines[machine].m_executor->goDark(); }
+
 auto FleetMachines::takeAway(std::size_t index, const std::string& state, Duration time) -> asio::awaitable<void>
 {
     auto& machine = m_machines[index];
@@ -199,6 +202,8 @@
 
 auto FleetMachines::handle(detail::HttpRequest request) -> asio::awaitable<StandinAnswer>
 {
+    if (m_isBusy)
+        co_return jsonAnswer(statusUnavailable, {});
     if (request.m_target == "/hemlockvane/machine-move" || request.m_target == "/hemlockvane/machine-upkeep") {
         auto result = order(request, request.m_target == "/hemlockvane/machine-move");
         if (m_loseAnswers)
@@ -214,8 +219,9 @@
             { "capacity",
                 json::object {
                     { "cpu", m_site.m_executorCpu }, { "memMb", m_site.m_executorMemoryMb }, { "gpu", 0 } } },
-            { "id", machine.m_state == "up" ? machine.m_executor->place().m_id : std::string() } });
+            { "id", machine.m_state == "up" && !isDown ? machine.m_executor->place().m_id : std::string() } });
     }
+    co_await detail::sleepFor(m_listDelay); // The list is as old as that when it arrives.
     co_return jsonAnswer(statusOk, { { "machines", std::move(machines) }, { "nextToken", nullptr } });
 }
 
--- a/tests/fleet/FleetMachines.h
+++ b/tests/fleet/FleetMachines.h
@@ -42,12 +42,17 @@
     /// @param isListedAtOnce otherwise the registry shows the new life only by its next heartbeat
     auto goDarkAndReturn(std::size_t machine, Duration down, bool isListedAtOnce) -> boost::asio::awaitable<void>;
 
+    /// @brief Takes the power of a machine for good.
+    auto lose(std::size_t machine) -> void;
+
     auto machines() -> std::vector<FleetMachine>& { return m_machines; }
 
     std::function<std::string(std::int64_t)> m_starterOf;
     std::map<std::int64_t, std::set<std::string>> m_waves; ///< Machines of each wave.
     std::function<bool()> m_isStoreAway;
     bool m_doEntriesExpire = false; ///< Also while the store is away.
+    bool m_isBusy = false; ///< Lists and orders are refused.
+    Duration m_listDelay { 0 }; ///< From the state that a list shows to its answer.
     bool m_loseAnswers = false; ///< Orders are carried out and not answered.
 
 private:
--- a/tests/fleet/FleetTroubles.cpp
+++ b/tests/fleet/FleetTroubles.cpp
@@ -59,6 +59,8 @@
         { "owner-term", &FleetTroubles::ownerTerm },
         { "store", &FleetTroubles::storeTrouble },
         { "store-away", &FleetTroubles::storeAway },
+        { "list-away", &FleetTroubles::listAway },
+        { "hang-and-lose", &FleetTroubles::hangAndLose },
     };
     for (const auto& [known, kind] : kinds) {
         if (known == name)
@@ -92,6 +94,8 @@
     m_store.m_isSilent = false;
     m_store.m_delayMs = 0;
     m_store.m_lostPercent = 0;
+    m_machines.m_isBusy = false;
+    m_machines.m_listDelay = {};
     for (auto& machine : m_machines.machines())
         machine.m_executor->m_faults = {};
     for (std::size_t i = 0; i < m_instances.instances().size(); ++i) {
@@ -320,4 +324,46 @@
     }
 }
 
+// The list of machines is refused, or late by less than the time for which the owner waits for it.
+auto FleetTroubles::listAway(std::int64_t until) -> asio::awaitable<void>
+{
+    while (true) {
+        co_await pause(500, 3000);
+        if (isOver(until))
+            co_return;
+        m_machines.m_isBusy = between(0, 1) == 1;
+        m_machines.m_listDelay = Duration { m_machines.m_isBusy ? 0 : between(300, 950) };
+        m_record.write("machines", m_machines.m_isBusy ? "refuse lists and orders" : "list late");
+        co_await pause(1000, 5000);
+        m_machines.m_isBusy = false;
+        m_machines.m_listDelay = {};
+        m_record.write("machines", "sound");
+    }
+}
+
+// Executors answer nothing, start again meanwhile, and some are lost for good.
+auto FleetTroubles::hangAndLose(std::int64_t until) -> asio::awaitable<void>
+{
+    constexpr int mayBeLost = 3;
+    for (int lost = 0;;) {
+        co_await pause(1500, 4000);
+        if (isOver(until))
+            co_return;
+        const auto machine = anyMachine();
+        const auto executor = m_machines.machines()[machine].m_executor;
+        if (!executor->isUp())
+            continue;
+        executor->m_faults.m_isCut = true;
+        m_record.write(executor->place().m_id, "hangs");
+        co_await pause(300, 1500);
+        co_await m_machines.goDarkAndReturn(machine, Duration { between(100, 600) }, true);
+        co_await pause(300, 2000);
+        executor->m_faults.m_isCut = false;
+        if (lost == mayBeLost || m_machines.machines()[machine].m_executor != executor || m_isOver)
+            continue;
+        ++lost;
+        m_machines.lose(machine);
+    }
+}
+
 } // namespace hemlockvane::fleetrun
--- a/tests/fleet/FleetTroubles.h
+++ b/tests/fleet/FleetTroubles.h
@@ -48,6 +48,8 @@
     auto ownerTerm(std::int64_t until) -> boost::asio::awaitable<void>;
     auto storeTrouble(std::int64_t until) -> boost::asio::awaitable<void>;
     auto storeAway(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto listAway(std::int64_t until) -> boost::asio::awaitable<void>;
+    auto hangAndLose(std::int64_t until) -> boost::asio::awaitable<void>;
 
     auto kindOf(std::string_view name) const -> Kind;
     auto pause(std::int64_t leastMs, std::int64_t mostMs) -> boost::asio::awaitable<void>;
