Tell a removed entry from one that can't be read

Only the removal of an entry says that its executor has left or was silent; one by another writer says nothing of it. And an executor whose last life only a poll had shown was not registered, so that the removal of the entry of the life before was ignored and its tasks waited for their leases.

machine_downWhileEntryIsUnreadable_taskWaits and machine_downAndLastLifeKnownOnlyFromPoll_taskStartsElsewhereAtOnce hold.

--- a/include/hemlockvane/scheduling/Executor.h
+++ b/include/hemlockvane/scheduling/Executor.h
@@ -26,7 +26,7 @@
     bool m_mayHoldEarlierLease
         = false; ///< A request meant for an earlier life may have extended the present one's lease.
     bool m_isRegistered = true; ///< The registry shows this incarnation.
-    std::optional<Instant> m_unlistedAt; ///< When its entry was found to be missing from the registry; empty: listed.
+    std::optional<Instant> m_entryRemovedAt; ///< When the registry was found to have removed its entry.
     bool m_isActive = false; ///< Listed in `Scheduler::m_activeExecutors`.
     std::uint64_t m_activation = 0; ///< Number of its last activation; order of `Scheduler::m_activeExecutors`.
     bool m_isTerminated = false; ///< This incarnation has certainly ended.
--- a/include/hemlockvane/scheduling/TrackExecutors.h
+++ b/include/hemlockvane/scheduling/TrackExecutors.h
@@ -51,12 +51,16 @@
 /// @result the executors that were retired
 auto retireExecutors(Scheduler& scheduler) -> std::vector<ExecutorIndex>;
 
-/// @brief Handles the removal of an executor's entry: no task is started there any more; runs stay until they end or
+/// @brief Handles an executor without a readable entry: no task is started there any more; runs stay until they end or
 /// their lease expires.
-auto unregisterExecutor(Scheduler& scheduler, std::string_view id, Instant now) -> void;
+auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void;
+
+/// @brief Handles the removal of an executor's entry: as `unregisterExecutor`, and the executor has left or was silent.
+auto noteEntryRemoved(Scheduler& scheduler, std::string_view id, Instant now) -> void;
 
 /// @brief Whether something that was learnt since its present life may show that an executor can carry out nothing any
-/// more: it does not answer, and the registry has dropped it. By itself this is only silence, and its runs may go on.
+/// more: it does not answer, and the registry has removed its entry. By itself this is only silence, and its runs may
+/// go on.
 [[nodiscard]] auto mayBeLost(const Executor& executor) -> bool;
 
 /// @brief Removes the runs of such an executor at once, also those whose start may have reached one of several lives.
--- a/src/detail/coordinator/ExecutorPolling.cpp
+++ b/src/detail/coordinator/ExecutorPolling.cpp
@@ -56,10 +56,14 @@
         = record.m_value.empty() ? std::nullopt : state->m_ports.m_decoders.m_executor(record.m_key, record.m_value);
     const auto known = scheduler.m_executorById.find(record.m_key);
     if (!entry) {
-        if (known == scheduler.m_executorById.end() || !scheduler.m_executors[known->second]->m_isRegistered)
+        if (known == scheduler.m_executorById.end())
             return;
-        logOf("executors").info("event=unlisted executor={} empty={}", record.m_key, record.m_value.empty());
-        scheduling::unregisterExecutor(scheduler, record.m_key, monotonicNow());
+        if (scheduler.m_executors[known->second]->m_isRegistered)
+            logOf("executors").info("event=unlisted executor={} empty={}", record.m_key, record.m_value.empty());
+        if (record.m_value.empty())
+            scheduling::noteEntryRemoved(scheduler, record.m_key, monotonicNow());
+        else
+            scheduling::unregisterExecutor(scheduler, record.m_key);
         return;
     }
     const auto isNew = known == scheduler.m_executorById.end();
@@ -284,7 +288,7 @@
         const auto& id = state->m_scheduler.m_executors[index]->m_entry.m_id;
         if (listed.contains(id))
             continue;
-        scheduling::unregisterExecutor(state->m_scheduler, id, monotonicNow());
+        scheduling::noteEntryRemoved(state->m_scheduler, id, monotonicNow());
         startPolling(state, index);
     }
     state->m_nextExecutorOffset = content.second;
--- a/src/detail/coordinator/Journal.cpp
+++ b/src/detail/coordinator/Journal.cpp
@@ -173,8 +173,7 @@
     const auto index = scheduling::registerExecutor(
         state.m_scheduler, stored->m_entry, state.m_earlierLeasesExpireBy, monotonicNow());
     auto& executor = *state.m_scheduler.m_executors[index];
-    // Until the registry contains it.
-    scheduling::unregisterExecutor(state.m_scheduler, stored->m_entry.m_id, monotonicNow());
+    executor.m_isRegistered = false; // Until the registry contains it.
     const auto& timing = state.m_scheduler.m_timing;
     const auto untilArrived = stored->m_mayGetEarlierRequests ? timing.m_latestArrival : Duration { 0 };
     if (stored->m_mayHoldEarlierLease)
--- a/src/detail/coordinator/ManageFleet.cpp
+++ b/src/detail/coordinator/ManageFleet.cpp
@@ -79,7 +79,7 @@
     }
 }
 
-// The executors that the registry has dropped and of which the list may show that they have ended.
+// The executors whose entries were removed and of which the list may show that they have ended.
 auto executorsInDoubt(const scheduling::Scheduler& scheduler) -> std::vector<scheduling::ExecutorIndex>
 {
     std::vector<scheduling::ExecutorIndex> inDoubt;
@@ -96,7 +96,7 @@
     for (const auto index : executorsInDoubt(state.m_scheduler)) {
         const auto& executor = *state.m_scheduler.m_executors[index];
         const auto& entry = executor.m_entry;
-        const auto learntAt = std::max(*executor.m_unlistedAt, executor.m_lifeNoticedAt);
+        const auto learntAt = std::max(*executor.m_entryRemovedAt, executor.m_lifeNoticedAt);
         if (!fleet::isExecutorGone(state.m_fleet.m_machines, entry.m_id, entry.m_machine, learntAt))
             continue;
         const auto runs = scheduling::removeLostRuns(state.m_scheduler, index, monotonicNow());
--- a/src/scheduling/TrackExecutors.cpp
+++ b/src/scheduling/TrackExecutors.cpp
@@ -141,7 +141,7 @@
     ++executor.m_lifeNumber;
     executor.m_lifeNoticedAt = now;
     executor.m_isRegistered = false;
-    executor.m_unlistedAt.reset();
+    executor.m_entryRemovedAt.reset();
     executor.m_firstAnsweredAt.reset();
     executor.m_acknowledgedEnd = 0;
     executor.m_appliedEnd = 0;
@@ -391,7 +391,7 @@
         = executor.m_entry.m_service != entry.m_service || executor.m_entry.m_labels != entry.m_labels;
     adoptEntry(scheduler, executor, entry, now);
     executor.m_isRegistered = true;
-    executor.m_unlistedAt.reset();
+    executor.m_entryRemovedAt.reset();
     if (isOfOtherKind)
         stopMisplacedRuns(scheduler, found->second);
     activateExecutor(scheduler, found->second);
@@ -425,19 +425,27 @@
     return retired;
 }
 
-auto unregisterExecutor(Scheduler& scheduler, std::string_view id, Instant now) -> void
+auto unregisterExecutor(Scheduler& scheduler, std::string_view id) -> void
+{
+    const auto found = scheduler.m_executorById.find(std::string(id));
+    if (found != scheduler.m_executorById.end())
+        scheduler.m_executors[found->second]->m_isRegistered = false;
+}
+
+auto noteEntryRemoved(Scheduler& scheduler, std::string_view id, Instant now) -> void
 {
     const auto found = scheduler.m_executorById.find(std::string(id));
     if (found == scheduler.m_executorById.end())
         return;
     auto& executor = *scheduler.m_executors[found->second];
     executor.m_isRegistered = false;
-    executor.m_unlistedAt = executor.m_unlistedAt.value_or(now);
+    executor.m_entryRemovedAt = executor.m_entryRemovedAt.value_or(now);
 }
 
 auto mayBeLost(const Executor& executor) -> bool
 {
-    return executor.m_unlistedAt && executor.m_isUnresponsive && !executor.m_isTerminated && !executor.m_runs.empty();
+    return executor.m_entryRemovedAt && executor.m_isUnresponsive && !executor.m_isTerminated
+        && !executor.m_runs.empty();
 }
 
 auto removeLostRuns(Scheduler& scheduler, ExecutorIndex index, Instant now) -> std::size_t
--- a/tests/core/fleetplan/TurnSimulation.cpp
+++ b/tests/core/fleetplan/TurnSimulation.cpp
@@ -123,7 +123,7 @@
     if (!machine.m_hasExecutor)
         return;
     scheduling::markTerminated(m_scheduler, machine.m_executor, m_now);
-    scheduling::unregisterExecutor(m_scheduler, machine.m_machine.m_executorId, m_now);
+    scheduling::unregisterExecutor(m_scheduler, machine.m_machine.m_executorId);
     machine.m_hasExecutor = false;
     machine.m_machine.m_executorId.clear();
 }
--- a/tests/core/scheduling/CheckStartTest.cpp
+++ b/tests/core/scheduling/CheckStartTest.cpp
@@ -31,7 +31,7 @@
     auto start_executorUnregistered_isHeldBack() -> void
     {
         const auto start = startOne(step(1, 1000));
-        unregisterExecutor(m_scheduler, m_scheduler.m_executors[start.m_executor]->m_entry.m_id, m_now);
+        unregisterExecutor(m_scheduler, m_scheduler.m_executors[start.m_executor]->m_entry.m_id);
         CPPUNIT_ASSERT(!mayBeSent(start));
     }
 
--- a/tests/core/scheduling/CrashingTasksTest.cpp
+++ b/tests/core/scheduling/CrashingTasksTest.cpp
@@ -362,7 +362,7 @@
             silent.push_back(silentUntilLeaseExpires());
         CPPUNIT_ASSERT(startAll().empty());
         for (const auto& start : silent)
-            unregisterExecutor(m_scheduler, m_scheduler.m_executors[start.m_executor]->m_entry.m_id, m_now);
+            unregisterExecutor(m_scheduler, m_scheduler.m_executors[start.m_executor]->m_entry.m_id);
         retireExecutors(m_scheduler);
         CPPUNIT_ASSERT(needsTrial(m_scheduler, *findTask(m_scheduler, silent[0].m_task)));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, startAll().size());
--- a/tests/core/scheduling/PlanByChangesTest.cpp
+++ b/tests/core/scheduling/PlanByChangesTest.cpp
@@ -413,7 +413,7 @@
         ++entry.m_startedAtMs;
         both([&](Scheduler& scheduler) {
             if (kind == 0)
-                unregisterExecutor(scheduler, entry.m_id, m_now);
+                unregisterExecutor(scheduler, entry.m_id);
             else if (kind == 1)
                 markTerminated(scheduler, index, m_now);
             else if (kind == 2)
--- a/tests/core/scheduling/PollScheduleTest.cpp
+++ b/tests/core/scheduling/PollScheduleTest.cpp
@@ -37,7 +37,7 @@
     auto silentExecutor_unlisted_isNotPolledUntilItIsListedAgain() -> void
     {
         const auto start = startAndLoseLease();
-        unregisterExecutor(m_scheduler, executorOf(start).m_entry.m_id, m_now);
+        unregisterExecutor(m_scheduler, executorOf(start).m_entry.m_id);
         CPPUNIT_ASSERT(!needsPoll(executorOf(start)));
         registerExecutor(m_scheduler, executorOf(start).m_entry, m_now, m_now);
         CPPUNIT_ASSERT(needsPoll(executorOf(start)));
--- a/tests/core/scheduling/TrackRunsTest.cpp
+++ b/tests/core/scheduling/TrackRunsTest.cpp
@@ -541,7 +541,7 @@
         const auto start = plan().at(0);
         answerStarts({ start });
         const auto id = m_scheduler.m_executors[start.m_executor]->m_entry.m_id;
-        unregisterExecutor(m_scheduler, id, m_now);
+        unregisterExecutor(m_scheduler, id);
         CPPUNIT_ASSERT(retireExecutors(m_scheduler).empty());
         reportEnd(start, RunOutcome::Done);
         CPPUNIT_ASSERT(retireExecutors(m_scheduler).empty());
@@ -553,7 +553,7 @@
     auto retire_executorListedAgain_isUsedAgain() -> void
     {
         const auto entry = m_scheduler.m_executors[0]->m_entry;
-        unregisterExecutor(m_scheduler, entry.m_id, m_now);
+        unregisterExecutor(m_scheduler, entry.m_id);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, retireExecutors(m_scheduler).size());
         registerExecutor(m_scheduler, entry, m_now, m_now);
         submit({ step(2, 8000) });
--- a/tests/shell/coordinator/LostMachineTest.cpp
+++ b/tests/shell/coordinator/LostMachineTest.cpp
@@ -9,6 +9,7 @@
 
 const std::string hung = "executor-1"; // Gets a start, answers nothing any more, and starts again under its id.
 const std::string sound = "executor-2";
+const std::string unreadable = "unreadable";
 
 } // namespace
 
@@ -24,8 +25,10 @@
     CPPUNIT_TEST(machine_downWithoutItsExecutorsNameAfterATakeover_taskStartsElsewhereAtOnce);
     CPPUNIT_TEST(machine_gone_taskStartsElsewhereAtOnce);
     CPPUNIT_TEST(machine_hasOtherExecutorAfterATakeover_taskStartsElsewhereAtOnce);
+    CPPUNIT_TEST(machine_downAndLastLifeKnownOnlyFromPoll_taskStartsElsewhereAtOnce);
     CPPUNIT_TEST(machine_up_taskWaits);
     CPPUNIT_TEST(machine_downWhileExecutorIsListed_taskWaits);
+    CPPUNIT_TEST(machine_downWhileEntryIsUnreadable_taskWaits);
     CPPUNIT_TEST(machine_downByAListOfBefore_taskWaits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +114,20 @@
         CPPUNIT_ASSERT(isStartedElsewhere());
     }
 
+    // Its entry is that of the life before, and is removed after that one's last heartbeat.
+    auto machine_downAndLastLifeKnownOnlyFromPoll_taskStartsElsewhereAtOnce() -> void
+    {
+        hangAndStartAgain();
+        auto& life = m_executors.m_lives[hung];
+        life.m_startedAtMs = 3;
+        life.m_hangsAtPoll = true;
+        life.m_isSilent = false;
+        runUntil([&] { return life.m_isSilent; });
+        settle();
+        lose();
+        CPPUNIT_ASSERT(isStartedElsewhere());
+    }
+
     // Guards against a second run of a task on an executor that is cut off from the store and from its owner, and
     // carries out the start late.
     auto machine_up_taskWaits() -> void
@@ -130,6 +147,18 @@
         CPPUNIT_ASSERT(!isStartedElsewhere());
     }
 
+    // Guards against taking an entry of another writer for a removal.
+    auto machine_downWhileEntryIsUnreadable_taskWaits() -> void
+    {
+        m_decodeExecutor = [decode = m_decodeExecutor](std::string_view id, std::string_view startedAt) {
+            return startedAt == unreadable ? std::nullopt : decode(id, startedAt);
+        };
+        hangAndStartAgain();
+        m_list.m_listed->front().m_state = fleet::MachineState::Down;
+        list(hung, unreadable);
+        CPPUNIT_ASSERT(!isStartedElsewhere());
+    }
+
     // Guards against a second run on an executor that came up between the list and the removal of its entry.
     auto machine_downByAListOfBefore_taskWaits() -> void
     {
--- a/tests/shell/coordinator/ScriptedExecutors.h
+++ b/tests/shell/coordinator/ScriptedExecutors.h
@@ -23,6 +23,7 @@
         std::int64_t m_startedAtMs = 1;
         bool m_isSilent = false; ///< Calls get no answer and have no effect.
         bool m_hangsAtStart = false; ///< Becomes silent when it gets a start, which has no effect.
+        bool m_hangsAtPoll = false; ///< Becomes silent after the answer to the next poll.
         bool m_hasNewerOwner = false; ///< Polls are refused, since a newer owner has called.
         std::vector<scheduling::ReportedRun> m_runs;
         std::vector<scheduling::EndedRun> m_ends; ///< Ends that are listed until they are acknowledged.
@@ -65,6 +66,7 @@
         if (life.m_isSilent)
             co_return result;
         ++life.m_polls;
+        life.m_isSilent = life.m_hangsAtPoll;
         life.m_received.push_back(order);
         if (life.m_hasNewerOwner) {
             result.m_outcome = CallOutcome::StaleFence;
