Take an executor for lost only once its machine has stayed down

An executor that is cut off from the store and from its owner may start again under its id after its entry was removed, and be listed as down for that moment. Its next life may carry out a start that was sent before. Now the lists have to show the machine as down for 1 s. One that has ended for good has been listed so for that long when its entry is removed, so that its tasks start as soon as before.

--- a/include/hemlockvane/fleet/ReadMachines.h
+++ b/include/hemlockvane/fleet/ReadMachines.h
@@ -38,7 +38,8 @@
 [[nodiscard]] auto hasJoinedSince(const MachineHistory& history, const Machine& listed) -> bool;
 
 /// @brief Whether the lists show that an executor, which was last known on a machine, can carry out nothing any more:
-/// the machine is down, moving or under upkeep, has another executor, or does not exist any more.
+/// the machine is moving or under upkeep, has another executor, does not exist any more, or has been down for longer
+/// than an executor takes that starts again.
 ///
 /// The platform says so of the machine itself. A machine that is only cut off, from the store or from its callers,
 /// stays listed as up with the same executor.
--- a/src/fleet/ReadMachines.cpp
+++ b/src/fleet/ReadMachines.cpp
@@ -7,6 +7,21 @@
 
 namespace hemlockvane::fleet {
 
+namespace {
+
+// An executor that starts again under its id is down for a moment. Its entry is removed two heartbeats after it ended
+// at the earliest (3 s), and lists are read each 2 s: one that has ended for good has been listed as down for this
+// long.
+constexpr Duration shortestLoss { 1000 };
+
+auto isDownForGood(const MachineHistory& history, const std::string& machine) -> bool
+{
+    const auto since = history.m_downSince.find(machine);
+    return since != history.m_downSince.end() && history.m_newest.m_askedAt - since->second >= shortestLoss;
+}
+
+} // namespace
+
 auto isNewerThan(const MachineList& list, Instant learntAt) -> bool { return list.m_askedAt > learntAt; }
 
 auto findMachine(const MachineList& list, const std::string& machine) -> const Machine*
@@ -19,6 +34,15 @@
 auto recordList(MachineHistory& history, MachineList list) -> void
 {
     history.m_previous = std::exchange(history.m_newest, std::move(list));
+    std::map<std::string, Instant> downSince;
+    for (const auto& machine : history.m_newest.m_machines) {
+        if (machine.m_state != MachineState::Down)
+            continue;
+        const auto known = history.m_downSince.find(machine.m_id);
+        downSince.emplace(
+            machine.m_id, known == history.m_downSince.end() ? history.m_newest.m_askedAt : known->second);
+    }
+    history.m_downSince = std::move(downSince);
 }
 
 auto noteJoined(MachineHistory& history, const std::string& machine, const std::string& executorId, Instant now) -> void
@@ -51,10 +75,13 @@
     });
     if (found == machines.end())
         return !machine.empty() && isGone(history, machine, learntAt);
+    if (!isNewerThan(history.m_newest, learntAt))
+        return false;
+    if (found->m_state == MachineState::Down)
+        return isDownForGood(history, found->m_id);
     // A machine that has come up may not name its executor yet.
-    const auto mayRun
-        = found->m_state == MachineState::Up && (found->m_executorId.empty() || found->m_executorId == executorId);
-    return !mayRun && isNewerThan(history.m_newest, learntAt);
+    const auto hasOther = !found->m_executorId.empty() && found->m_executorId != executorId;
+    return found->m_state != MachineState::Up || hasOther;
 }
 
 } // namespace hemlockvane::fleet
