Count the new reason in the test of its names

nameOf_everyDropReason_isUnique counts the reasons for which a run is dropped: it failed with nine instead of eight since MachineLost was added in. The names of the states of machines are checked in the same way.

--- a/tests/shell/logging/OutcomeNamesTest.cpp
+++ b/tests/shell/logging/OutcomeNamesTest.cpp
@@ -1,6 +1,7 @@
 #include "hemlockvane/detail/logging/OutcomeNames.h"
 
 #include "hemlockvane/detail/ports/MachineOutcome.h"
+#include "hemlockvane/fleet/MachineState.h"
 #include "hemlockvane/scheduling/DropReason.h"
 #include "hemlockvane/scheduling/StartAnswer.h"
 
@@ -16,6 +17,7 @@
     CPPUNIT_TEST(nameOf_everyStartAnswer_isUnique);
     CPPUNIT_TEST(nameOf_everyMachineOutcome_isUnique);
     CPPUNIT_TEST(nameOf_everyDropReason_isUnique);
+    CPPUNIT_TEST(nameOf_everyMachineState_isUnique);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -31,7 +33,12 @@
 
     auto nameOf_everyDropReason_isUnique() -> void
     {
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, namesUpTo(scheduling::DropReason::Stopped).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 9 }, namesUpTo(scheduling::DropReason::Stopped).size());
+    }
+
+    auto nameOf_everyMachineState_isUnique() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, namesUpTo(fleet::MachineState::Down).size());
     }
 
 private:
